--- /dev/null
+++ b/ringshift/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire before the decisions: JSON lines, units and ids. Nothing here decides."""
--- /dev/null
+++ b/ringshift/control.py
@@ -0,0 +1,674 @@
+"""What one server takes, runs and turns away. Every decision, table and tuned value of ringshift is here.
+
+Called as `Controller(machine, seed)`, then `decide(now, inputs)` for each batch of news: it returns the actions in
+the order they must be carried out; `take_forgotten()` names the invocations whose indices may be dropped. Types
+are in interface.py; the why of it, against its source, is in docs/design.md.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from enum import Enum, auto
+from heapq import heappop, heappush
+from math import exp, floor
+from random import Random
+
+from ringshift import interface as face
+from ringshift.interface import Advert, Below, Effect, Halt, Outcome
+
+MS = 1_000_000
+S = 1000 * MS
+
+BEAT = 50 * MS  # how often an idle instance looks at its gauges and alarms; well under any answer's slack
+MEMORY = 8 * S  # how long measurements count: several windows, yet shorter than the troubles they must follow
+WINDOW = 1 * S  # the least time the learner and the warm test compare
+ENOUGH = 30  # completions in a window below which a change of rate is chance
+FEW = 5  # runs in a warm-up window too few to judge
+FALLING = 0.95  # latency under this share of the window before still falls
+CEILING = 0.6  # share of the survivable crowd that is used: a mean over a window must never reach it
+ROOM = 0.9  # share of memory for runs and entries, so that what is read next always fits until it is judged
+HOLD = 0.5  # share of the time an objective leaves beside the run that may be spent held
+CALM = 0.3  # share of that under which a short line is no reason to turn anything away
+START = 0.7  # share of the mean run that must still fit: half of all runs are shorter than that
+BULKY = 4  # times the mean run after which a run makes way for others where it can be paused
+PRIOR = 0.15  # share of the objective a run is thought to take while none has been seen
+GRACE = 3 * S  # the document's wait between the flag and the closed door
+LAST = 60 * MS  # before the kill, what still runs is failed
+LOST = 0.5  # share of failed calls at which readiness turns bad
+HEARD = 8  # calls under which no share is believed
+RETURN = (1 * S, 3 * S)  # after this long, by chance, a server that saw its dependency fail tries again
+
+
+class State(Enum):
+    HELD = auto()
+    WAITING = auto()  # on the outcome of the one it repeats
+    RUNNING = auto()
+    STANDING = auto()  # at a call that is not placed
+    CALLING = auto()
+    PAUSED = auto()
+    ANSWERED = auto()  # yet still running
+    OVER = auto()
+
+
+class News(Enum):
+    START = auto()
+    REPEAT = auto()
+    TURN = auto()
+    LATE = auto()  # cannot end within its objective
+    LONG = auto()
+    DUE = auto()
+    GONE = auto()
+    ENDED = auto()
+    STOPPED = auto()
+    WANTS = auto()
+    PLACE = auto()
+    CALLED = auto()
+    UNRUN = auto()  # the call is proven not to have run
+    UNSURE = auto()
+    SPARED = auto()  # the call failed and can be left out
+
+
+HELD, WAITING, RUNNING, STANDING = State.HELD, State.WAITING, State.RUNNING, State.STANDING
+CALLING, PAUSED, ANSWERED, OVER = State.CALLING, State.PAUSED, State.ANSWERED, State.OVER
+
+# The specification: (state, news) -> (next state, effect). A pair that is missing is news that crossed an answer.
+TABLE: dict[tuple[State, News], tuple[State, str]] = {
+    (HELD, News.START): (RUNNING, "start"),
+    (HELD, News.REPEAT): (WAITING, "reuse"),
+    (HELD, News.TURN): (OVER, "throttle"),
+    (HELD, News.LATE): (OVER, "throttle"),
+    (HELD, News.DUE): (OVER, "throttle"),
+    (HELD, News.GONE): (OVER, "forget"),
+    (HELD, News.ENDED): (OVER, "nothing"),
+    (WAITING, News.DUE): (OVER, "fail"),
+    (WAITING, News.GONE): (OVER, "nothing"),
+    (WAITING, News.ENDED): (OVER, "nothing"),
+    (RUNNING, News.LATE): (ANSWERED, "fail_and_stop"),
+    (RUNNING, News.LONG): (RUNNING, "stop"),
+    (RUNNING, News.DUE): (ANSWERED, "fail_and_stop"),
+    (RUNNING, News.GONE): (ANSWERED, "stop"),
+    (RUNNING, News.ENDED): (OVER, "count"),
+    (RUNNING, News.STOPPED): (PAUSED, "line_up"),
+    (RUNNING, News.WANTS): (STANDING, "line_up_call"),
+    (STANDING, News.PLACE): (CALLING, "call"),
+    (STANDING, News.SPARED): (RUNNING, "skip"),
+    (STANDING, News.LATE): (ANSWERED, "fail"),
+    (STANDING, News.DUE): (ANSWERED, "fail"),
+    (STANDING, News.GONE): (ANSWERED, "nothing"),
+    (STANDING, News.ENDED): (OVER, "nothing"),
+    (CALLING, News.CALLED): (RUNNING, "called"),
+    (CALLING, News.UNRUN): (STANDING, "call_again"),
+    (CALLING, News.UNSURE): (ANSWERED, "fail"),
+    (CALLING, News.SPARED): (RUNNING, "skip"),
+    (CALLING, News.LATE): (ANSWERED, "abandon_call"),
+    (CALLING, News.DUE): (ANSWERED, "abandon_call"),
+    (CALLING, News.GONE): (ANSWERED, "linger"),
+    (CALLING, News.ENDED): (OVER, "nothing"),
+    (PAUSED, News.START): (RUNNING, "start"),
+    (PAUSED, News.LATE): (OVER, "fail"),
+    (PAUSED, News.DUE): (OVER, "fail"),
+    (PAUSED, News.GONE): (OVER, "nothing"),
+    (PAUSED, News.ENDED): (OVER, "nothing"),
+    (ANSWERED, News.LATE): (ANSWERED, "stop"),
+    (ANSWERED, News.DUE): (ANSWERED, "stop"),
+    (ANSWERED, News.ENDED): (OVER, "nothing"),
+    (ANSWERED, News.STOPPED): (OVER, "nothing"),
+}
+WEIGHTLESS = (HELD, WAITING)  # states that need a held invocation's memory, not a running one's
+CALL_NEWS = {
+    Outcome.SUCCEEDED: News.CALLED,
+    Outcome.REJECTED: News.UNRUN,
+    Outcome.UNREACHABLE: News.UNRUN,
+    Outcome.MOOT: News.UNRUN,
+}
+BROKEN_CALLS = (Outcome.UNREACHABLE, Outcome.TIMED_OUT, Outcome.BROKEN)
+
+
+class Decay:
+    """A sum whose parts fade; brought up to date when read."""
+
+    __slots__ = ("at", "span", "sum")
+
+    def __init__(self, span: int) -> None:
+        self.sum, self.at, self.span = 0.0, 0, span
+
+    def read(self, now: int) -> float:
+        if now > self.at:
+            self.sum *= exp((self.at - now) / self.span)
+            self.at = now
+        return self.sum
+
+    def add(self, now: int, amount: float) -> None:
+        self.sum = self.read(now) + amount
+
+
+class Mean:
+    """A fading mean that goes back to what was thought before once nothing is seen: so a server judged
+    hopeless by an old measurement tries again."""
+
+    __slots__ = ("count", "prior", "total")
+
+    def __init__(self, prior: float, span: int = MEMORY) -> None:
+        self.total, self.count, self.prior = Decay(span), Decay(span), prior
+
+    def add(self, now: int, value: float) -> None:
+        self.total.add(now, value)
+        self.count.add(now, 1.0)
+
+    def read(self, now: int) -> float:
+        return (self.total.read(now) + self.prior) / (self.count.read(now) + 1.0)
+
+
+class Line:
+    """The held invocations of one operation, oldest first, and what its runs were like."""
+
+    __slots__ = ("core", "length", "op", "queue", "ratio", "run", "turn")
+
+    def __init__(self, op: face.Operation) -> None:
+        self.op = op
+        self.queue: deque[Inv] = deque()
+        self.length = 0
+        self.run = Mean(op.objective * PRIOR)
+        self.core = Mean(op.objective * PRIOR)
+        self.ratio = Mean(1.0)
+        self.turn = 0.0
+
+
+class Inv:
+    __slots__ = ("arrived", "called", "calls", "cost", "due", "goal", "id", "kb", "line", "rank", "started",
+                 "state", "tries")  # fmt: skip
+
+    def __init__(self, news: face.Arrived, line: Line, now: int) -> None:
+        op = line.op
+        self.id, self.line, self.kb, self.cost, self.rank = news.inv, line, news.kb, news.cost, news.rank
+        self.arrived = now - news.unread
+        self.due = self.arrived + op.client_timeout if news.patience is None else now + news.patience
+        stretch = round(op.objective_stretch * (news.cost * MS if news.cost else line.run.read(now)))
+        objective = min(op.objective + stretch, op.client_timeout)
+        self.goal = min(self.arrived + objective, self.due - op.client_timeout + objective)
+        self.state = HELD
+        self.started = self.called = self.calls = self.tries = 0
+
+
+class Controller:
+    def __init__(self, machine: face.Machine, seed: int) -> None:
+        self.machine = machine
+        self.random = Random(seed)
+        self.now = 0
+        self.out: list[face.Action] = []
+        self.forgotten: list[int] = []
+        self.invs: dict[int, Inv] = {}
+        self.count = dict.fromkeys(State, 0)
+        self.memory = 0.0
+        self.lines = [Line(op) for op in machine.operations]
+        self.turn = 0.0
+        self.at_call: deque[Inv] = deque()
+        self.alarms: list[tuple[int, int, int, News]] = []
+        self.entries: list[int] = []
+        self.lingering: deque[int] = deque()
+        self.in_hand = Mean(0.0, max(machine.dependency.window, 1))
+        self.custom = [Decay(2 * S) for _ in machine.customers]
+        self.same_caller, self.last_caller = Mean(1 / max(machine.callers, 1)), -1
+        self.limit = float(machine.cores)
+        self.step, self.last_rate, self.bound = 1, 0.0, True
+        self.window_at, self.window_done = -1, 0
+        self.sum_started = 0
+        self.born = -1
+        self.warm = not machine.cold
+        self.warm_sum, self.warm_runs, self.warm_last = 0.0, 0, 0.0
+        self.leaving_at = self.kill_at = 0
+        self.calls_made, self.calls_lost = Decay(2 * S), Decay(2 * S)
+        self.lost_until = 0
+        self.shown = (True, False)
+        self.advertised = -1.0
+        self.full = False
+
+    # The door.
+
+    def decide(self, now: int, inputs: Iterable[face.Input]) -> list[face.Action]:
+        self.now, self.out = now, []
+        if self.born < 0:
+            self.born = self.window_at = now
+            self.out.append(face.Wake(0, BEAT))
+        for news in inputs:
+            HANDLERS[type(news)](self, news)
+        self.ring()
+        self.make_room()
+        self.fill()
+        self.show()
+        return self.out
+
+    def take_forgotten(self) -> list[int]:
+        forgotten, self.forgotten = self.forgotten, []
+        return forgotten
+
+    def step_to(self, inv: Inv, news: News) -> bool:
+        row = TABLE.get((inv.state, news))
+        if row is None:
+            return False
+        old, (state, effect) = inv.state, row
+        if state is not old:
+            self.count[old] -= 1
+            self.count[state] += 1
+            self.memory += self.weight(inv, state) - self.weight(inv, old)
+            inv.state = state
+            if old is HELD or old is PAUSED:
+                inv.line.length -= 1
+            if old is RUNNING:
+                self.sum_started -= inv.started
+            if state is RUNNING:
+                self.sum_started += inv.started if old is not HELD else self.now
+        EFFECTS[effect](self, inv)
+        if state is OVER:
+            del self.invs[inv.id]
+            self.forgotten.append(inv.id)
+        return True
+
+    def weight(self, inv: Inv, state: State) -> float:
+        if state is OVER:
+            return 0.0
+        return inv.kb if state in WEIGHTLESS else inv.kb * self.machine.run_factor
+
+    # What an effect does beside the change of state.
+
+    def nothing(self, inv: Inv) -> None:
+        pass
+
+    def forget(self, inv: Inv) -> None:
+        if inv.line.op.effect is Effect.TOKENED:
+            self.out.append(face.Forget(inv.id))
+
+    def start(self, inv: Inv) -> None:
+        if not inv.started:
+            inv.started = self.now
+            if self.machine.halt is Halt.PAUSE:
+                self.alarm(self.now + round(BULKY * inv.line.run.read(self.now)), inv, News.LONG)
+            if self.machine.fresh and inv.line.op.effect is Effect.IDEMPOTENT and inv.tries < 0:
+                self.remember(inv, self.machine.fresh + inv.line.op.objective)
+        self.out.append(face.Start(inv.id))
+
+    def reuse(self, inv: Inv) -> None:
+        self.out.append(face.Reuse(inv.id))
+
+    def throttle(self, inv: Inv) -> None:
+        self.forget(inv)
+        late = self.now + self.latest(inv) > inv.goal and not self.leaving_at
+        pause = self.machine.longest_pause if self.leaving_at else 0 if late else self.excess()
+        self.out.append(face.Throttle(inv.id, min(pause, self.machine.longest_pause), late))
+
+    def fail(self, inv: Inv) -> None:
+        self.out.append(face.Fail(inv.id))
+
+    def stop(self, inv: Inv) -> None:
+        if self.machine.halt is not Halt.NONE:
+            self.out.append(face.Halted(inv.id))
+
+    def fail_and_stop(self, inv: Inv) -> None:
+        self.fail(inv)
+        self.stop(inv)
+        # Where the cores stand still the stop does nothing: it is tried again until the run is gone.
+        self.alarm(self.now + 4 * BEAT, inv, News.LATE)
+
+    def line_up(self, inv: Inv) -> None:
+        inv.line.queue.append(inv)
+        inv.line.length += 1
+
+    def line_up_call(self, inv: Inv) -> None:
+        inv.called = self.now
+        self.at_call.append(inv)
+
+    def call(self, inv: Inv) -> None:
+        self.out.append(face.PlaceCall(inv.id, self.useful_until(inv)))
+
+    def call_again(self, inv: Inv) -> None:
+        inv.tries += 1
+        self.at_call.append(inv)
+
+    def called(self, inv: Inv) -> None:
+        inv.calls += self.now - inv.called
+
+    def skip(self, inv: Inv) -> None:
+        self.called(inv)
+        self.out.append(face.SkipCall(inv.id))
+
+    def linger(self, inv: Inv) -> None:
+        self.lingering.append(self.now + self.machine.dependency.linger)
+
+    def abandon_call(self, inv: Inv) -> None:
+        self.linger(inv)
+        self.fail(inv)
+
+    def count_run(self, inv: Inv) -> None:
+        latency = self.now - inv.started
+        core = max(latency - inv.calls, 0)
+        line, now = inv.line, self.now
+        line.run.add(now, latency)
+        line.core.add(now, core)
+        if inv.cost > 0:
+            line.ratio.add(now, core / (inv.cost * MS))
+        self.window_done += now <= inv.goal
+        self.warm_runs += 1
+        self.warm_sum += core
+
+    # What is known.
+
+    def on_cores(self) -> int:
+        return self.count[RUNNING] + self.count[ANSWERED]
+
+    def expected(self, inv: Inv) -> float:
+        """How long a run would take: by its hint where there is one, never less than what now runs suggests."""
+        return inv.line.run.read(self.now) * self.slowness()
+
+    def slowness(self) -> float:
+        """Runs that are on the cores far longer than runs used to take tell of a slowed, hung or paused
+        machine before any of them ends. A wave of bulky work looks the same and is answered the same."""
+        running = self.count[RUNNING]
+        if not running:
+            return 1.0
+        age = self.now - self.sum_started / running
+        usual = max(line.run.read(self.now) for line in self.lines)
+        return max(1.0, age / (1.5 * usual))
+
+    def latest(self, inv: Inv) -> int:
+        return round(START * self.expected(inv))
+
+    def useful_until(self, inv: Inv) -> int:
+        return inv.due - BEAT if inv.line.op.late_share else min(inv.goal, inv.due - BEAT)
+
+    def wait(self) -> float:
+        work = sum(line.length * line.core.read(self.now) for line in self.lines if line.length)
+        return work * self.slowness() / self.limit
+
+    def patience(self) -> float:
+        """How long work may be held before the tightest objective is in danger."""
+        slow = self.slowness()
+        return min(max(line.op.objective - line.run.read(self.now) * slow, line.op.objective * 0.1)
+                   for line in self.lines) * HOLD  # fmt: skip
+
+    def level(self) -> float:
+        """The rank under which work is turned away: 0 while the line is short, 1 where it eats the objective."""
+        return min(max(self.wait() / self.patience() - CALM, 0.0) / (1 - CALM), 1.0)
+
+    def excess(self) -> int:
+        return max(round(self.wait() - CALM * self.patience()), 0)
+
+    def ceiling(self) -> float:
+        machine = self.machine
+        speed = 1.0
+        if machine.cold:
+            speed = min(1.0, machine.cold_speed + (1 - machine.cold_speed) * (self.now - self.born) / machine.ramp)
+        return max(CEILING * (1 + (machine.fall_multiple - 1) * speed), 1.0) * machine.cores
+
+    # News.
+
+    def on_arrived(self, news: face.Arrived) -> None:
+        now, line = self.now, self.lines[news.operation]
+        inv = Inv(news, line, now)
+        self.invs[inv.id] = inv
+        self.count[HELD] += 1
+        line.length += 1
+        self.memory += inv.kb
+        self.same_caller.add(now, news.caller == self.last_caller)
+        self.last_caller = news.caller
+        if self.closed(inv):
+            self.step_to(inv, News.TURN)
+        elif news.repeats is not None and (line.op.effect is Effect.TOKENED or self.machine.fresh):
+            self.step_to(inv, News.REPEAT)
+            self.alarm(inv.due - BEAT, inv, News.DUE)
+        elif now >= inv.due - BEAT or (not line.op.late_share and now + self.latest(inv) > inv.goal):
+            self.step_to(inv, News.LATE)
+        elif self.worth_rank(inv, news) < self.level():
+            self.step_to(inv, News.TURN)
+        else:
+            if news.customer >= 0:
+                self.custom[news.customer].add(now, 1.0)
+            if line.op.effect is Effect.TOKENED and not self.remember(inv, line.op.window):
+                self.step_to(inv, News.TURN)
+                return
+            inv.tries = -1 if news.keyed_read else 0
+            line.turn = max(line.turn, self.turn) if line.length == 1 else line.turn
+            line.queue.append(inv)
+            self.alarm(inv.due - BEAT, inv, News.DUE)
+            if line.op.late_share == 0:
+                self.alarm(inv.goal - self.latest(inv), inv, News.LATE)
+
+    def worth_rank(self, inv: Inv, news: face.Arrived) -> float:
+        """A customer beyond its part of the fleet's quota ranks as what its traffic is worth there."""
+        if news.customer < 0:
+            return inv.rank
+        quota = self.machine.customers[news.customer].quota_per_s / self.machine.fleet
+        over = self.custom[news.customer].read(self.now) > 1.5 * quota * 2 + 1
+        return inv.rank * self.machine.over_quota_share if over else inv.rank
+
+    def closed(self, inv: Inv) -> bool:
+        if not self.leaving_at:
+            return False
+        grace = min(self.machine.grace, GRACE)
+        return inv.arrived > self.leaving_at + grace or self.now + self.latest(inv) >= self.kill_at - LAST
+
+    def remember(self, inv: Inv, ttl: int) -> bool:
+        if self.memory + self.machine.entry_kb > ROOM * self.machine.memory_kb:
+            return False
+        self.out.append(face.Remember(inv.id, ttl))
+        self.memory += self.machine.entry_kb
+        heappush(self.entries, self.now + ttl)
+        return True
+
+    def on_finished(self, news: face.Finished) -> None:
+        inv = self.invs.get(news.inv)
+        if inv is not None:
+            self.step_to(inv, News.STOPPED if news.outcome is Outcome.STOPPED and
+                         (inv.state is RUNNING or inv.state is ANSWERED) else News.ENDED)  # fmt: skip
+
+    def on_gone(self, news: face.CallerGone) -> None:
+        inv = self.invs.get(news.inv)
+        if inv is not None:
+            self.step_to(inv, News.GONE)
+
+    def on_wanted(self, news: face.CallWanted) -> None:
+        inv = self.invs.get(news.inv)
+        if inv is not None:
+            self.step_to(inv, News.WANTS)
+
+    def on_call_ended(self, news: face.CallEnded) -> None:
+        self.calls_made.add(self.now, 1.0)
+        if news.outcome in BROKEN_CALLS:
+            self.calls_lost.add(self.now, 1.0)
+        if news.outcome is Outcome.TIMED_OUT:
+            self.lingering.append(self.now + self.machine.dependency.linger)
+        inv = self.invs.get(news.inv)
+        if inv is None:
+            return
+        step = CALL_NEWS.get(news.outcome, News.UNSURE)
+        if step is not News.CALLED and inv.line.op.degraded_share > 0:
+            step = News.SPARED
+        self.step_to(inv, step)
+
+    def on_leaving(self, news: face.Leaving) -> None:
+        self.leaving_at, self.kill_at = self.now, self.now + news.left
+        self.out.append(face.Log(f"leaving: {len(self.invs)} in hand, {news.left // MS} ms left"))
+
+    def on_timer(self, news: face.TimerFired) -> None:
+        self.out.append(face.Wake(0, BEAT))
+        gauges = dict(zip(self.machine.gauges, news.gauges, strict=False))
+        self.learn(gauges.get("runnable"))
+        self.warm_up()
+        self.watch_dependency()
+
+    # The learned limit.
+
+    def learn(self, runnable: float | None) -> None:
+        waits = any(line.length for line in self.lines)
+        busy = self.on_cores() >= floor(self.limit)
+        if waits and busy and runnable is not None and runnable < self.machine.cores and self.slowness() <= 1.0:
+            # Cores idle while work waits: runs wait for disk, which no event tells.
+            self.limit += 1
+        self.bound = self.bound and waits
+        span = self.now - self.window_at
+        if span >= WINDOW and (self.window_done >= ENOUGH or span >= 4 * WINDOW):
+            rate = self.window_done * S / span
+            if self.bound and self.window_done >= ENOUGH:
+                if rate <= self.last_rate:
+                    self.limit -= self.step
+                    self.step = -self.step
+                self.limit += self.step
+                self.last_rate = rate
+            self.window_at, self.window_done, self.bound = self.now, 0, True
+        self.limit = max(min(self.limit, floor(self.ceiling())), float(self.machine.cores))
+
+    def warm_up(self) -> None:
+        age = self.now - self.born
+        if self.warm or age < WINDOW * (1 + self.warm_windows):
+            return
+        mean = self.warm_sum / self.warm_runs if self.warm_runs else 0.0
+        few = self.warm_runs < FEW
+        if few or age >= self.machine.ramp or (self.warm_last and mean >= FALLING * self.warm_last):
+            self.warm = True
+            self.out.append(face.Log(f"warm after {age // MS} ms" + (" (too few runs to judge)" if few else "")))
+        self.warm_windows += 1
+        self.warm_last, self.warm_sum, self.warm_runs = mean, 0.0, 0
+
+    warm_windows = 0
+
+    def watch_dependency(self) -> None:
+        made = self.calls_made.read(self.now)
+        bad = made >= HEARD and self.calls_lost.read(self.now) > LOST * made
+        if bad and self.now >= self.lost_until:
+            if not self.lost_until:
+                self.out.append(face.Log("dependency: most recent calls fail, not ready"))
+            self.lost_until = self.now + self.random.randint(*RETURN)
+        elif self.lost_until and self.now >= self.lost_until:
+            self.lost_until = 0
+            self.out.append(face.Log("dependency: calls end well again or are few, ready"))
+
+    # What follows from it all, once a batch.
+
+    def alarm(self, at: int, inv: Inv, news: News) -> None:
+        heappush(self.alarms, (at, inv.id, news.value, news))
+
+    def ring(self) -> None:
+        while self.entries and self.entries[0] + 20 * MS <= self.now:
+            heappop(self.entries)
+            self.memory -= self.machine.entry_kb
+        while self.lingering and self.lingering[0] <= self.now:
+            self.lingering.popleft()
+        if self.leaving_at and self.now >= self.kill_at - LAST - BEAT:
+            for inv in list(self.invs.values()):
+                self.step_to(inv, News.DUE)
+        while self.alarms and self.alarms[0][0] <= self.now:
+            _, index, _, news = heappop(self.alarms)
+            inv = self.invs.get(index)
+            if inv is None:
+                continue
+            if news is News.LATE and inv.state is RUNNING and self.now < inv.goal:
+                self.alarm(inv.goal, inv, News.LATE)
+            elif news is News.LONG and not any(line.length for line in self.lines):
+                continue
+            else:
+                self.step_to(inv, news)
+
+    def make_room(self) -> None:
+        """What was just read can overfill the memory; the newest of the least worth goes first."""
+        while self.memory > self.machine.memory_kb:
+            held = [inv for line in self.lines for inv in line.queue if inv.state is HELD]
+            if not held:
+                return
+            self.step_to(min(reversed(held), key=lambda inv: inv.rank), News.TURN)
+
+    def fill(self) -> None:
+        self.place_calls()
+        while self.on_cores() < floor(min(self.limit, self.ceiling())):
+            inv = self.next_held()
+            if inv is None:
+                return
+            more = inv.kb * (self.machine.run_factor - 1) if inv.state is HELD else 0.0
+            if self.memory + more > ROOM * self.machine.memory_kb:
+                return
+            line = inv.line
+            line.queue.popleft()
+            self.turn = line.turn
+            line.turn += line.core.read(self.now) / max(line.op.billed_value, 0.01)
+            self.step_to(inv, News.START)
+
+    def next_held(self) -> Inv | None:
+        best: Line | None = None
+        for line in self.lines:
+            while line.queue and not self.useful(line.queue[0]):
+                line.queue.popleft()
+            if line.queue and (best is None or line.turn < best.turn):
+                best = line
+        return best.queue[0] if best else None
+
+    def useful(self, inv: Inv) -> bool:
+        """Work that cannot end within its objective is not begun, unless late work earns and nothing else waits."""
+        if inv.state is PAUSED:
+            return True
+        if inv.state is not HELD:
+            return False
+        if self.closed(inv):
+            return not self.step_to(inv, News.TURN)
+        if self.now + self.latest(inv) > inv.goal and (not inv.line.op.late_share or self.level() > 0):
+            return not self.step_to(inv, News.LATE)
+        return True
+
+    def place_calls(self) -> None:
+        while self.at_call and self.may_call():
+            inv = self.at_call.popleft()
+            if inv.state is STANDING:
+                self.step_to(inv, News.PLACE)
+
+    def may_call(self) -> bool:
+        below = self.machine.dependency
+        held = self.count[CALLING] + len(self.lingering)
+        if below.kind is not Below.SHARED:
+            return True
+        return held + 1 <= below.share or (below.share < 1 and held == 0)
+
+    def show(self) -> None:
+        level = self.level()
+        good = self.warm and not self.leaving_at and not self.lost_until
+        # From store while crowded, so that checks cost no work; never while runs hang, so that a check hangs too.
+        shown = (good, not good or (level > 0 and self.slowness() < 2))
+        if shown != self.shown:
+            self.shown = shown
+            self.out.append(face.Readiness(*shown))
+        if (level >= 1) != self.full:
+            self.full = level >= 1
+            self.out.append(face.Log("overload: line full" if self.full else "overload: line open"))
+        self.advertise(0.0 if self.leaving_at else 1.0 - level if self.warm else (1.0 - level) / 2)
+
+    def advertise(self, share: float) -> None:
+        kind = self.machine.advert
+        if kind is Advert.NONE:
+            return
+        amount = {Advert.LEVEL: 1.0 - share, Advert.WEIGHT: max(share, 0.02), Advert.CREDIT: self.credit(share)}[kind]
+        if abs(amount - self.advertised) > 0.1 * max(amount, self.advertised, 0.1):
+            self.advertised = amount
+            self.out.append(face.Advertise(amount))
+
+    def credit(self, share: float) -> float:
+        """Each caller's part of what can be run and held in time; callers are counted by how often one comes
+        twice in a row."""
+        mean = sum(line.core.read(self.now) for line in self.lines) / len(self.lines)
+        total = self.limit * (1 + self.patience() / mean) + self.count[STANDING] + self.count[CALLING]
+        return total * self.same_caller.read(self.now) * (0.1 + 1.9 * share)
+
+
+HANDLERS = {
+    face.Arrived: Controller.on_arrived,
+    face.Finished: Controller.on_finished,
+    face.CallerGone: Controller.on_gone,
+    face.CallWanted: Controller.on_wanted,
+    face.CallEnded: Controller.on_call_ended,
+    face.Leaving: Controller.on_leaving,
+    face.TimerFired: Controller.on_timer,
+}
+EFFECTS = {
+    "nothing": Controller.nothing, "forget": Controller.forget, "start": Controller.start,
+    "reuse": Controller.reuse, "throttle": Controller.throttle, "fail": Controller.fail, "stop": Controller.stop,
+    "fail_and_stop": Controller.fail_and_stop, "line_up": Controller.line_up, "call": Controller.call,
+    "line_up_call": Controller.line_up_call, "call_again": Controller.call_again, "called": Controller.called,
+    "skip": Controller.skip, "linger": Controller.linger, "abandon_call": Controller.abandon_call,
+    "count": Controller.count_run,
+}  # fmt: skip
