--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Iterable
-from enum import Enum, auto
+from enum import Enum
 from heapq import heappop, heappush
 from math import exp, floor
 from random import Random
@@ -40,80 +40,55 @@
 RETURN = (1 * S, 3 * S)  # after this long, by chance, a server that saw its dependency fail tries again
 
 
-class State(Enum):
-    HELD = auto()
-    WAITING = auto()  # on the outcome of the one it repeats
-    RUNNING = auto()
-    STANDING = auto()  # at a call that is not placed
-    CALLING = auto()
-    PAUSED = auto()
-    ANSWERED = auto()  # yet still running
-    OVER = auto()
-
-
-class News(Enum):
-    START = auto()
-    REPEAT = auto()
-    TURN = auto()
-    LATE = auto()  # cannot end within its objective
-    LONG = auto()
-    DUE = auto()
-    GONE = auto()
-    ENDED = auto()
-    STOPPED = auto()
-    WANTS = auto()
-    PLACE = auto()
-    CALLED = auto()
-    UNRUN = auto()  # the call is proven not to have run
-    UNSURE = auto()
-    SPARED = auto()  # the call failed and can be left out
-
-
+# WAITING is on the outcome of the one it repeats, STANDING at a call not placed, ANSWERED yet still running.
+State = Enum("State", "HELD WAITING RUNNING STANDING CALLING PAUSED ANSWERED OVER")
+# LATE cannot end within its objective; UNRUN is a call proven not to have run, SPARED one that can be left out.
+News = Enum("News", "START REPEAT TURN LATE LONG DUE GONE ENDED STOPPED WANTS PLACE CALLED UNRUN UNSURE SPARED")
 HELD, WAITING, RUNNING, STANDING = State.HELD, State.WAITING, State.RUNNING, State.STANDING
 CALLING, PAUSED, ANSWERED, OVER = State.CALLING, State.PAUSED, State.ANSWERED, State.OVER
 
-# The specification: (state, news) -> (next state, effect). A pair that is missing is news that crossed an answer.
+# The specification: (state, news) -> (next state, effects). A pair that is missing is news that crossed an answer.
 TABLE: dict[tuple[State, News], tuple[State, str]] = {
     (HELD, News.START): (RUNNING, "start"),
     (HELD, News.REPEAT): (WAITING, "reuse"),
-    (HELD, News.TURN): (OVER, "throttle"),
-    (HELD, News.LATE): (OVER, "throttle"),
-    (HELD, News.DUE): (OVER, "throttle"),
+    (HELD, News.TURN): (OVER, "forget throttle"),
+    (HELD, News.LATE): (OVER, "forget throttle"),
+    (HELD, News.DUE): (OVER, "forget throttle"),
     (HELD, News.GONE): (OVER, "forget"),
-    (HELD, News.ENDED): (OVER, "nothing"),
+    (HELD, News.ENDED): (OVER, ""),
     (WAITING, News.DUE): (OVER, "fail"),
-    (WAITING, News.GONE): (OVER, "nothing"),
-    (WAITING, News.ENDED): (OVER, "nothing"),
-    (RUNNING, News.LATE): (ANSWERED, "fail_and_stop"),
+    (WAITING, News.GONE): (OVER, ""),
+    (WAITING, News.ENDED): (OVER, ""),
+    (RUNNING, News.LATE): (ANSWERED, "fail stop insist"),
     (RUNNING, News.LONG): (RUNNING, "stop"),
-    (RUNNING, News.DUE): (ANSWERED, "fail_and_stop"),
+    (RUNNING, News.DUE): (ANSWERED, "fail stop insist"),
     (RUNNING, News.GONE): (ANSWERED, "stop"),
-    (RUNNING, News.ENDED): (OVER, "count"),
+    (RUNNING, News.ENDED): (OVER, "count_run"),
     (RUNNING, News.STOPPED): (PAUSED, "line_up"),
     (RUNNING, News.WANTS): (STANDING, "line_up_call"),
     (STANDING, News.PLACE): (CALLING, "call"),
-    (STANDING, News.SPARED): (RUNNING, "skip"),
+    (STANDING, News.SPARED): (RUNNING, "called skip"),
     (STANDING, News.LATE): (ANSWERED, "fail"),
     (STANDING, News.DUE): (ANSWERED, "fail"),
-    (STANDING, News.GONE): (ANSWERED, "nothing"),
-    (STANDING, News.ENDED): (OVER, "nothing"),
+    (STANDING, News.GONE): (ANSWERED, ""),
+    (STANDING, News.ENDED): (OVER, ""),
     (CALLING, News.CALLED): (RUNNING, "called"),
     (CALLING, News.UNRUN): (STANDING, "call_again"),
     (CALLING, News.UNSURE): (ANSWERED, "fail"),
-    (CALLING, News.SPARED): (RUNNING, "skip"),
-    (CALLING, News.LATE): (ANSWERED, "abandon_call"),
-    (CALLING, News.DUE): (ANSWERED, "abandon_call"),
+    (CALLING, News.SPARED): (RUNNING, "called skip"),
+    (CALLING, News.LATE): (ANSWERED, "linger fail"),
+    (CALLING, News.DUE): (ANSWERED, "linger fail"),
     (CALLING, News.GONE): (ANSWERED, "linger"),
-    (CALLING, News.ENDED): (OVER, "nothing"),
+    (CALLING, News.ENDED): (OVER, ""),
     (PAUSED, News.START): (RUNNING, "start"),
     (PAUSED, News.LATE): (OVER, "fail"),
     (PAUSED, News.DUE): (OVER, "fail"),
-    (PAUSED, News.GONE): (OVER, "nothing"),
-    (PAUSED, News.ENDED): (OVER, "nothing"),
+    (PAUSED, News.GONE): (OVER, ""),
+    (PAUSED, News.ENDED): (OVER, ""),
     (ANSWERED, News.LATE): (ANSWERED, "stop"),
     (ANSWERED, News.DUE): (ANSWERED, "stop"),
-    (ANSWERED, News.ENDED): (OVER, "nothing"),
-    (ANSWERED, News.STOPPED): (OVER, "nothing"),
+    (ANSWERED, News.ENDED): (OVER, ""),
+    (ANSWERED, News.STOPPED): (OVER, ""),
 }
 WEIGHTLESS = (HELD, WAITING)  # states that need a held invocation's memory, not a running one's
 CALL_NEWS = {
@@ -186,7 +161,7 @@
         self.due = self.arrived + op.client_timeout if news.patience is None else now + news.patience
         stretch = round(op.objective_stretch * (news.cost * MS if news.cost else line.run.read(now)))
         objective = min(op.objective + stretch, op.client_timeout)
-        self.goal = min(self.arrived + objective, self.due - op.client_timeout + objective)
+        self.goal = min(self.arrived + objective, self.due)
         self.state = HELD
         self.started = self.called = self.calls = self.tries = 0
 
@@ -216,7 +191,7 @@
         self.sum_started = 0
         self.born = -1
         self.warm = not machine.cold
-        self.warm_sum, self.warm_runs, self.warm_last = 0.0, 0, 0.0
+        self.warm_sum, self.warm_runs, self.warm_last, self.warm_windows = 0.0, 0, 0.0, 0
         self.leaving_at = self.kill_at = 0
         self.calls_made, self.calls_lost = Decay(2 * S), Decay(2 * S)
         self.lost_until = 0
@@ -247,7 +222,7 @@
         row = TABLE.get((inv.state, news))
         if row is None:
             return False
-        old, (state, effect) = inv.state, row
+        old, (state, effects) = inv.state, row
         if state is not old:
             self.count[old] -= 1
             self.count[state] += 1
@@ -259,7 +234,8 @@
                 self.sum_started -= inv.started
             if state is RUNNING:
                 self.sum_started += inv.started if old is not HELD else self.now
-        EFFECTS[effect](self, inv)
+        for effect in effects.split():
+            getattr(self, effect)(inv)
         if state is OVER:
             del self.invs[inv.id]
             self.forgotten.append(inv.id)
@@ -272,9 +248,6 @@
 
     # What an effect does beside the change of state.
 
-    def nothing(self, inv: Inv) -> None:
-        pass
-
     def forget(self, inv: Inv) -> None:
         if inv.line.op.effect is Effect.TOKENED:
             self.out.append(face.Forget(inv.id))
@@ -292,7 +265,6 @@
         self.out.append(face.Reuse(inv.id))
 
     def throttle(self, inv: Inv) -> None:
-        self.forget(inv)
         late = self.now + self.latest(inv) > inv.goal and not self.leaving_at
         pause = self.machine.longest_pause if self.leaving_at else 0 if late else self.excess()
         self.out.append(face.Throttle(inv.id, min(pause, self.machine.longest_pause), late))
@@ -304,9 +276,7 @@
         if self.machine.halt is not Halt.NONE:
             self.out.append(face.Halted(inv.id))
 
-    def fail_and_stop(self, inv: Inv) -> None:
-        self.fail(inv)
-        self.stop(inv)
+    def insist(self, inv: Inv) -> None:
         # Where the cores stand still the stop does nothing: it is tried again until the run is gone.
         self.alarm(self.now + 4 * BEAT, inv, News.LATE)
 
@@ -329,16 +299,11 @@
         inv.calls += self.now - inv.called
 
     def skip(self, inv: Inv) -> None:
-        self.called(inv)
         self.out.append(face.SkipCall(inv.id))
 
     def linger(self, inv: Inv) -> None:
         self.lingering.append(self.now + self.machine.dependency.linger)
 
-    def abandon_call(self, inv: Inv) -> None:
-        self.linger(inv)
-        self.fail(inv)
-
     def count_run(self, inv: Inv) -> None:
         latency = self.now - inv.started
         core = max(latency - inv.calls, 0)
@@ -461,15 +426,10 @@
             self.step_to(inv, News.STOPPED if news.outcome is Outcome.STOPPED and
                          (inv.state is RUNNING or inv.state is ANSWERED) else News.ENDED)  # fmt: skip
 
-    def on_gone(self, news: face.CallerGone) -> None:
+    def on_plain(self, news: face.CallerGone | face.CallWanted) -> None:
         inv = self.invs.get(news.inv)
         if inv is not None:
-            self.step_to(inv, News.GONE)
-
-    def on_wanted(self, news: face.CallWanted) -> None:
-        inv = self.invs.get(news.inv)
-        if inv is not None:
-            self.step_to(inv, News.WANTS)
+            self.step_to(inv, News.GONE if isinstance(news, face.CallerGone) else News.WANTS)
 
     def on_call_ended(self, news: face.CallEnded) -> None:
         self.calls_made.add(self.now, 1.0)
@@ -521,7 +481,7 @@
         age = self.now - self.born
         if self.warm or age < WINDOW * (1 + self.warm_windows):
             return
-        mean = self.warm_sum / self.warm_runs if self.warm_runs else 0.0
+        mean = self.warm_sum / max(self.warm_runs, 1)
         few = self.warm_runs < FEW
         if few or age >= self.machine.ramp or (self.warm_last and mean >= FALLING * self.warm_last):
             self.warm = True
@@ -529,8 +489,6 @@
         self.warm_windows += 1
         self.warm_last, self.warm_sum, self.warm_runs = mean, 0.0, 0
 
-    warm_windows = 0
-
     def watch_dependency(self) -> None:
         made = self.calls_made.read(self.now)
         bad = made >= HEARD and self.calls_lost.read(self.now) > LOST * made
@@ -658,17 +616,9 @@
 HANDLERS = {
     face.Arrived: Controller.on_arrived,
     face.Finished: Controller.on_finished,
-    face.CallerGone: Controller.on_gone,
-    face.CallWanted: Controller.on_wanted,
+    face.CallerGone: Controller.on_plain,
+    face.CallWanted: Controller.on_plain,
     face.CallEnded: Controller.on_call_ended,
     face.Leaving: Controller.on_leaving,
     face.TimerFired: Controller.on_timer,
 }
-EFFECTS = {
-    "nothing": Controller.nothing, "forget": Controller.forget, "start": Controller.start,
-    "reuse": Controller.reuse, "throttle": Controller.throttle, "fail": Controller.fail, "stop": Controller.stop,
-    "fail_and_stop": Controller.fail_and_stop, "line_up": Controller.line_up, "call": Controller.call,
-    "line_up_call": Controller.line_up_call, "call_again": Controller.call_again, "called": Controller.called,
-    "skip": Controller.skip, "linger": Controller.linger, "abandon_call": Controller.abandon_call,
-    "count": Controller.count_run,
-}  # fmt: skip
