Let the free value follow the pressure by ratio, unread time included

Cause: with many servers a callers' chance of finding one open stays near 1 until all doors stand nearly shut, so the old free value shed nothing.

--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -30,6 +30,8 @@
 ROOM = 0.9  # share of memory for runs and entries, so that what is read next always fits until it is judged
 HOLD = 0.5  # share of the time an objective leaves beside the run that may be spent held
 CALM = 0.3  # share of that under which a short line is no reason to turn anything away
+SOUGHT = 0.5  # share of that at which the door is neither opened nor shut further
+GAIN = 0.1  # of the way there at each beat: half open after some 0.7 s of a full line, as callers hear late
 START = 0.7  # share of the mean run that must still fit: half of all runs are shorter than that
 BULKY = 4  # times the mean run after which a run makes way for others where it can be paused
 PRIOR = 0.15  # share of the objective a run is thought to take while none has been seen
@@ -186,6 +188,7 @@
         self.custom = [Decay(2 * S) for _ in machine.customers]
         self.same_caller, self.last_caller = Mean(1 / max(machine.callers, 1)), -1
         self.limit = float(machine.cores)
+        self.open, self.unread = 1.0, Mean(0.0, 1 * S)
         self.step, self.last_rate, self.bound = 1, 0.0, True
         self.window_at, self.window_done = -1, 0
         self.sum_started = 0
@@ -376,6 +379,7 @@
         self.memory += inv.kb
         self.same_caller.add(now, news.caller == self.last_caller)
         self.last_caller = news.caller
+        self.unread.add(now, news.unread)
         if self.closed(inv):
             self.step_to(inv, News.TURN)
         elif news.repeats is not None and (line.op.effect is Effect.TOKENED or self.machine.fresh):
@@ -453,6 +457,7 @@
         self.out.append(face.Wake(0, BEAT))
         gauges = dict(zip(self.machine.gauges, news.gauges, strict=False))
         self.learn(gauges.get("runnable"))
+        self.invite()
         self.warm_up()
         self.watch_dependency()
 
@@ -477,6 +482,12 @@
             self.window_at, self.window_done, self.bound = self.now, 0, True
         self.limit = max(min(self.limit, floor(self.ceiling())), float(self.machine.cores))
 
+    def invite(self) -> None:
+        """How far the door stands open to callers, in steps by ratio: where each may go elsewhere, all doors must
+        stand nearly shut before any caller gives up. What lies unread counts too, as reading it is paid for."""
+        pressure = min((self.wait() + self.unread.read(self.now)) / self.patience(), 2.0)
+        self.open = min(max(self.open * (1 + GAIN * (SOUGHT - pressure)), 0.2 / self.machine.fleet), 1.0)
+
     def warm_up(self) -> None:
         age = self.now - self.born
         if self.warm or age < WINDOW * (1 + self.warm_windows):
@@ -594,14 +605,14 @@
         if (level >= 1) != self.full:
             self.full = level >= 1
             self.out.append(face.Log("overload: line full" if self.full else "overload: line open"))
-        self.advertise(0.0 if self.leaving_at else 1.0 - level if self.warm else (1.0 - level) / 2)
+        self.advertise(0.0 if self.leaving_at else self.open)
 
     def advertise(self, share: float) -> None:
         kind = self.machine.advert
         if kind is Advert.NONE:
             return
-        amount = {Advert.LEVEL: 1.0 - share, Advert.WEIGHT: max(share, 0.02), Advert.CREDIT: self.credit(share)}[kind]
-        if abs(amount - self.advertised) > 0.1 * max(amount, self.advertised, 0.1):
+        amount = {Advert.LEVEL: 1.0 - share, Advert.WEIGHT: share, Advert.CREDIT: self.credit(share)}[kind]
+        if abs(amount - self.advertised) > 0.1 * max(amount, self.advertised):
             self.advertised = amount
             self.out.append(face.Advertise(amount))
 
@@ -610,7 +621,7 @@
         twice in a row."""
         mean = sum(line.core.read(self.now) for line in self.lines) / len(self.lines)
         total = self.limit * (1 + self.patience() / mean) + self.count[STANDING] + self.count[CALLING]
-        return total * self.same_caller.read(self.now) * (0.1 + 1.9 * share)
+        return total * self.same_caller.read(self.now) * 2 * share
 
 
 HANDLERS = {
