--- a/ringshift/benchlink/wire.py
+++ b/ringshift/benchlink/wire.py
@@ -55,7 +55,9 @@
 }
 BELOWS = {"none": face.Below.NONE, "common": face.Below.SHARED, "next_hop": face.Below.NEXT_TIER}
 
-KINDS: dict[type, str] = {int: "a whole number", float: "a number", str: "text", dict: "an object", list: "an array"}
+KINDS: dict[type, str] = {
+    int: "a whole number", float: "a number", str: "text", dict: "an object", list: "an array",
+}  # fmt: skip
 
 
 def need(fields: Mapping[str, Any], key: str, message: str, kind: type) -> Any:
@@ -125,7 +127,10 @@
     )
 
 
-def read_by_id(name: str, make: Callable[[int, Mapping[str, Any]], face.Input]) -> Callable[..., face.Input | None]:
+Maker = Callable[[int, Mapping[str, Any]], face.Input]
+
+
+def read_by_id(name: str, make: Maker) -> Callable[..., face.Input | None]:
     def read(fields: Mapping[str, Any], ids: Ids, *_: Any) -> face.Input | None:
         index = ids.by_id.get(need(fields, "job", name, str))
         return None if index is None else make(index, fields)
--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -1,14 +1,14 @@
 """What one server takes, runs and turns away. Every decision, table and tuned value of ringshift is here.
 
-Called as `Controller(machine, seed)`, then `decide(now, inputs)` for each batch of news: it returns the actions in
-the order they must be carried out; `take_forgotten()` names the invocations whose indices may be dropped. Types
-are in interface.py; the why of it, against its source, is in docs/design.md.
+Called as `Controller(machine, seed)`, then `decide(now, inputs)` for each batch of news: it returns the
+actions in the order they must be carried out; `take_forgotten()` names the invocations whose indices may be
+dropped. Types are in interface.py; the why of it, against its source, is in docs/design.md.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from heapq import heappop, heappush
 from math import exp, floor
@@ -19,6 +19,7 @@
 
 MS = 1_000_000
 S = 1000 * MS
+HOUR = 3600 * S
 
 BEAT = 50 * MS  # how often an idle instance looks at its gauges and alarms; well under any answer's slack
 MEMORY = 8 * S  # how long measurements count: several windows, yet shorter than the troubles they must follow
@@ -32,6 +33,7 @@
 CALM = 0.3  # share of that under which a short line is no reason to turn anything away
 SOUGHT = 0.5  # share of that at which the door is neither opened nor shut further
 GAIN = 0.1  # of the way there at each beat: half open after some 0.7 s of a full line, as callers hear late
+AJAR = 0.3  # a caller that hears nothing for a while forgets what it was told: it must go on trying
 START = 0.7  # share of the mean run that must still fit: half of all runs are shorter than that
 BULKY = 4  # times the mean run after which a run makes way for others where it can be paused
 PRIOR = 0.15  # share of the objective a run is thought to take while none has been seen
@@ -44,69 +46,58 @@
 
 # WAITING is on the outcome of the one it repeats, STANDING at a call not placed, ANSWERED yet still running.
 State = Enum("State", "HELD WAITING RUNNING STANDING CALLING PAUSED ANSWERED OVER")
-# LATE cannot end within its objective; UNRUN is a call proven not to have run, SPARED one that can be left out.
-News = Enum("News", "START REPEAT TURN LATE LONG DUE GONE ENDED STOPPED WANTS PLACE CALLED UNRUN UNSURE SPARED")
-HELD, WAITING, RUNNING, STANDING = State.HELD, State.WAITING, State.RUNNING, State.STANDING
-CALLING, PAUSED, ANSWERED, OVER = State.CALLING, State.PAUSED, State.ANSWERED, State.OVER
-
-# The specification: (state, news) -> (next state, effects). A pair that is missing is news that crossed an answer.
-TABLE: dict[tuple[State, News], tuple[State, str]] = {
-    (HELD, News.START): (RUNNING, "start"),
-    (HELD, News.REPEAT): (WAITING, "reuse"),
-    (HELD, News.TURN): (OVER, "forget throttle"),
-    (HELD, News.LATE): (OVER, "forget throttle"),
-    (HELD, News.DUE): (OVER, "forget throttle"),
-    (HELD, News.GONE): (OVER, "forget"),
-    (HELD, News.ENDED): (OVER, ""),
-    (WAITING, News.DUE): (OVER, "fail"),
-    (WAITING, News.GONE): (OVER, ""),
-    (WAITING, News.ENDED): (OVER, ""),
-    (RUNNING, News.LATE): (ANSWERED, "fail stop insist"),
-    (RUNNING, News.LONG): (RUNNING, "stop"),
-    (RUNNING, News.DUE): (ANSWERED, "fail stop insist"),
-    (RUNNING, News.GONE): (ANSWERED, "stop"),
-    (RUNNING, News.ENDED): (OVER, "count_run"),
-    (RUNNING, News.STOPPED): (PAUSED, "line_up"),
-    (RUNNING, News.WANTS): (STANDING, "line_up_call"),
-    (STANDING, News.PLACE): (CALLING, "call"),
-    (STANDING, News.SPARED): (RUNNING, "called skip"),
-    (STANDING, News.LATE): (ANSWERED, "fail"),
-    (STANDING, News.DUE): (ANSWERED, "fail"),
-    (STANDING, News.GONE): (ANSWERED, ""),
-    (STANDING, News.ENDED): (OVER, ""),
-    (CALLING, News.CALLED): (RUNNING, "called"),
-    (CALLING, News.UNRUN): (STANDING, "call_again"),
-    (CALLING, News.UNSURE): (ANSWERED, "fail"),
-    (CALLING, News.SPARED): (RUNNING, "called skip"),
-    (CALLING, News.LATE): (ANSWERED, "linger fail"),
-    (CALLING, News.DUE): (ANSWERED, "linger fail"),
-    (CALLING, News.GONE): (ANSWERED, "linger"),
-    (CALLING, News.ENDED): (OVER, ""),
-    (PAUSED, News.START): (RUNNING, "start"),
-    (PAUSED, News.LATE): (OVER, "fail"),
-    (PAUSED, News.DUE): (OVER, "fail"),
-    (PAUSED, News.GONE): (OVER, ""),
-    (PAUSED, News.ENDED): (OVER, ""),
-    (ANSWERED, News.LATE): (ANSWERED, "stop"),
-    (ANSWERED, News.DUE): (ANSWERED, "stop"),
-    (ANSWERED, News.ENDED): (OVER, ""),
-    (ANSWERED, News.STOPPED): (OVER, ""),
-}
-WEIGHTLESS = (HELD, WAITING)  # states that need a held invocation's memory, not a running one's
-CALL_NEWS = {
-    Outcome.SUCCEEDED: News.CALLED,
-    Outcome.REJECTED: News.UNRUN,
-    Outcome.UNREACHABLE: News.UNRUN,
-    Outcome.MOOT: News.UNRUN,
+# LATE cannot end within its objective; UNRUN is a call proven not to have run, SPARED one to be left out.
+News = Enum("News", "START REPEAT TURN LATE LONG DUE GONE ENDED STOPPED WANTS PLACE CALLED UNRUN UNSURE "
+            "SPARED")  # fmt: skip
+HELD, RUNNING, PAUSED, ANSWERED, OVER = State.HELD, State.RUNNING, State.PAUSED, State.ANSWERED, State.OVER
+
+# The specification: state | news | next state | effects. What is missing is news that crossed an answer.
+SPECIFICATION = """
+HELD     | START                | RUNNING  | start
+HELD     | REPEAT               | WAITING  | reuse
+HELD     | TURN LATE DUE        | OVER     | forget throttle
+HELD     | GONE                 | OVER     | forget
+HELD     | ENDED                | OVER     |
+WAITING  | TURN DUE             | OVER     | fail
+WAITING  | GONE ENDED           | OVER     |
+RUNNING  | LATE DUE             | ANSWERED | fail stop insist
+RUNNING  | LONG                 | RUNNING  | stop
+RUNNING  | GONE                 | ANSWERED | stop
+RUNNING  | ENDED                | OVER     | count_run
+RUNNING  | STOPPED              | PAUSED   | line_up
+RUNNING  | WANTS                | STANDING | line_up_call
+STANDING | PLACE                | CALLING  | call
+STANDING | SPARED               | RUNNING  | called skip
+STANDING | LATE DUE             | ANSWERED | fail
+STANDING | GONE                 | ANSWERED |
+STANDING | ENDED                | OVER     |
+CALLING  | CALLED               | RUNNING  | called
+CALLING  | UNRUN                | STANDING | call_again
+CALLING  | UNSURE               | ANSWERED | fail
+CALLING  | SPARED               | RUNNING  | called skip
+CALLING  | LATE DUE             | ANSWERED | linger fail
+CALLING  | GONE                 | ANSWERED | linger
+CALLING  | ENDED                | OVER     |
+PAUSED   | START                | RUNNING  | start
+PAUSED   | LATE DUE             | OVER     | fail
+PAUSED   | GONE ENDED           | OVER     |
+ANSWERED | LATE DUE             | ANSWERED | stop
+ANSWERED | ENDED STOPPED        | OVER     |
+"""
+TABLE: dict[tuple[State, News], tuple[State, list[str]]] = {
+    (State[row[0].strip()], News[name]): (State[row[2].strip()], row[3].split())
+    for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
+    for name in row[1].split()
 }
+WEIGHTLESS = (HELD, State.WAITING)  # states that need a held invocation's memory, not a running one's
+CALL_NEWS = {Outcome.SUCCEEDED: News.CALLED} | dict.fromkeys(
+    (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT), News.UNRUN)  # fmt: skip
 BROKEN_CALLS = (Outcome.UNREACHABLE, Outcome.TIMED_OUT, Outcome.BROKEN)
 
 
 class Decay:
     """A sum whose parts fade; brought up to date when read."""
 
-    __slots__ = ("at", "span", "sum")
-
     def __init__(self, span: int) -> None:
         self.sum, self.at, self.span = 0.0, 0, span
 
@@ -124,8 +115,6 @@
     """A fading mean that goes back to what was thought before once nothing is seen: so a server judged
     hopeless by an old measurement tries again."""
 
-    __slots__ = ("count", "prior", "total")
-
     def __init__(self, prior: float, span: int = MEMORY) -> None:
         self.total, self.count, self.prior = Decay(span), Decay(span), prior
 
@@ -140,22 +129,16 @@
 class Line:
     """The held invocations of one operation, oldest first, and what its runs were like."""
 
-    __slots__ = ("core", "length", "op", "queue", "ratio", "run", "turn")
-
     def __init__(self, op: face.Operation) -> None:
         self.op = op
         self.queue: deque[Inv] = deque()
         self.length = 0
         self.run = Mean(op.objective * PRIOR)
         self.core = Mean(op.objective * PRIOR)
-        self.ratio = Mean(1.0)
         self.turn = 0.0
 
 
 class Inv:
-    __slots__ = ("arrived", "called", "calls", "cost", "due", "goal", "id", "kb", "line", "rank", "started",
-                 "state", "tries")  # fmt: skip
-
     def __init__(self, news: face.Arrived, line: Line, now: int) -> None:
         op = line.op
         self.id, self.line, self.kb, self.cost, self.rank = news.inv, line, news.kb, news.cost, news.rank
@@ -164,43 +147,35 @@
         stretch = round(op.objective_stretch * (news.cost * MS if news.cost else line.run.read(now)))
         objective = min(op.objective + stretch, op.client_timeout)
         self.goal = min(self.arrived + objective, self.due)
-        self.state = HELD
-        self.started = self.called = self.calls = self.tries = 0
+        self.state, self.keyed_read = HELD, news.keyed_read
+        self.started = self.called = self.placed = self.call_by = self.calls = 0
 
 
 class Controller:
     def __init__(self, machine: face.Machine, seed: int) -> None:
-        self.machine = machine
-        self.random = Random(seed)
-        self.now = 0
+        self.machine, self.random, self.now, self.born = machine, Random(seed), 0, -1
         self.out: list[face.Action] = []
         self.forgotten: list[int] = []
         self.invs: dict[int, Inv] = {}
         self.count = dict.fromkeys(State, 0)
-        self.memory = 0.0
+        self.memory = self.turn = 0.0
         self.lines = [Line(op) for op in machine.operations]
-        self.turn = 0.0
         self.at_call: deque[Inv] = deque()
         self.alarms: list[tuple[int, int, int, News]] = []
         self.entries: list[int] = []
         self.lingering: deque[int] = deque()
-        self.in_hand = Mean(0.0, max(machine.dependency.window, 1))
-        self.custom = [Decay(2 * S) for _ in machine.customers]
+        self.spent = Decay(max(machine.dependency.window, 1))
+        self.admitted = [Decay(2 * S) for _ in machine.customers]
         self.same_caller, self.last_caller = Mean(1 / max(machine.callers, 1)), -1
         self.limit = float(machine.cores)
         self.open, self.unread = 1.0, Mean(0.0, 1 * S)
         self.step, self.last_rate, self.bound = 1, 0.0, True
-        self.window_at, self.window_done = -1, 0
-        self.sum_started = 0
-        self.born = -1
+        self.window_at, self.window_done, self.sum_started = -1, 0, 0
         self.warm = not machine.cold
         self.warm_sum, self.warm_runs, self.warm_last, self.warm_windows = 0.0, 0, 0.0, 0
         self.leaving_at = self.kill_at = 0
         self.calls_made, self.calls_lost = Decay(2 * S), Decay(2 * S)
-        self.lost_until = 0
-        self.shown = (True, False)
-        self.advertised = -1.0
-        self.full = False
+        self.lost_until, self.shown, self.advertised, self.full = 0, (True, False), -1.0, False
 
     # The door.
 
@@ -217,15 +192,18 @@
         self.show()
         return self.out
 
+    def say(self, text: str) -> None:
+        self.out.append(face.Log(text))
+
     def take_forgotten(self) -> list[int]:
         forgotten, self.forgotten = self.forgotten, []
         return forgotten
 
     def step_to(self, inv: Inv, news: News) -> bool:
-        row = TABLE.get((inv.state, news))
-        if row is None:
+        old = inv.state
+        if (old, news) not in TABLE:
             return False
-        old, (state, effects) = inv.state, row
+        state, effects = TABLE[old, news]
         if state is not old:
             self.count[old] -= 1
             self.count[state] += 1
@@ -237,7 +215,7 @@
                 self.sum_started -= inv.started
             if state is RUNNING:
                 self.sum_started += inv.started if old is not HELD else self.now
-        for effect in effects.split():
+        for effect in effects:
             getattr(self, effect)(inv)
         if state is OVER:
             del self.invs[inv.id]
@@ -245,9 +223,7 @@
         return True
 
     def weight(self, inv: Inv, state: State) -> float:
-        if state is OVER:
-            return 0.0
-        return inv.kb if state in WEIGHTLESS else inv.kb * self.machine.run_factor
+        return inv.kb * (0 if state is OVER else 1 if state in WEIGHTLESS else self.machine.run_factor)
 
     # What an effect does beside the change of state.
 
@@ -260,7 +236,7 @@
             inv.started = self.now
             if self.machine.halt is Halt.PAUSE:
                 self.alarm(self.now + round(BULKY * inv.line.run.read(self.now)), inv, News.LONG)
-            if self.machine.fresh and inv.line.op.effect is Effect.IDEMPOTENT and inv.tries < 0:
+            if self.machine.fresh and inv.line.op.effect is Effect.IDEMPOTENT and inv.keyed_read:
                 self.remember(inv, self.machine.fresh + inv.line.op.objective)
         self.out.append(face.Start(inv.id))
 
@@ -292,10 +268,10 @@
         self.at_call.append(inv)
 
     def call(self, inv: Inv) -> None:
-        self.out.append(face.PlaceCall(inv.id, self.useful_until(inv)))
+        inv.placed = self.now
+        self.out.append(face.PlaceCall(inv.id, min(self.useful_until(inv), inv.call_by)))
 
     def call_again(self, inv: Inv) -> None:
-        inv.tries += 1
         self.at_call.append(inv)
 
     def called(self, inv: Inv) -> None:
@@ -305,17 +281,15 @@
         self.out.append(face.SkipCall(inv.id))
 
     def linger(self, inv: Inv) -> None:
+        self.spent.add(self.now, self.now - inv.placed + self.machine.dependency.linger)
         self.lingering.append(self.now + self.machine.dependency.linger)
 
     def count_run(self, inv: Inv) -> None:
-        latency = self.now - inv.started
+        latency, line = self.now - inv.started, inv.line
         core = max(latency - inv.calls, 0)
-        line, now = inv.line, self.now
-        line.run.add(now, latency)
-        line.core.add(now, core)
-        if inv.cost > 0:
-            line.ratio.add(now, core / (inv.cost * MS))
-        self.window_done += now <= inv.goal
+        line.run.add(self.now, latency)
+        line.core.add(self.now, core)
+        self.window_done += self.now <= inv.goal
         self.warm_runs += 1
         self.warm_sum += core
 
@@ -324,29 +298,29 @@
     def on_cores(self) -> int:
         return self.count[RUNNING] + self.count[ANSWERED]
 
-    def expected(self, inv: Inv) -> float:
-        """How long a run would take: by its hint where there is one, never less than what now runs suggests."""
-        return inv.line.run.read(self.now) * self.slowness()
-
     def slowness(self) -> float:
         """Runs that are on the cores far longer than runs used to take tell of a slowed, hung or paused
         machine before any of them ends. A wave of bulky work looks the same and is answered the same."""
         running = self.count[RUNNING]
-        if not running:
-            return 1.0
+        if running * 2 < self.machine.cores or not running:
+            return 1.0  # one bulky run among idle cores tells nothing
         age = self.now - self.sum_started / running
         usual = max(line.run.read(self.now) for line in self.lines)
         return max(1.0, age / (1.5 * usual))
 
     def latest(self, inv: Inv) -> int:
-        return round(START * self.expected(inv))
+        return round(START * inv.line.run.read(self.now) * self.slowness())
 
     def useful_until(self, inv: Inv) -> int:
         return inv.due - BEAT if inv.line.op.late_share else min(inv.goal, inv.due - BEAT)
 
     def wait(self) -> float:
+        held = sum(line.length for line in self.lines)
+        beyond = held - max(floor(self.limit) - self.on_cores(), 0)  # the rest starts at once
+        if beyond <= 0:
+            return 0.0
         work = sum(line.length * line.core.read(self.now) for line in self.lines if line.length)
-        return work * self.slowness() / self.limit
+        return work * beyond / held * self.slowness() / self.limit
 
     def patience(self) -> float:
         """How long work may be held before the tightest objective is in danger."""
@@ -355,18 +329,27 @@
                    for line in self.lines) * HOLD  # fmt: skip
 
     def level(self) -> float:
-        """The rank under which work is turned away: 0 while the line is short, 1 where it eats the objective."""
+        """The rank under which work is turned away: 0 with a short line, 1 where it eats an objective."""
         return min(max(self.wait() / self.patience() - CALM, 0.0) / (1 - CALM), 1.0)
 
     def excess(self) -> int:
         return max(round(self.wait() - CALM * self.patience()), 0)
 
-    def ceiling(self) -> float:
-        machine = self.machine
-        speed = 1.0
+    def crowd(self) -> float:
+        """The most the cores survive, as slow as the settings allow them to be by now."""
+        machine, speed = self.machine, 1.0
         if machine.cold:
-            speed = min(1.0, machine.cold_speed + (1 - machine.cold_speed) * (self.now - self.born) / machine.ramp)
-        return max(CEILING * (1 + (machine.fall_multiple - 1) * speed), 1.0) * machine.cores
+            warmed = (self.now - self.born) / machine.ramp
+            speed = min(1.0, machine.cold_speed + (1 - machine.cold_speed) * warmed)
+        return (1 + (machine.fall_multiple - 1) * speed) * machine.cores
+
+    def may_run(self) -> bool:
+        """Those at calls come back when they like: all together stay under what the cores survive."""
+        at_calls = self.count[State.STANDING] + self.count[State.CALLING]
+        limit = max(min(self.limit, CEILING * self.crowd()), self.machine.cores)
+        return self.on_cores() < floor(limit) and self.on_cores() + at_calls < max(
+            floor(ROOM * self.crowd()), self.machine.cores
+        )
 
     # News.
 
@@ -391,11 +374,10 @@
             self.step_to(inv, News.TURN)
         else:
             if news.customer >= 0:
-                self.custom[news.customer].add(now, 1.0)
+                self.admitted[news.customer].add(now, 1.0)
             if line.op.effect is Effect.TOKENED and not self.remember(inv, line.op.window):
                 self.step_to(inv, News.TURN)
                 return
-            inv.tries = -1 if news.keyed_read else 0
             line.turn = max(line.turn, self.turn) if line.length == 1 else line.turn
             line.queue.append(inv)
             self.alarm(inv.due - BEAT, inv, News.DUE)
@@ -407,14 +389,13 @@
         if news.customer < 0:
             return inv.rank
         quota = self.machine.customers[news.customer].quota_per_s / self.machine.fleet
-        over = self.custom[news.customer].read(self.now) > 1.5 * quota * 2 + 1
+        over = self.admitted[news.customer].read(self.now) > 1.5 * quota * 2 + 1
         return inv.rank * self.machine.over_quota_share if over else inv.rank
 
     def closed(self, inv: Inv) -> bool:
-        if not self.leaving_at:
-            return False
         grace = min(self.machine.grace, GRACE)
-        return inv.arrived > self.leaving_at + grace or self.now + self.latest(inv) >= self.kill_at - LAST
+        return self.leaving_at > 0 and (inv.arrived > self.leaving_at + grace
+                                        or self.now + self.latest(inv) >= self.kill_at - LAST)  # fmt: skip
 
     def remember(self, inv: Inv, ttl: int) -> bool:
         if self.memory + self.machine.entry_kb > ROOM * self.machine.memory_kb:
@@ -425,38 +406,33 @@
         return True
 
     def on_finished(self, news: face.Finished) -> None:
-        inv = self.invs.get(news.inv)
-        if inv is not None:
-            self.step_to(inv, News.STOPPED if news.outcome is Outcome.STOPPED and
-                         (inv.state is RUNNING or inv.state is ANSWERED) else News.ENDED)  # fmt: skip
+        if inv := self.invs.get(news.inv):
+            stopped = news.outcome is Outcome.STOPPED and inv.state in (RUNNING, ANSWERED)
+            self.step_to(inv, News.STOPPED if stopped else News.ENDED)
 
     def on_plain(self, news: face.CallerGone | face.CallWanted) -> None:
-        inv = self.invs.get(news.inv)
-        if inv is not None:
+        if inv := self.invs.get(news.inv):
             self.step_to(inv, News.GONE if isinstance(news, face.CallerGone) else News.WANTS)
 
     def on_call_ended(self, news: face.CallEnded) -> None:
         self.calls_made.add(self.now, 1.0)
-        if news.outcome in BROKEN_CALLS:
-            self.calls_lost.add(self.now, 1.0)
+        self.spent.add(self.now, news.latency)
+        self.calls_lost.add(self.now, news.outcome in BROKEN_CALLS)
         if news.outcome is Outcome.TIMED_OUT:
+            self.spent.add(self.now, self.machine.dependency.linger)
             self.lingering.append(self.now + self.machine.dependency.linger)
-        inv = self.invs.get(news.inv)
-        if inv is None:
-            return
-        step = CALL_NEWS.get(news.outcome, News.UNSURE)
-        if step is not News.CALLED and inv.line.op.degraded_share > 0:
-            step = News.SPARED
-        self.step_to(inv, step)
+        if inv := self.invs.get(news.inv):
+            step = CALL_NEWS.get(news.outcome, News.UNSURE)
+            spared = step is not News.CALLED and inv.line.op.degraded_share > 0
+            self.step_to(inv, News.SPARED if spared else step)
 
     def on_leaving(self, news: face.Leaving) -> None:
         self.leaving_at, self.kill_at = self.now, self.now + news.left
-        self.out.append(face.Log(f"leaving: {len(self.invs)} in hand, {news.left // MS} ms left"))
+        self.say(f"leaving: {len(self.invs)} in hand, {news.left // MS} ms left")
 
     def on_timer(self, news: face.TimerFired) -> None:
         self.out.append(face.Wake(0, BEAT))
-        gauges = dict(zip(self.machine.gauges, news.gauges, strict=False))
-        self.learn(gauges.get("runnable"))
+        self.learn(dict(zip(self.machine.gauges, news.gauges, strict=False)).get("runnable"))
         self.invite()
         self.warm_up()
         self.watch_dependency()
@@ -466,7 +442,8 @@
     def learn(self, runnable: float | None) -> None:
         waits = any(line.length for line in self.lines)
         busy = self.on_cores() >= floor(self.limit)
-        if waits and busy and runnable is not None and runnable < self.machine.cores and self.slowness() <= 1.0:
+        idle = runnable is not None and runnable < self.machine.cores and self.slowness() <= 1.0
+        if waits and busy and idle:
             # Cores idle while work waits: runs wait for disk, which no event tells.
             self.limit += 1
         self.bound = self.bound and waits
@@ -480,13 +457,13 @@
                 self.limit += self.step
                 self.last_rate = rate
             self.window_at, self.window_done, self.bound = self.now, 0, True
-        self.limit = max(min(self.limit, floor(self.ceiling())), float(self.machine.cores))
+        self.limit = max(min(self.limit, floor(CEILING * self.crowd())), float(self.machine.cores))
 
     def invite(self) -> None:
-        """How far the door stands open to callers, in steps by ratio: where each may go elsewhere, all doors must
-        stand nearly shut before any caller gives up. What lies unread counts too, as reading it is paid for."""
+        """How far the door stands open to callers, in steps by ratio: where each may go elsewhere, all doors
+        must be nearly shut before one gives up. What lies unread counts, as reading it is paid for."""
         pressure = min((self.wait() + self.unread.read(self.now)) / self.patience(), 2.0)
-        self.open = min(max(self.open * (1 + GAIN * (SOUGHT - pressure)), 0.2 / self.machine.fleet), 1.0)
+        self.open = min(max(self.open * (1 + GAIN * (SOUGHT - pressure)), AJAR), 1.0)
 
     def warm_up(self) -> None:
         age = self.now - self.born
@@ -496,7 +473,7 @@
         few = self.warm_runs < FEW
         if few or age >= self.machine.ramp or (self.warm_last and mean >= FALLING * self.warm_last):
             self.warm = True
-            self.out.append(face.Log(f"warm after {age // MS} ms" + (" (too few runs to judge)" if few else "")))
+            self.say(f"warm after {age // MS} ms{', too few runs to judge' * few}")
         self.warm_windows += 1
         self.warm_last, self.warm_sum, self.warm_runs = mean, 0.0, 0
 
@@ -505,11 +482,11 @@
         bad = made >= HEARD and self.calls_lost.read(self.now) > LOST * made
         if bad and self.now >= self.lost_until:
             if not self.lost_until:
-                self.out.append(face.Log("dependency: most recent calls fail, not ready"))
+                self.say("dependency: most recent calls fail, not ready")
             self.lost_until = self.now + self.random.randint(*RETURN)
         elif self.lost_until and self.now >= self.lost_until:
             self.lost_until = 0
-            self.out.append(face.Log("dependency: calls end well again or are few, ready"))
+            self.say("dependency: calls end well again or are few, ready")
 
     # What follows from it all, once a batch.
 
@@ -527,9 +504,9 @@
                 self.step_to(inv, News.DUE)
         while self.alarms and self.alarms[0][0] <= self.now:
             _, index, _, news = heappop(self.alarms)
-            inv = self.invs.get(index)
-            if inv is None:
+            if index not in self.invs:
                 continue
+            inv = self.invs[index]
             if news is News.LATE and inv.state is RUNNING and self.now < inv.goal:
                 self.alarm(inv.goal, inv, News.LATE)
             elif news is News.LONG and not any(line.length for line in self.lines):
@@ -540,17 +517,14 @@
     def make_room(self) -> None:
         """What was just read can overfill the memory; the newest of the least worth goes first."""
         while self.memory > self.machine.memory_kb:
-            held = [inv for line in self.lines for inv in line.queue if inv.state is HELD]
-            if not held:
+            light = [inv for inv in reversed(self.invs.values()) if inv.state in WEIGHTLESS]
+            if not light:
                 return
-            self.step_to(min(reversed(held), key=lambda inv: inv.rank), News.TURN)
+            self.step_to(min(light, key=lambda inv: inv.rank), News.TURN)
 
     def fill(self) -> None:
         self.place_calls()
-        while self.on_cores() < floor(min(self.limit, self.ceiling())):
-            inv = self.next_held()
-            if inv is None:
-                return
+        while self.may_run() and (inv := self.next_held()):
             more = inv.kb * (self.machine.run_factor - 1) if inv.state is HELD else 0.0
             if self.memory + more > ROOM * self.machine.memory_kb:
                 return
@@ -561,16 +535,14 @@
             self.step_to(inv, News.START)
 
     def next_held(self) -> Inv | None:
-        best: Line | None = None
         for line in self.lines:
             while line.queue and not self.useful(line.queue[0]):
                 line.queue.popleft()
-            if line.queue and (best is None or line.turn < best.turn):
-                best = line
+        best = min((line for line in self.lines if line.queue), key=lambda line: line.turn, default=None)
         return best.queue[0] if best else None
 
     def useful(self, inv: Inv) -> bool:
-        """Work that cannot end within its objective is not begun, unless late work earns and nothing else waits."""
+        """Work that cannot end within its objective is not begun, unless late work earns and little waits."""
         if inv.state is PAUSED:
             return True
         if inv.state is not HELD:
@@ -582,36 +554,39 @@
         return True
 
     def place_calls(self) -> None:
-        while self.at_call and self.may_call():
-            inv = self.at_call.popleft()
-            if inv.state is STANDING:
-                self.step_to(inv, News.PLACE)
-
-    def may_call(self) -> bool:
-        below = self.machine.dependency
-        held = self.count[CALLING] + len(self.lingering)
+        while self.at_call and (room := self.call_room()) > BEAT:
+            self.at_call[0].call_by = self.now + room
+            self.step_to(self.at_call.popleft(), News.PLACE)
+
+    def call_room(self) -> int:
+        """How long one more call may take. A share of one or more bounds the calls in hand at any time; under
+        one, a fading sum of their time does, which never shows less than 1/e of what the window holds."""
+        below, held = self.machine.dependency, self.count[State.CALLING] + len(self.lingering)
         if below.kind is not Below.SHARED:
-            return True
-        return held + 1 <= below.share or (below.share < 1 and held == 0)
+            return HOUR
+        if below.share >= 1:
+            return HOUR if held + 1 <= below.share else 0
+        left = below.share * below.window - exp(1) * self.spent.read(self.now) - below.linger
+        return 0 if held else round(left)
 
     def show(self) -> None:
         level = self.level()
         good = self.warm and not self.leaving_at and not self.lost_until
-        # From store while crowded, so that checks cost no work; never while runs hang, so that a check hangs too.
+        # From store while crowded, as checks cost work; never while runs hang, so that checks hang too.
         shown = (good, not good or (level > 0 and self.slowness() < 2))
         if shown != self.shown:
             self.shown = shown
             self.out.append(face.Readiness(*shown))
         if (level >= 1) != self.full:
             self.full = level >= 1
-            self.out.append(face.Log("overload: line full" if self.full else "overload: line open"))
+            self.say("overload: line full" if self.full else "overload: line open")
         self.advertise(0.0 if self.leaving_at else self.open)
 
     def advertise(self, share: float) -> None:
         kind = self.machine.advert
         if kind is Advert.NONE:
             return
-        amount = {Advert.LEVEL: 1.0 - share, Advert.WEIGHT: share, Advert.CREDIT: self.credit(share)}[kind]
+        amount = {Advert.LEVEL: 1 - share, Advert.WEIGHT: share, Advert.CREDIT: self.credit(share)}[kind]
         if abs(amount - self.advertised) > 0.1 * max(amount, self.advertised):
             self.advertised = amount
             self.out.append(face.Advertise(amount))
@@ -620,16 +595,14 @@
         """Each caller's part of what can be run and held in time; callers are counted by how often one comes
         twice in a row."""
         mean = sum(line.core.read(self.now) for line in self.lines) / len(self.lines)
-        total = self.limit * (1 + self.patience() / mean) + self.count[STANDING] + self.count[CALLING]
-        return total * self.same_caller.read(self.now) * 2 * share
+        at_calls = self.count[State.STANDING] + self.count[State.CALLING]
+        total = self.limit * (1 + self.patience() / mean) + at_calls
+        return 2 * share * total * self.same_caller.read(self.now)
 
 
-HANDLERS = {
-    face.Arrived: Controller.on_arrived,
-    face.Finished: Controller.on_finished,
-    face.CallerGone: Controller.on_plain,
-    face.CallWanted: Controller.on_plain,
-    face.CallEnded: Controller.on_call_ended,
-    face.Leaving: Controller.on_leaving,
+HANDLERS: dict[type, Callable[..., None]] = {
+    face.Arrived: Controller.on_arrived, face.Finished: Controller.on_finished,
+    face.CallerGone: Controller.on_plain, face.CallWanted: Controller.on_plain,
+    face.CallEnded: Controller.on_call_ended, face.Leaving: Controller.on_leaving,
     face.TimerFired: Controller.on_timer,
-}
+}  # fmt: skip
--- a/ringshift/interface.py
+++ b/ringshift/interface.py
@@ -133,7 +133,7 @@
             raise ValueError("operations must not be empty")
         for op in self.operations:
             if not 0 < op.objective <= op.client_timeout:
-                raise ValueError(f"operations: {op.name}: objective must be above 0 and within client_timeout")
+                raise ValueError(f"operations: {op.name}: objective must be above 0, within client_timeout")
             if op.billed_value < 0:
                 raise ValueError(f"operations: {op.name}: billed_value must not be negative")
             if not (0 <= op.late_share <= 1 and 0 <= op.degraded_share <= 1):
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,186 @@
+"""The four rules under random news and settings, and a plain case for each failure found."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ringshift import interface as face
+from ringshift.interface import Effect, Halt, Outcome
+from tests.world import MS, World, any_machine, machine, operation
+
+
+def run(world: World, steps: int, forward: int = 25 * MS) -> None:
+    for _ in range(steps):
+        world.step([], forward)
+
+
+def kinds(actions: list[face.Action], kind: type) -> list[face.Action]:
+    return [a for a in actions if isinstance(a, kind)]
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32))
+def test_rules_hold_whatever_arrives(seed: int) -> None:
+    chance = Random(seed)
+    world = World(any_machine(chance), chance)
+    for _ in range(chance.randint(50, 200)):
+        forward = chance.choice([2, 2, 20, 50]) * MS
+        if world.kill and world.now + forward >= world.kill:
+            world.now = world.kill
+            world.check()
+            return
+        world.now += forward
+        world.step(world.any_news())
+
+
+@settings(max_examples=20, deadline=None, derandomize=True)
+@given(st.integers(0, 2**32))
+def test_same_news_same_actions(seed: int) -> None:
+    def play() -> list[list[face.Action]]:
+        chance = Random(seed)
+        world = World(any_machine(chance), chance)
+        said = []
+        for _ in range(60):
+            world.now += 20 * MS
+            said.append(world.step(world.any_news()))
+        return said
+
+    assert play() == play()
+
+
+def test_runs_no_more_than_the_cores_at_first() -> None:
+    world = World(machine(), Random(1))
+    said = world.step([world.arrive(unread=0, patience=None) for _ in range(10)])
+    assert len(kinds(said, face.Start)) == 4
+
+
+def test_limit_climbs_while_cores_idle_and_work_waits() -> None:
+    """Runs that wait for disk leave cores idle without an event; only the gauges tell."""
+    world = World(machine(operation(objective=3000)), Random(1))
+    world.step([world.arrive(unread=0, patience=None) for _ in range(12)])
+    started = len(world.of("running"))
+    world.now += 50 * MS
+    world.step([face.TimerFired(9, [0.3, 1, 0])])
+    assert len(world.of("running")) > started
+
+
+@pytest.mark.parametrize("halt", list(Halt))
+def test_running_work_is_answered_by_its_due_time(halt: Halt) -> None:
+    world = World(machine(operation(late=0.2), halt=halt), Random(1))
+    news = world.arrive(unread=0, patience=800 * MS)
+    world.step([news])
+    run(world, 40)
+    assert world.seen[news.inv].answered
+
+
+def test_hung_cores_turn_work_away_before_any_run_ends() -> None:
+    """A hang, a pause or a machine slowed many times shows in the age of what runs, long before a completion."""
+    world = World(machine(operation(objective=3000)), Random(1))
+    for _ in range(20):  # teach it what runs take
+        world.step([world.arrive(unread=0, patience=None)])
+        world.step([world.finish(s) for s in world.of("running")], 100 * MS)
+    world.step([world.arrive(unread=0, patience=None) for _ in range(4)])
+    run(world, 60)
+    said = world.step([world.arrive(unread=0, patience=None, rank=0.5) for _ in range(6)])
+    assert len(kinds(said, face.Throttle)) >= 4
+
+
+def test_least_rank_is_turned_away_first() -> None:
+    world = World(machine(), Random(1))
+    world.step([world.arrive(unread=0, patience=None, rank=0.99) for _ in range(12)])
+    low = world.step([world.arrive(unread=0, patience=None, rank=0.0)])
+    high = world.step([world.arrive(unread=0, patience=None, rank=0.99)])
+    assert kinds(low, face.Throttle) and not kinds(high, face.Throttle)
+
+
+def test_door_closes_for_callers_while_work_lies_unread() -> None:
+    """A flood that is still unread costs cores to read: callers must hear of it before the line is full."""
+    world = World(machine(), Random(1))
+    amounts = []
+    for _ in range(20):
+        said = world.step([world.arrive(unread=1000 * MS, patience=None)], 50 * MS)
+        amounts += [a.amount for a in said if isinstance(a, face.Advertise)]
+    assert amounts and amounts[-1] < 0.6
+
+
+def test_drain_flags_runs_the_grace_and_answers_all() -> None:
+    world = World(machine(), Random(1))
+    first = world.arrive(unread=0, patience=None)
+    said = world.step([first, world.leave(5000 * MS)])
+    assert face.Readiness(False, True) in said
+    inside = world.arrive(unread=0, patience=None)
+    world.step([inside], 1900 * MS)
+    outside = world.arrive(unread=0, patience=None)
+    world.step([outside], 200 * MS)
+    assert world.seen[inside.inv].ran and not world.seen[outside.inv].ran
+    while world.now < world.kill:
+        world.step([], 10 * MS)
+    assert all(s.answered for s in world.seen.values())
+
+
+def test_cold_start_is_unready_until_latency_stops_falling() -> None:
+    world = World(machine(cold=True), Random(1))
+    ready = []
+    for span in [400] * 3 + [300] * 4 + [200] * 6 + [200] * 8:
+        world.step([world.arrive(unread=0, patience=None) for _ in range(4)])
+        said = world.step([], span * MS // 2) + world.step([], span * MS // 2)
+        said += world.step([world.finish(s) for s in world.of("running")])
+        ready += [(world.now - world.born, a.good) for a in said if isinstance(a, face.Readiness)]
+    assert ready and ready[-1][1] and 2000 * MS < ready[-1][0] < 6000 * MS
+
+
+def test_repeat_of_a_tokened_one_waits_for_its_outcome() -> None:
+    world = World(machine(operation(effect=Effect.TOKENED)), Random(1))
+    first = world.arrive(unread=0, patience=None)
+    said = world.step([first])
+    assert kinds(said, face.Remember) and kinds(said, face.Start)
+    second = world.arrive(unread=0, patience=None, repeats=first.inv)
+    assert kinds(world.step([second]), face.Reuse)
+
+
+@pytest.mark.parametrize("outcome, again", [(Outcome.REJECTED, True), (Outcome.TIMED_OUT, False)])
+def test_call_is_repeated_only_after_a_proof(outcome: Outcome, again: bool) -> None:
+    world = World(machine(operation(calls=True), below=face.Below.SHARED), Random(1))
+    world.step([world.arrive(unread=0, patience=None)])
+    (s,) = world.of("running")
+    s.state = "at call"
+    assert kinds(world.step([face.CallWanted(s.news.inv)]), face.PlaceCall)
+    said = world.step([world.end_call(s, outcome)], 5 * MS)
+    said += world.step([], 200 * MS)
+    assert bool(kinds(said, face.PlaceCall)) is again and s.answered is not again
+
+
+def test_call_at_the_bound_keeps_its_time_out() -> None:
+    """The last call that the share allows was once told to time out at once, as it counted itself."""
+    world = World(machine(operation(calls=True), below=face.Below.SHARED, share=1.0), Random(1))
+    world.step([world.arrive(unread=0, patience=None)])
+    (s,) = world.of("running")
+    s.state = "at call"
+    (call,) = kinds(world.step([face.CallWanted(s.news.inv)]), face.PlaceCall)
+    assert isinstance(call, face.PlaceCall) and call.expires_at > world.now + 500 * MS
+
+
+def test_dependency_lost_makes_it_unready_and_chance_brings_it_back() -> None:
+    world = World(machine(operation(calls=True), below=face.Below.SHARED), Random(1))
+    ready = []
+    for _ in range(100):
+        news: list[face.Input] = [world.arrive(unread=0, patience=None)]
+        for s in world.of("calling")[:3]:
+            news.append(world.end_call(s, Outcome.BROKEN))
+        for s in world.of("running")[:3]:
+            s.state, s.call = "at call", None
+            news.append(face.CallWanted(s.news.inv))
+        ready += [a.good for a in world.step(news, 50 * MS) if isinstance(a, face.Readiness)]
+    for _ in range(100):
+        ready += [a.good for a in world.step([], 50 * MS) if isinstance(a, face.Readiness)]
+    assert ready[0] is False and ready[-1] is True
+
+
+@pytest.mark.parametrize("change, named", [({"cores": 0}, "cores"), ({"operations": ()}, "operations")])
+def test_settings_that_contradict_themselves_are_named(change: dict[str, object], named: str) -> None:
+    with pytest.raises(ValueError, match=named):
+        machine(**change)  # type: ignore[arg-type]
