Count stopped runs in the mean run; turn late idempotent runs away for good

Covers any cause that makes runs end late; it may harm where a stopped run was one of few bulky ones, as it raises the mean for some seconds.

--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -60,7 +60,8 @@
 HELD     | ENDED                | OVER     |
 WAITING  | TURN DUE             | OVER     | fail
 WAITING  | GONE ENDED           | OVER     |
-RUNNING  | LATE DUE             | ANSWERED | fail stop insist
+RUNNING  | LATE                 | ANSWERED | count_run end stop insist
+RUNNING  | DUE                  | ANSWERED | count_run fail stop insist
 RUNNING  | LONG                 | RUNNING  | stop
 RUNNING  | GONE                 | ANSWERED | stop
 RUNNING  | ENDED                | OVER     | count_run
@@ -251,6 +252,14 @@
     def fail(self, inv: Inv) -> None:
         self.out.append(face.Fail(inv.id))
 
+    def end(self, inv: Inv) -> None:
+        """An error would be tried again though nobody can win any more; an idempotent one may be turned away with
+        the wish not to. What has an effect may not."""
+        if inv.line.op.effect is Effect.IDEMPOTENT:
+            self.out.append(face.Throttle(inv.id, 0, True))
+        else:
+            self.fail(inv)
+
     def stop(self, inv: Inv) -> None:
         if self.machine.halt is not Halt.NONE:
             self.out.append(face.Halted(inv.id))
