--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -34,7 +34,7 @@
 SOUGHT = 0.5  # share of that at which the door is neither opened nor shut further
 GAIN = 0.1  # of the way there at each beat: half open after some 0.7 s of a full line, as callers hear late
 AJAR = 0.3  # a caller that hears nothing for a while forgets what it was told: it must go on trying
-START = 0.7  # share of the mean run that must still fit: half of all runs are shorter than that
+START = 1.0  # share of the mean run that must still fit for a run to begin
 BULKY = 4  # times the mean run after which a run makes way for others where it can be paused
 PRIOR = 0.15  # share of the objective a run is thought to take while none has been seen
 GRACE = 3 * S  # the document's wait between the flag and the closed door
@@ -245,9 +245,12 @@
         self.out.append(face.Reuse(inv.id))
 
     def throttle(self, inv: Inv) -> None:
-        late = self.now + self.latest(inv) > inv.goal and not self.leaving_at
-        pause = self.machine.longest_pause if self.leaving_at else 0 if late else self.excess()
-        self.out.append(face.Throttle(inv.id, min(pause, self.machine.longest_pause), late))
+        """A door long half shut tells of a fleet without room: the next server would pay for reading it in vain.
+        By chance, as a server that is slow alone shuts its door as well, and others could run it."""
+        longest, late = self.machine.longest_pause, self.now + self.latest(inv) > inv.goal
+        give_up = not self.leaving_at and (late or self.random.random() > self.open)
+        pause = longest if self.leaving_at else 0 if late else min(self.excess(), longest)
+        self.out.append(face.Throttle(inv.id, pause, give_up))
 
     def fail(self, inv: Inv) -> None:
         self.out.append(face.Fail(inv.id))
