--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -31,7 +31,7 @@
 ROOM = 0.9  # share of memory for runs and entries, so that what is read next always fits until it is judged
 HOLD = 0.5  # share of the time an objective leaves beside the run that may be spent held
 CALM = 0.3  # share of that under which a short line is no reason to turn anything away
-SOUGHT = 0.5  # share of that at which the door is neither opened nor shut further
+SOUGHT = 0.4  # share of that at which the door is neither opened nor shut further
 GAIN = 0.1  # of the way there at each beat: half open after some 0.7 s of a full line, as callers hear late
 AJAR = 0.3  # a caller that hears nothing for a while forgets what it was told: it must go on trying
 START = 1.0  # share of the mean run that must still fit for a run to begin
@@ -168,7 +168,7 @@
         self.spent = Decay(max(machine.dependency.window, 1))
         self.admitted = [Decay(2 * S) for _ in machine.customers]
         self.same_caller, self.last_caller = Mean(1 / max(machine.callers, 1)), -1
-        self.limit = float(machine.cores)
+        self.limit, self.at_disk = float(machine.cores), Mean(0.0, 4 * MEMORY)
         self.open, self.unread = 1.0, Mean(0.0, 1 * S)
         self.step, self.last_rate, self.bound = 1, 0.0, True
         self.window_at, self.window_done, self.sum_started = -1, 0, 0
@@ -307,8 +307,9 @@
 
     # What is known.
 
-    def on_cores(self) -> int:
-        return self.count[RUNNING] + self.count[ANSWERED]
+    def on_cores(self) -> float:
+        """Those that run less the part that waits for disk, which only the gauges show."""
+        return (self.count[RUNNING] + self.count[ANSWERED]) * (1 - self.at_disk.read(self.now))
 
     def slowness(self) -> float:
         """Runs that are on the cores far longer than runs used to take tell of a slowed, hung or paused
@@ -328,24 +329,26 @@
 
     def wait(self) -> float:
         held = sum(line.length for line in self.lines)
-        beyond = held - max(floor(self.limit) - self.on_cores(), 0)  # the rest starts at once
+        beyond = held - max(self.limit - self.on_cores(), 0)  # the rest starts at once
         if beyond <= 0:
             return 0.0
         work = sum(line.length * line.core.read(self.now) for line in self.lines if line.length)
-        return work * beyond / held * self.slowness() / self.limit
+        return work * beyond / held * self.slowness() * (1 - self.at_disk.read(self.now)) / self.limit
 
-    def patience(self) -> float:
-        """How long work may be held before the tightest objective is in danger."""
-        slow = self.slowness()
-        return min(max(line.op.objective - line.run.read(self.now) * slow, line.op.objective * 0.1)
-                   for line in self.lines) * HOLD  # fmt: skip
+    def patience(self, line: Line) -> float:
+        """How long work may be held before the line's objective is in danger."""
+        objective = line.op.objective
+        return max(objective - line.run.read(self.now) * self.slowness(), objective * 0.1) * HOLD
 
-    def level(self) -> float:
-        """The rank under which work is turned away: 0 with a short line, 1 where it eats an objective."""
-        return min(max(self.wait() / self.patience() - CALM, 0.0) / (1 - CALM), 1.0)
+    def least_patience(self) -> float:
+        return min(self.patience(line) for line in self.lines)
+
+    def level(self, line: Line) -> float:
+        """The rank under which work is turned away: 0 with a short line, 1 where it eats the objective."""
+        return min(max(self.wait() / self.patience(line) - CALM, 0.0) / (1 - CALM), 1.0)
 
     def excess(self) -> int:
-        return max(round(self.wait() - CALM * self.patience()), 0)
+        return max(round(self.wait() - CALM * self.least_patience()), 0)
 
     def crowd(self) -> float:
         """The most the cores survive, as slow as the settings allow them to be by now."""
@@ -358,8 +361,9 @@
     def may_run(self) -> bool:
         """Those at calls come back when they like: all together stay under what the cores survive."""
         at_calls = self.count[State.STANDING] + self.count[State.CALLING]
+        running = self.count[RUNNING] + self.count[ANSWERED]
         limit = max(min(self.limit, CEILING * self.crowd()), self.machine.cores)
-        return self.on_cores() < floor(limit) and self.on_cores() + at_calls < max(
+        return self.on_cores() + 0.5 < floor(limit) and running + at_calls < max(
             floor(ROOM * self.crowd()), self.machine.cores
         )
 
@@ -382,7 +386,7 @@
             self.alarm(inv.due - BEAT, inv, News.DUE)
         elif now >= inv.due - BEAT or (not line.op.late_share and now + self.latest(inv) > inv.goal):
             self.step_to(inv, News.LATE)
-        elif self.worth_rank(inv, news) < self.level():
+        elif self.worth_rank(inv, news) < self.level(line):
             self.step_to(inv, News.TURN)
         else:
             if news.customer >= 0:
@@ -453,11 +457,18 @@
 
     def learn(self, runnable: float | None) -> None:
         waits = any(line.length for line in self.lines)
-        busy = self.on_cores() >= floor(self.limit)
-        idle = runnable is not None and runnable < self.machine.cores and self.slowness() <= 1.0
+        busy, running = self.on_cores() + 0.5 >= floor(self.limit), self.count[RUNNING]
+        cores = self.machine.cores
+        idle = runnable is not None and runnable < cores and self.slowness() <= 1.0
+        if runnable is not None and 2 * running >= cores and runnable <= running:
+            self.at_disk.add(self.now, 1 - runnable / running)
         if waits and busy and idle:
             # Cores idle while work waits: runs wait for disk, which no event tells.
             self.limit += 1
+        elif runnable is not None and runnable > 2 * cores:
+            # Even if each core reads, more runs than cores want one: what was climbed for waits at a disk is too
+            # much once the machine slows down or the waits end.
+            self.limit -= 1
         self.bound = self.bound and waits
         span = self.now - self.window_at
         if span >= WINDOW and (self.window_done >= ENOUGH or span >= 4 * WINDOW):
@@ -474,7 +485,7 @@
     def invite(self) -> None:
         """How far the door stands open to callers, in steps by ratio: where each may go elsewhere, all doors
         must be nearly shut before one gives up. What lies unread counts, as reading it is paid for."""
-        pressure = min((self.wait() + self.unread.read(self.now)) / self.patience(), 2.0)
+        pressure = min((self.wait() + self.unread.read(self.now)) / self.least_patience(), 2.0)
         self.open = min(max(self.open * (1 + GAIN * (SOUGHT - pressure)), AJAR), 1.0)
 
     def warm_up(self) -> None:
@@ -561,7 +572,7 @@
             return False
         if self.closed(inv):
             return not self.step_to(inv, News.TURN)
-        if self.now + self.latest(inv) > inv.goal and (not inv.line.op.late_share or self.level() > 0):
+        if self.now + self.latest(inv) > inv.goal and (not inv.line.op.late_share or self.level(inv.line) > 0):
             return not self.step_to(inv, News.LATE)
         return True
 
@@ -582,7 +593,7 @@
         return 0 if held else round(left)
 
     def show(self) -> None:
-        level = self.level()
+        level = min(self.level(line) for line in self.lines)
         good = self.warm and not self.leaving_at and not self.lost_until
         # From store while crowded, as checks cost work; never while runs hang, so that checks hang too.
         shown = (good, not good or (level > 0 and self.slowness() < 2))
@@ -608,7 +619,7 @@
         twice in a row."""
         mean = sum(line.core.read(self.now) for line in self.lines) / len(self.lines)
         at_calls = self.count[State.STANDING] + self.count[State.CALLING]
-        total = self.limit * (1 + self.patience() / mean) + at_calls
+        total = self.limit * (1 + self.least_patience() / mean) + at_calls
         return 2 * share * total * self.same_caller.read(self.now)
 
 
