--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -33,6 +33,8 @@
 CALM = 0.3  # share of that under which a short line is no reason to turn anything away
 SOUGHT = 0.4  # share of that at which the door is neither opened nor shut further
 GAIN = 0.1  # of the way there at each beat: half open after some 0.7 s of a full line, as callers hear late
+QUOTA_SPAN = 2 * S  # over which a customer's admitted work is held against its quota
+UNEVEN = 1.5  # callers don't spread a customer's work evenly over the fleet
 AJAR = 0.3  # a caller that hears nothing for a while forgets what it was told: it must go on trying
 START = 1.0  # share of the mean run that must still fit for a run to begin
 BULKY = 4  # times the mean run after which a run makes way for others where it can be paused
@@ -53,7 +55,7 @@
 
 # The specification: state | news | next state | effects. What is missing is news that crossed an answer.
 SPECIFICATION = """
-HELD     | START                | RUNNING  | start
+HELD     | START                | RUNNING  | started begin
 HELD     | REPEAT               | WAITING  | reuse
 HELD     | TURN LATE DUE        | OVER     | forget throttle
 HELD     | GONE                 | OVER     | forget
@@ -73,13 +75,13 @@
 STANDING | GONE                 | ANSWERED |
 STANDING | ENDED                | OVER     |
 CALLING  | CALLED               | RUNNING  | called
-CALLING  | UNRUN                | STANDING | call_again
+CALLING  | UNRUN                | STANDING | line_up_call
 CALLING  | UNSURE               | ANSWERED | fail
 CALLING  | SPARED               | RUNNING  | called skip
 CALLING  | LATE DUE             | ANSWERED | linger fail
 CALLING  | GONE                 | ANSWERED | linger
 CALLING  | ENDED                | OVER     |
-PAUSED   | START                | RUNNING  | start
+PAUSED   | START                | RUNNING  | begin
 PAUSED   | LATE DUE             | OVER     | fail
 PAUSED   | GONE ENDED           | OVER     |
 ANSWERED | LATE DUE             | ANSWERED | stop
@@ -90,9 +92,13 @@
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
     for name in row[1].split()
 }
+BEGUN = (RUNNING, ANSWERED, State.STANDING, State.CALLING)
 WEIGHTLESS = (HELD, State.WAITING)  # states that need a held invocation's memory, not a running one's
 CALL_NEWS = {Outcome.SUCCEEDED: News.CALLED} | dict.fromkeys(
     (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT), News.UNRUN)  # fmt: skip
+PLAIN: dict[str, Callable[[int], face.Action]] = {
+    "begin": face.Start, "fail": face.Fail, "reuse": face.Reuse, "skip": face.SkipCall,
+}  # fmt: skip
 BROKEN_CALLS = (Outcome.UNREACHABLE, Outcome.TIMED_OUT, Outcome.BROKEN)
 
 
@@ -142,7 +148,7 @@
 class Inv:
     def __init__(self, news: face.Arrived, line: Line, now: int) -> None:
         op = line.op
-        self.id, self.line, self.kb, self.cost, self.rank = news.inv, line, news.kb, news.cost, news.rank
+        self.id, self.line, self.kb, self.rank = news.inv, line, news.kb, news.rank
         self.arrived = now - news.unread
         self.due = self.arrived + op.client_timeout if news.patience is None else now + news.patience
         stretch = round(op.objective_stretch * (news.cost * MS if news.cost else line.run.read(now)))
@@ -166,7 +172,7 @@
         self.entries: list[int] = []
         self.lingering: deque[int] = deque()
         self.spent = Decay(max(machine.dependency.window, 1))
-        self.admitted = [Decay(2 * S) for _ in machine.customers]
+        self.admitted = [Decay(QUOTA_SPAN) for _ in machine.customers]
         self.same_caller, self.last_caller = Mean(1 / max(machine.callers, 1)), -1
         self.limit, self.at_disk = float(machine.cores), Mean(0.0, 4 * MEMORY)
         self.open, self.unread = 1.0, Mean(0.0, 1 * S)
@@ -217,7 +223,10 @@
             if state is RUNNING:
                 self.sum_started += inv.started if old is not HELD else self.now
         for effect in effects:
-            getattr(self, effect)(inv)
+            if effect in PLAIN:
+                self.out.append(PLAIN[effect](inv.id))
+            else:
+                getattr(self, effect)(inv)
         if state is OVER:
             del self.invs[inv.id]
             self.forgotten.append(inv.id)
@@ -232,36 +241,27 @@
         if inv.line.op.effect is Effect.TOKENED:
             self.out.append(face.Forget(inv.id))
 
-    def start(self, inv: Inv) -> None:
-        if not inv.started:
-            inv.started = self.now
-            if self.machine.halt is Halt.PAUSE:
-                self.alarm(self.now + round(BULKY * inv.line.run.read(self.now)), inv, News.LONG)
-            if self.machine.fresh and inv.line.op.effect is Effect.IDEMPOTENT and inv.keyed_read:
-                self.remember(inv, self.machine.fresh + inv.line.op.objective)
-        self.out.append(face.Start(inv.id))
-
-    def reuse(self, inv: Inv) -> None:
-        self.out.append(face.Reuse(inv.id))
+    def started(self, inv: Inv) -> None:
+        inv.started = self.now
+        if self.machine.halt is Halt.PAUSE:
+            self.alarm(self.now + round(BULKY * inv.line.run.read(self.now)), inv, News.LONG)
+        if self.machine.fresh and inv.line.op.effect is Effect.IDEMPOTENT and inv.keyed_read:
+            self.remember(inv, self.machine.fresh + inv.line.op.objective)
 
     def throttle(self, inv: Inv) -> None:
         """A door long half shut tells of a fleet without room: the next server would pay for reading it in vain.
         By chance, as a server that is slow alone shuts its door as well, and others could run it."""
         longest, late = self.machine.longest_pause, self.now + self.latest(inv) > inv.goal
         give_up = not self.leaving_at and (late or self.random.random() > self.open)
-        pause = longest if self.leaving_at else 0 if late else min(self.excess(), longest)
+        excess = max(round(self.wait() - CALM * min(map(self.patience, self.lines))), 0)
+        pause = longest if self.leaving_at else 0 if late else min(excess, longest)
         self.out.append(face.Throttle(inv.id, pause, give_up))
 
-    def fail(self, inv: Inv) -> None:
-        self.out.append(face.Fail(inv.id))
-
     def end(self, inv: Inv) -> None:
         """An error would be tried again though nobody can win any more; an idempotent one may be turned away with
         the wish not to. What has an effect may not."""
-        if inv.line.op.effect is Effect.IDEMPOTENT:
-            self.out.append(face.Throttle(inv.id, 0, True))
-        else:
-            self.fail(inv)
+        safe = inv.line.op.effect is Effect.IDEMPOTENT
+        self.out.append(face.Throttle(inv.id, 0, True) if safe else face.Fail(inv.id))
 
     def stop(self, inv: Inv) -> None:
         if self.machine.halt is not Halt.NONE:
@@ -276,21 +276,16 @@
         inv.line.length += 1
 
     def line_up_call(self, inv: Inv) -> None:
-        inv.called = self.now
+        inv.called = inv.called or self.now
         self.at_call.append(inv)
 
     def call(self, inv: Inv) -> None:
         inv.placed = self.now
-        self.out.append(face.PlaceCall(inv.id, min(self.useful_until(inv), inv.call_by)))
-
-    def call_again(self, inv: Inv) -> None:
-        self.at_call.append(inv)
+        useful = inv.due - BEAT if inv.line.op.late_share else min(inv.goal, inv.due - BEAT)
+        self.out.append(face.PlaceCall(inv.id, min(useful, inv.call_by)))
 
     def called(self, inv: Inv) -> None:
-        inv.calls += self.now - inv.called
-
-    def skip(self, inv: Inv) -> None:
-        self.out.append(face.SkipCall(inv.id))
+        inv.calls, inv.called = inv.calls + self.now - inv.called, 0
 
     def linger(self, inv: Inv) -> None:
         self.spent.add(self.now, self.now - inv.placed + self.machine.dependency.linger)
@@ -324,9 +319,6 @@
     def latest(self, inv: Inv) -> int:
         return round(START * inv.line.run.read(self.now) * self.slowness())
 
-    def useful_until(self, inv: Inv) -> int:
-        return inv.due - BEAT if inv.line.op.late_share else min(inv.goal, inv.due - BEAT)
-
     def wait(self) -> float:
         held = sum(line.length for line in self.lines)
         beyond = held - max(self.limit - self.on_cores(), 0)  # the rest starts at once
@@ -340,16 +332,10 @@
         objective = line.op.objective
         return max(objective - line.run.read(self.now) * self.slowness(), objective * 0.1) * HOLD
 
-    def least_patience(self) -> float:
-        return min(self.patience(line) for line in self.lines)
-
     def level(self, line: Line) -> float:
         """The rank under which work is turned away: 0 with a short line, 1 where it eats the objective."""
         return min(max(self.wait() / self.patience(line) - CALM, 0.0) / (1 - CALM), 1.0)
 
-    def excess(self) -> int:
-        return max(round(self.wait() - CALM * self.least_patience()), 0)
-
     def crowd(self) -> float:
         """The most the cores survive, as slow as the settings allow them to be by now."""
         machine, speed = self.machine, 1.0
@@ -360,12 +346,9 @@
 
     def may_run(self) -> bool:
         """Those at calls come back when they like: all together stay under what the cores survive."""
-        at_calls = self.count[State.STANDING] + self.count[State.CALLING]
-        running = self.count[RUNNING] + self.count[ANSWERED]
-        limit = max(min(self.limit, CEILING * self.crowd()), self.machine.cores)
-        return self.on_cores() + 0.5 < floor(limit) and running + at_calls < max(
-            floor(ROOM * self.crowd()), self.machine.cores
-        )
+        limit, cores = min(self.limit, CEILING * self.crowd()), self.machine.cores
+        begun = sum(self.count[state] for state in BEGUN)
+        return self.on_cores() + 0.5 < max(floor(limit), cores) and begun < max(floor(ROOM * self.crowd()), cores)
 
     # News.
 
@@ -404,8 +387,8 @@
         """A customer beyond its part of the fleet's quota ranks as what its traffic is worth there."""
         if news.customer < 0:
             return inv.rank
-        quota = self.machine.customers[news.customer].quota_per_s / self.machine.fleet
-        over = self.admitted[news.customer].read(self.now) > 1.5 * quota * 2 + 1
+        part = self.machine.customers[news.customer].quota_per_s / self.machine.fleet * QUOTA_SPAN / S
+        over = self.admitted[news.customer].read(self.now) > UNEVEN * part + 1
         return inv.rank * self.machine.over_quota_share if over else inv.rank
 
     def closed(self, inv: Inv) -> bool:
@@ -421,14 +404,13 @@
         heappush(self.entries, self.now + ttl)
         return True
 
-    def on_finished(self, news: face.Finished) -> None:
-        if inv := self.invs.get(news.inv):
-            stopped = news.outcome is Outcome.STOPPED and inv.state in (RUNNING, ANSWERED)
-            self.step_to(inv, News.STOPPED if stopped else News.ENDED)
-
-    def on_plain(self, news: face.CallerGone | face.CallWanted) -> None:
+    def on_simple(self, news: face.Finished | face.CallerGone | face.CallWanted) -> None:
         if inv := self.invs.get(news.inv):
-            self.step_to(inv, News.GONE if isinstance(news, face.CallerGone) else News.WANTS)
+            step = News.GONE if isinstance(news, face.CallerGone) else News.WANTS
+            if isinstance(news, face.Finished):
+                stopped = news.outcome is Outcome.STOPPED and inv.state in (RUNNING, ANSWERED)
+                step = News.STOPPED if stopped else News.ENDED
+            self.step_to(inv, step)
 
     def on_call_ended(self, news: face.CallEnded) -> None:
         self.calls_made.add(self.now, 1.0)
@@ -458,14 +440,13 @@
     def learn(self, runnable: float | None) -> None:
         waits = any(line.length for line in self.lines)
         busy, running = self.on_cores() + 0.5 >= floor(self.limit), self.count[RUNNING]
-        cores = self.machine.cores
-        idle = runnable is not None and runnable < cores and self.slowness() <= 1.0
-        if runnable is not None and 2 * running >= cores and runnable <= running:
-            self.at_disk.add(self.now, 1 - runnable / running)
-        if waits and busy and idle:
+        cores, wanting = self.machine.cores, self.machine.cores if runnable is None else runnable
+        if 2 * running >= cores and wanting <= running:
+            self.at_disk.add(self.now, 1 - wanting / running)
+        if waits and busy and wanting < cores and self.slowness() <= 1.0:
             # Cores idle while work waits: runs wait for disk, which no event tells.
             self.limit += 1
-        elif runnable is not None and runnable > 2 * cores:
+        elif wanting > 2 * cores:
             # Even if each core reads, more runs than cores want one: what was climbed for waits at a disk is too
             # much once the machine slows down or the waits end.
             self.limit -= 1
@@ -485,7 +466,7 @@
     def invite(self) -> None:
         """How far the door stands open to callers, in steps by ratio: where each may go elsewhere, all doors
         must be nearly shut before one gives up. What lies unread counts, as reading it is paid for."""
-        pressure = min((self.wait() + self.unread.read(self.now)) / self.least_patience(), 2.0)
+        pressure = min((self.wait() + self.unread.read(self.now)) / min(map(self.patience, self.lines)), 2.0)
         self.open = min(max(self.open * (1 + GAIN * (SOUGHT - pressure)), AJAR), 1.0)
 
     def warm_up(self) -> None:
@@ -507,7 +488,7 @@
             if not self.lost_until:
                 self.say("dependency: most recent calls fail, not ready")
             self.lost_until = self.now + self.random.randint(*RETURN)
-        elif self.lost_until and self.now >= self.lost_until:
+        elif 0 < self.lost_until <= self.now:
             self.lost_until = 0
             self.say("dependency: calls end well again or are few, ready")
 
@@ -532,17 +513,13 @@
             inv = self.invs[index]
             if news is News.LATE and inv.state is RUNNING and self.now < inv.goal:
                 self.alarm(inv.goal, inv, News.LATE)
-            elif news is News.LONG and not any(line.length for line in self.lines):
-                continue
-            else:
+            elif news is not News.LONG or any(line.length for line in self.lines):
                 self.step_to(inv, news)
 
     def make_room(self) -> None:
         """What was just read can overfill the memory; the newest of the least worth goes first."""
-        while self.memory > self.machine.memory_kb:
+        while self.memory > self.machine.memory_kb and any(self.count[state] for state in WEIGHTLESS):
             light = [inv for inv in reversed(self.invs.values()) if inv.state in WEIGHTLESS]
-            if not light:
-                return
             self.step_to(min(light, key=lambda inv: inv.rank), News.TURN)
 
     def fill(self) -> None:
@@ -551,10 +528,9 @@
             more = inv.kb * (self.machine.run_factor - 1) if inv.state is HELD else 0.0
             if self.memory + more > ROOM * self.machine.memory_kb:
                 return
-            line = inv.line
-            line.queue.popleft()
-            self.turn = line.turn
-            line.turn += line.core.read(self.now) / max(line.op.billed_value, 0.01)
+            inv.line.queue.popleft()
+            self.turn = inv.line.turn
+            inv.line.turn += inv.line.core.read(self.now) / max(inv.line.op.billed_value, 0.01)
             self.step_to(inv, News.START)
 
     def next_held(self) -> Inv | None:
@@ -566,10 +542,8 @@
 
     def useful(self, inv: Inv) -> bool:
         """Work that cannot end within its objective is not begun, unless late work earns and little waits."""
-        if inv.state is PAUSED:
-            return True
         if inv.state is not HELD:
-            return False
+            return inv.state is PAUSED
         if self.closed(inv):
             return not self.step_to(inv, News.TURN)
         if self.now + self.latest(inv) > inv.goal and (not inv.line.op.late_share or self.level(inv.line) > 0):
@@ -619,13 +593,13 @@
         twice in a row."""
         mean = sum(line.core.read(self.now) for line in self.lines) / len(self.lines)
         at_calls = self.count[State.STANDING] + self.count[State.CALLING]
-        total = self.limit * (1 + self.least_patience() / mean) + at_calls
+        total = self.limit * (1 + min(map(self.patience, self.lines)) / mean) + at_calls
         return 2 * share * total * self.same_caller.read(self.now)
 
 
-HANDLERS: dict[type, Callable[..., None]] = {
-    face.Arrived: Controller.on_arrived, face.Finished: Controller.on_finished,
-    face.CallerGone: Controller.on_plain, face.CallWanted: Controller.on_plain,
-    face.CallEnded: Controller.on_call_ended, face.Leaving: Controller.on_leaving,
-    face.TimerFired: Controller.on_timer,
+HANDLERS: dict[type, Callable[..., None]] = dict.fromkeys(
+    (face.Finished, face.CallerGone, face.CallWanted), Controller.on_simple
+) | {
+    face.Arrived: Controller.on_arrived, face.CallEnded: Controller.on_call_ended,
+    face.Leaving: Controller.on_leaving, face.TimerFired: Controller.on_timer,
 }  # fmt: skip
