--- a/ringshift/benchlink/hosts.py
+++ b/ringshift/benchlink/hosts.py
@@ -54,7 +54,7 @@
                 inputs.append(read)
         actions = self.controller.decide(now, inputs)
         output = [wire.write_action(self.who, action, self.ids.by_index) for action in actions]
-        for index in self.controller.take_forgotten():
+        for index in self.controller.forgotten:
             self.ids.drop(index)
         return output
 
--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -1,7 +1,7 @@
 """What one server takes, runs and turns away. Every decision, table and tuned value of ringshift is here.
 
 Called as `Controller(machine, seed)`, then `decide(now, inputs)` for each batch of news: it returns the
-actions in the order they must be carried out; `take_forgotten()` names the invocations whose indices may be
+actions in the order they must be carried out; `forgotten` then names the invocations whose indices may be
 dropped. Types are in interface.py; the why of it, against its source, is in docs/design.md.
 """
 
@@ -37,7 +37,6 @@
 UNEVEN = 1.5  # callers don't spread a customer's work evenly over the fleet
 AJAR = 0.3  # a caller that hears nothing for a while forgets what it was told: it must go on trying
 START = 1.0  # share of the mean run that must still fit for a run to begin
-BULKY = 4  # times the mean run after which a run makes way for others where it can be paused
 PRIOR = 0.15  # share of the objective a run is thought to take while none has been seen
 GRACE = 3 * S  # the document's wait between the flag and the closed door
 LAST = 60 * MS  # before the kill, what still runs is failed
@@ -47,53 +46,47 @@
 
 
 # WAITING is on the outcome of the one it repeats, STANDING at a call not placed, ANSWERED yet still running.
-State = Enum("State", "HELD WAITING RUNNING STANDING CALLING PAUSED ANSWERED OVER")
+State = Enum("State", "HELD WAITING RUNNING STANDING CALLING ANSWERED OVER")
 # LATE cannot end within its objective; UNRUN is a call proven not to have run, SPARED one to be left out.
-News = Enum("News", "START REPEAT TURN LATE LONG DUE GONE ENDED STOPPED WANTS PLACE CALLED UNRUN UNSURE "
-            "SPARED")  # fmt: skip
-HELD, RUNNING, PAUSED, ANSWERED, OVER = State.HELD, State.RUNNING, State.PAUSED, State.ANSWERED, State.OVER
+News = Enum("News", "START REPEAT TURN LATE DUE GONE ENDED WANTS PLACE CALLED UNRUN UNSURE SPARED")
+HELD, RUNNING, ANSWERED, OVER = State.HELD, State.RUNNING, State.ANSWERED, State.OVER
 
-# The specification: state | news | next state | effects. What is missing is news that crossed an answer.
+# The specification: states | news | next state | effects. What is missing is news that crossed an answer.
 SPECIFICATION = """
-HELD     | START                | RUNNING  | started begin
-HELD     | REPEAT               | WAITING  | reuse
-HELD     | TURN LATE DUE        | OVER     | forget throttle
-HELD     | GONE                 | OVER     | forget
-HELD     | ENDED                | OVER     |
-WAITING  | TURN DUE             | OVER     | fail
-WAITING  | GONE ENDED           | OVER     |
-RUNNING  | LATE                 | ANSWERED | count_run end stop insist
-RUNNING  | DUE                  | ANSWERED | count_run fail stop insist
-RUNNING  | LONG                 | RUNNING  | stop
-RUNNING  | GONE                 | ANSWERED | stop
-RUNNING  | ENDED                | OVER     | count_run
-RUNNING  | STOPPED              | PAUSED   | line_up
-RUNNING  | WANTS                | STANDING | line_up_call
-STANDING | PLACE                | CALLING  | call
-STANDING | SPARED               | RUNNING  | called skip
-STANDING | LATE DUE             | ANSWERED | fail
-STANDING | GONE                 | ANSWERED |
-STANDING | ENDED                | OVER     |
-CALLING  | CALLED               | RUNNING  | called
-CALLING  | UNRUN                | STANDING | line_up_call
-CALLING  | UNSURE               | ANSWERED | fail
-CALLING  | SPARED               | RUNNING  | called skip
-CALLING  | LATE DUE             | ANSWERED | linger fail
-CALLING  | GONE                 | ANSWERED | linger
-CALLING  | ENDED                | OVER     |
-PAUSED   | START                | RUNNING  | begin
-PAUSED   | LATE DUE             | OVER     | fail
-PAUSED   | GONE ENDED           | OVER     |
-ANSWERED | LATE DUE             | ANSWERED | stop
-ANSWERED | ENDED STOPPED        | OVER     |
+HELD                          | START         | RUNNING  | keep begin
+HELD                          | REPEAT        | WAITING  | reuse
+HELD                          | TURN LATE DUE | OVER     | forget throttle
+HELD                          | GONE          | OVER     | forget
+WAITING                       | TURN DUE      | OVER     | fail
+WAITING                       | GONE          | OVER     |
+RUNNING                       | LATE          | ANSWERED | count_run end stop insist
+RUNNING                       | DUE           | ANSWERED | count_run fail stop insist
+RUNNING                       | GONE          | ANSWERED | stop
+RUNNING                       | ENDED         | OVER     | count_run
+RUNNING                       | WANTS         | STANDING | line_up_call
+STANDING                      | PLACE         | CALLING  | call
+STANDING CALLING              | SPARED        | RUNNING  | called skip
+STANDING                      | LATE DUE      | ANSWERED | fail
+STANDING                      | GONE          | ANSWERED |
+CALLING                       | CALLED        | RUNNING  | called
+CALLING                       | UNRUN         | STANDING | line_up_call
+CALLING                       | UNSURE        | ANSWERED | fail
+CALLING                       | LATE DUE      | ANSWERED | linger fail
+CALLING                       | GONE          | ANSWERED | linger
+ANSWERED                      | LATE DUE      | ANSWERED | stop
+HELD WAITING STANDING CALLING | ENDED         | OVER     |
+ANSWERED                      | ENDED         | OVER     |
 """
 TABLE: dict[tuple[State, News], tuple[State, list[str]]] = {
-    (State[row[0].strip()], News[name]): (State[row[2].strip()], row[3].split())
+    (State[state], News[name]): (State[row[2].strip()], row[3].split())
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
-    for name in row[1].split()
-}
+    for state in row[0].split() for name in row[1].split()
+}  # fmt: skip
 BEGUN = (RUNNING, ANSWERED, State.STANDING, State.CALLING)
 WEIGHTLESS = (HELD, State.WAITING)  # states that need a held invocation's memory, not a running one's
+PLAIN_NEWS: dict[type, News] = {
+    face.Finished: News.ENDED, face.CallerGone: News.GONE, face.CallWanted: News.WANTS,
+}  # fmt: skip
 CALL_NEWS = {Outcome.SUCCEEDED: News.CALLED} | dict.fromkeys(
     (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT), News.UNRUN)  # fmt: skip
 PLAIN: dict[str, Callable[[int], face.Action]] = {
@@ -102,35 +95,24 @@
 BROKEN_CALLS = (Outcome.UNREACHABLE, Outcome.TIMED_OUT, Outcome.BROKEN)
 
 
-class Decay:
-    """A sum whose parts fade; brought up to date when read."""
+class Fading:
+    """What was measured, as a sum and a count that fade; brought up to date when read. The mean goes back to
+    what was thought before once nothing is seen: a server judged hopeless by old news tries again."""
 
-    def __init__(self, span: int) -> None:
-        self.sum, self.at, self.span = 0.0, 0, span
+    def __init__(self, span: int, prior: float = 0.0) -> None:
+        self.total, self.count, self.at, self.span, self.prior = 0.0, 0.0, 0, span, prior
 
-    def read(self, now: int) -> float:
+    def sum(self, now: int) -> float:
         if now > self.at:
-            self.sum *= exp((self.at - now) / self.span)
-            self.at = now
-        return self.sum
-
-    def add(self, now: int, amount: float) -> None:
-        self.sum = self.read(now) + amount
-
-
-class Mean:
-    """A fading mean that goes back to what was thought before once nothing is seen: so a server judged
-    hopeless by an old measurement tries again."""
-
-    def __init__(self, prior: float, span: int = MEMORY) -> None:
-        self.total, self.count, self.prior = Decay(span), Decay(span), prior
+            left = exp((self.at - now) / self.span)
+            self.total, self.count, self.at = self.total * left, self.count * left, now
+        return self.total
 
     def add(self, now: int, value: float) -> None:
-        self.total.add(now, value)
-        self.count.add(now, 1.0)
+        self.total, self.count = self.sum(now) + value, self.count + 1
 
-    def read(self, now: int) -> float:
-        return (self.total.read(now) + self.prior) / (self.count.read(now) + 1.0)
+    def mean(self, now: int) -> float:
+        return (self.sum(now) + self.prior) / (self.count + 1)
 
 
 class Line:
@@ -140,8 +122,8 @@
         self.op = op
         self.queue: deque[Inv] = deque()
         self.length = 0
-        self.run = Mean(op.objective * PRIOR)
-        self.core = Mean(op.objective * PRIOR)
+        self.run = Fading(MEMORY, op.objective * PRIOR)
+        self.core = Fading(MEMORY, op.objective * PRIOR)
         self.turn = 0.0
 
 
@@ -151,7 +133,7 @@
         self.id, self.line, self.kb, self.rank = news.inv, line, news.kb, news.rank
         self.arrived = now - news.unread
         self.due = self.arrived + op.client_timeout if news.patience is None else now + news.patience
-        stretch = round(op.objective_stretch * (news.cost * MS if news.cost else line.run.read(now)))
+        stretch = round(op.objective_stretch * (news.cost * MS if news.cost else line.run.mean(now)))
         objective = min(op.objective + stretch, op.client_timeout)
         self.goal = min(self.arrived + objective, self.due)
         self.state, self.keyed_read = HELD, news.keyed_read
@@ -171,28 +153,31 @@
         self.alarms: list[tuple[int, int, int, News]] = []
         self.entries: list[int] = []
         self.lingering: deque[int] = deque()
-        self.spent = Decay(max(machine.dependency.window, 1))
-        self.admitted = [Decay(QUOTA_SPAN) for _ in machine.customers]
-        self.same_caller, self.last_caller = Mean(1 / max(machine.callers, 1)), -1
-        self.limit, self.at_disk = float(machine.cores), Mean(0.0, 4 * MEMORY)
-        self.open, self.unread = 1.0, Mean(0.0, 1 * S)
+        self.spent = Fading(max(machine.dependency.window, 1))
+        self.admitted = [Fading(QUOTA_SPAN) for _ in machine.customers]
+        self.same_caller, self.last_caller = Fading(MEMORY, 1 / max(machine.callers, 1)), -1
+        self.limit, self.at_disk = float(machine.cores), Fading(4 * MEMORY)
+        self.open, self.unread = 1.0, Fading(1 * S)
         self.step, self.last_rate, self.bound = 1, 0.0, True
         self.window_at, self.window_done, self.sum_started = -1, 0, 0
         self.warm = not machine.cold
         self.warm_sum, self.warm_runs, self.warm_last, self.warm_windows = 0.0, 0, 0.0, 0
-        self.leaving_at = self.kill_at = 0
-        self.calls_made, self.calls_lost = Decay(2 * S), Decay(2 * S)
-        self.lost_until, self.shown, self.advertised, self.full = 0, (True, False), -1.0, False
+        self.leaving_at = self.kill_at = self.lost_until = 0
+        self.calls_lost = Fading(2 * S)
+        self.shown, self.advertised, self.full = (True, False), -1.0, False
 
     # The door.
 
     def decide(self, now: int, inputs: Iterable[face.Input]) -> list[face.Action]:
-        self.now, self.out = now, []
+        self.now, self.out, self.forgotten = now, [], []
         if self.born < 0:
             self.born = self.window_at = now
             self.out.append(face.Wake(0, BEAT))
         for news in inputs:
-            HANDLERS[type(news)](self, news)
+            if not isinstance(news, face.Finished | face.CallerGone | face.CallWanted):
+                HANDLERS[type(news)](self, news)
+            elif news.inv in self.invs:
+                self.step_to(self.invs[news.inv], PLAIN_NEWS[type(news)])
         self.ring()
         self.make_room()
         self.fill()
@@ -202,10 +187,6 @@
     def say(self, text: str) -> None:
         self.out.append(face.Log(text))
 
-    def take_forgotten(self) -> list[int]:
-        forgotten, self.forgotten = self.forgotten, []
-        return forgotten
-
     def step_to(self, inv: Inv, news: News) -> bool:
         old = inv.state
         if (old, news) not in TABLE:
@@ -216,12 +197,12 @@
             self.count[state] += 1
             self.memory += self.weight(inv, state) - self.weight(inv, old)
             inv.state = state
-            if old is HELD or old is PAUSED:
-                inv.line.length -= 1
+            inv.line.length -= old is HELD
             if old is RUNNING:
                 self.sum_started -= inv.started
             if state is RUNNING:
-                self.sum_started += inv.started if old is not HELD else self.now
+                inv.started = inv.started or self.now
+                self.sum_started += inv.started
         for effect in effects:
             if effect in PLAIN:
                 self.out.append(PLAIN[effect](inv.id))
@@ -241,16 +222,13 @@
         if inv.line.op.effect is Effect.TOKENED:
             self.out.append(face.Forget(inv.id))
 
-    def started(self, inv: Inv) -> None:
-        inv.started = self.now
-        if self.machine.halt is Halt.PAUSE:
-            self.alarm(self.now + round(BULKY * inv.line.run.read(self.now)), inv, News.LONG)
+    def keep(self, inv: Inv) -> None:
         if self.machine.fresh and inv.line.op.effect is Effect.IDEMPOTENT and inv.keyed_read:
             self.remember(inv, self.machine.fresh + inv.line.op.objective)
 
     def throttle(self, inv: Inv) -> None:
-        """A door long half shut tells of a fleet without room: the next server would pay for reading it in vain.
-        By chance, as a server that is slow alone shuts its door as well, and others could run it."""
+        """A door long half shut tells of a fleet without room: the next server would read it in vain. By
+        chance, as a server that is slow alone shuts its door as well, and others could run it."""
         longest, late = self.machine.longest_pause, self.now + self.latest(inv) > inv.goal
         give_up = not self.leaving_at and (late or self.random.random() > self.open)
         excess = max(round(self.wait() - CALM * min(map(self.patience, self.lines))), 0)
@@ -258,8 +236,8 @@
         self.out.append(face.Throttle(inv.id, pause, give_up))
 
     def end(self, inv: Inv) -> None:
-        """An error would be tried again though nobody can win any more; an idempotent one may be turned away with
-        the wish not to. What has an effect may not."""
+        """An error would be tried again though nobody can win any more; an idempotent one may be turned away
+        with the wish not to. What has an effect may not."""
         safe = inv.line.op.effect is Effect.IDEMPOTENT
         self.out.append(face.Throttle(inv.id, 0, True) if safe else face.Fail(inv.id))
 
@@ -271,10 +249,6 @@
         # Where the cores stand still the stop does nothing: it is tried again until the run is gone.
         self.alarm(self.now + 4 * BEAT, inv, News.LATE)
 
-    def line_up(self, inv: Inv) -> None:
-        inv.line.queue.append(inv)
-        inv.line.length += 1
-
     def line_up_call(self, inv: Inv) -> None:
         inv.called = inv.called or self.now
         self.at_call.append(inv)
@@ -304,7 +278,7 @@
 
     def on_cores(self) -> float:
         """Those that run less the part that waits for disk, which only the gauges show."""
-        return (self.count[RUNNING] + self.count[ANSWERED]) * (1 - self.at_disk.read(self.now))
+        return (self.count[RUNNING] + self.count[ANSWERED]) * (1 - self.at_disk.mean(self.now))
 
     def slowness(self) -> float:
         """Runs that are on the cores far longer than runs used to take tell of a slowed, hung or paused
@@ -313,24 +287,23 @@
         if running * 2 < self.machine.cores or not running:
             return 1.0  # one bulky run among idle cores tells nothing
         age = self.now - self.sum_started / running
-        usual = max(line.run.read(self.now) for line in self.lines)
+        usual = max(line.run.mean(self.now) for line in self.lines)
         return max(1.0, age / (1.5 * usual))
 
     def latest(self, inv: Inv) -> int:
-        return round(START * inv.line.run.read(self.now) * self.slowness())
+        return round(START * inv.line.run.mean(self.now) * self.slowness())
 
     def wait(self) -> float:
+        """How long what is held takes to get to the cores; what fits on free ones starts at once."""
         held = sum(line.length for line in self.lines)
-        beyond = held - max(self.limit - self.on_cores(), 0)  # the rest starts at once
-        if beyond <= 0:
-            return 0.0
-        work = sum(line.length * line.core.read(self.now) for line in self.lines if line.length)
-        return work * beyond / held * self.slowness() * (1 - self.at_disk.read(self.now)) / self.limit
+        beyond = max(held - max(self.limit - self.on_cores(), 0), 0) / max(held, 1)
+        work = sum(line.length * line.core.mean(self.now) for line in self.lines)
+        return work * beyond * self.slowness() * (1 - self.at_disk.mean(self.now)) / self.limit
 
     def patience(self, line: Line) -> float:
         """How long work may be held before the line's objective is in danger."""
         objective = line.op.objective
-        return max(objective - line.run.read(self.now) * self.slowness(), objective * 0.1) * HOLD
+        return max(objective - line.run.mean(self.now) * self.slowness(), objective * 0.1) * HOLD
 
     def level(self, line: Line) -> float:
         """The rank under which work is turned away: 0 with a short line, 1 where it eats the objective."""
@@ -348,7 +321,8 @@
         """Those at calls come back when they like: all together stay under what the cores survive."""
         limit, cores = min(self.limit, CEILING * self.crowd()), self.machine.cores
         begun = sum(self.count[state] for state in BEGUN)
-        return self.on_cores() + 0.5 < max(floor(limit), cores) and begun < max(floor(ROOM * self.crowd()), cores)
+        room = begun < max(floor(ROOM * self.crowd()), cores)
+        return room and self.on_cores() + 0.5 < max(floor(limit), cores)
 
     # News.
 
@@ -388,7 +362,7 @@
         if news.customer < 0:
             return inv.rank
         part = self.machine.customers[news.customer].quota_per_s / self.machine.fleet * QUOTA_SPAN / S
-        over = self.admitted[news.customer].read(self.now) > UNEVEN * part + 1
+        over = self.admitted[news.customer].sum(self.now) > UNEVEN * part + 1
         return inv.rank * self.machine.over_quota_share if over else inv.rank
 
     def closed(self, inv: Inv) -> bool:
@@ -404,16 +378,7 @@
         heappush(self.entries, self.now + ttl)
         return True
 
-    def on_simple(self, news: face.Finished | face.CallerGone | face.CallWanted) -> None:
-        if inv := self.invs.get(news.inv):
-            step = News.GONE if isinstance(news, face.CallerGone) else News.WANTS
-            if isinstance(news, face.Finished):
-                stopped = news.outcome is Outcome.STOPPED and inv.state in (RUNNING, ANSWERED)
-                step = News.STOPPED if stopped else News.ENDED
-            self.step_to(inv, step)
-
     def on_call_ended(self, news: face.CallEnded) -> None:
-        self.calls_made.add(self.now, 1.0)
         self.spent.add(self.now, news.latency)
         self.calls_lost.add(self.now, news.outcome in BROKEN_CALLS)
         if news.outcome is Outcome.TIMED_OUT:
@@ -447,8 +412,7 @@
             # Cores idle while work waits: runs wait for disk, which no event tells.
             self.limit += 1
         elif wanting > 2 * cores:
-            # Even if each core reads, more runs than cores want one: what was climbed for waits at a disk is too
-            # much once the machine slows down or the waits end.
+            # Even if each core reads, more runs than cores want one: the machine slowed or its waits ended.
             self.limit -= 1
         self.bound = self.bound and waits
         span = self.now - self.window_at
@@ -466,7 +430,7 @@
     def invite(self) -> None:
         """How far the door stands open to callers, in steps by ratio: where each may go elsewhere, all doors
         must be nearly shut before one gives up. What lies unread counts, as reading it is paid for."""
-        pressure = min((self.wait() + self.unread.read(self.now)) / min(map(self.patience, self.lines)), 2.0)
+        pressure = min((self.wait() + self.unread.mean(self.now)) / min(map(self.patience, self.lines)), 2.0)
         self.open = min(max(self.open * (1 + GAIN * (SOUGHT - pressure)), AJAR), 1.0)
 
     def warm_up(self) -> None:
@@ -482,8 +446,8 @@
         self.warm_last, self.warm_sum, self.warm_runs = mean, 0.0, 0
 
     def watch_dependency(self) -> None:
-        made = self.calls_made.read(self.now)
-        bad = made >= HEARD and self.calls_lost.read(self.now) > LOST * made
+        lost = self.calls_lost.sum(self.now)
+        bad = self.calls_lost.count >= HEARD and lost > LOST * self.calls_lost.count
         if bad and self.now >= self.lost_until:
             if not self.lost_until:
                 self.say("dependency: most recent calls fail, not ready")
@@ -504,16 +468,14 @@
         while self.lingering and self.lingering[0] <= self.now:
             self.lingering.popleft()
         if self.leaving_at and self.now >= self.kill_at - LAST - BEAT:
-            for inv in list(self.invs.values()):
-                self.step_to(inv, News.DUE)
+            for left in list(self.invs.values()):
+                self.step_to(left, News.DUE)
         while self.alarms and self.alarms[0][0] <= self.now:
             _, index, _, news = heappop(self.alarms)
-            if index not in self.invs:
-                continue
-            inv = self.invs[index]
-            if news is News.LATE and inv.state is RUNNING and self.now < inv.goal:
+            inv = self.invs.get(index)
+            if inv and news is News.LATE and inv.state is RUNNING and self.now < inv.goal:
                 self.alarm(inv.goal, inv, News.LATE)
-            elif news is not News.LONG or any(line.length for line in self.lines):
+            elif inv:
                 self.step_to(inv, news)
 
     def make_room(self) -> None:
@@ -523,14 +485,15 @@
             self.step_to(min(light, key=lambda inv: inv.rank), News.TURN)
 
     def fill(self) -> None:
-        self.place_calls()
+        while self.at_call and (room := self.call_room()) > BEAT:
+            self.at_call[0].call_by = self.now + room
+            self.step_to(self.at_call.popleft(), News.PLACE)
         while self.may_run() and (inv := self.next_held()):
-            more = inv.kb * (self.machine.run_factor - 1) if inv.state is HELD else 0.0
-            if self.memory + more > ROOM * self.machine.memory_kb:
+            if self.memory + inv.kb * (self.machine.run_factor - 1) > ROOM * self.machine.memory_kb:
                 return
             inv.line.queue.popleft()
             self.turn = inv.line.turn
-            inv.line.turn += inv.line.core.read(self.now) / max(inv.line.op.billed_value, 0.01)
+            inv.line.turn += inv.line.core.mean(self.now) / max(inv.line.op.billed_value, 0.01)
             self.step_to(inv, News.START)
 
     def next_held(self) -> Inv | None:
@@ -542,18 +505,12 @@
 
     def useful(self, inv: Inv) -> bool:
         """Work that cannot end within its objective is not begun, unless late work earns and little waits."""
-        if inv.state is not HELD:
-            return inv.state is PAUSED
-        if self.closed(inv):
-            return not self.step_to(inv, News.TURN)
-        if self.now + self.latest(inv) > inv.goal and (not inv.line.op.late_share or self.level(inv.line) > 0):
-            return not self.step_to(inv, News.LATE)
-        return True
-
-    def place_calls(self) -> None:
-        while self.at_call and (room := self.call_room()) > BEAT:
-            self.at_call[0].call_by = self.now + room
-            self.step_to(self.at_call.popleft(), News.PLACE)
+        late = self.now + self.latest(inv) > inv.goal
+        if inv.state is HELD and self.closed(inv):
+            self.step_to(inv, News.TURN)
+        elif inv.state is HELD and late and (not inv.line.op.late_share or self.level(inv.line) > 0):
+            self.step_to(inv, News.LATE)
+        return inv.state is HELD
 
     def call_room(self) -> int:
         """How long one more call may take. A share of one or more bounds the calls in hand at any time; under
@@ -563,7 +520,7 @@
             return HOUR
         if below.share >= 1:
             return HOUR if held + 1 <= below.share else 0
-        left = below.share * below.window - exp(1) * self.spent.read(self.now) - below.linger
+        left = below.share * below.window - exp(1) * self.spent.sum(self.now) - below.linger
         return 0 if held else round(left)
 
     def show(self) -> None:
@@ -575,31 +532,23 @@
             self.shown = shown
             self.out.append(face.Readiness(*shown))
         if (level >= 1) != self.full:
-            self.full = level >= 1
+            self.full = not self.full
             self.say("overload: line full" if self.full else "overload: line open")
-        self.advertise(0.0 if self.leaving_at else self.open)
-
-    def advertise(self, share: float) -> None:
-        kind = self.machine.advert
-        if kind is Advert.NONE:
-            return
-        amount = {Advert.LEVEL: 1 - share, Advert.WEIGHT: share, Advert.CREDIT: self.credit(share)}[kind]
-        if abs(amount - self.advertised) > 0.1 * max(amount, self.advertised):
+        share, kind = 0.0 if self.leaving_at else self.open, self.machine.advert
+        amount = {Advert.CREDIT: self.credit(share), Advert.WEIGHT: share}.get(kind, 1 - share)
+        if kind is not Advert.NONE and abs(amount - self.advertised) > 0.1 * max(amount, self.advertised):
             self.advertised = amount
             self.out.append(face.Advertise(amount))
 
     def credit(self, share: float) -> float:
-        """Each caller's part of what can be run and held in time; callers are counted by how often one comes
-        twice in a row."""
-        mean = sum(line.core.read(self.now) for line in self.lines) / len(self.lines)
+        """A caller's part of what is run and held; how often one comes twice in a row tells how many they are."""
+        mean = sum(line.core.mean(self.now) for line in self.lines) / len(self.lines)
         at_calls = self.count[State.STANDING] + self.count[State.CALLING]
         total = self.limit * (1 + min(map(self.patience, self.lines)) / mean) + at_calls
-        return 2 * share * total * self.same_caller.read(self.now)
+        return 2 * share * total * self.same_caller.mean(self.now)
 
 
-HANDLERS: dict[type, Callable[..., None]] = dict.fromkeys(
-    (face.Finished, face.CallerGone, face.CallWanted), Controller.on_simple
-) | {
+HANDLERS: dict[type, Callable[..., None]] = {
     face.Arrived: Controller.on_arrived, face.CallEnded: Controller.on_call_ended,
     face.Leaving: Controller.on_leaving, face.TimerFired: Controller.on_timer,
 }  # fmt: skip
