Place refused calls again only after a pause, with fewer in hand

Covers any dependency that refuses or cannot be reached; may harm where refusals are rare and random, as each takes a tenth of the calls in hand.

--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -35,6 +35,7 @@
 GAIN = 0.1  # of the way there at each beat: half open after some 0.7 s of a full line, as callers hear late
 QUOTA_SPAN = 2 * S  # over which a customer's admitted work is held against its quota
 UNEVEN = 1.5  # callers don't spread a customer's work evenly over the fleet
+FEWER = 0.9  # of the calls in hand that are left after each that was refused
 AJAR = 0.3  # a caller that hears nothing for a while forgets what it was told: it must go on trying
 START = 1.0  # share of the mean run that must still fit for a run to begin
 PRIOR = 0.15  # share of the objective a run is thought to take while none has been seen
@@ -153,7 +154,9 @@
         self.alarms: list[tuple[int, int, int, News]] = []
         self.entries: list[int] = []
         self.lingering: deque[int] = deque()
-        self.spent = Fading(max(machine.dependency.window, 1))
+        self.spent, self.call_after = Fading(max(machine.dependency.window, 1)), 0
+        shared = machine.dependency.kind is Below.SHARED
+        self.call_cap = self.call_most = max(machine.dependency.share, 1.0) if shared else 8.0 * machine.cores
         self.admitted = [Fading(QUOTA_SPAN) for _ in machine.customers]
         self.same_caller, self.last_caller = Fading(MEMORY, 1 / max(machine.callers, 1)), -1
         self.limit, self.at_disk = float(machine.cores), Fading(4 * MEMORY)
@@ -381,6 +384,12 @@
     def on_call_ended(self, news: face.CallEnded) -> None:
         self.spent.add(self.now, news.latency)
         self.calls_lost.add(self.now, news.outcome in BROKEN_CALLS)
+        if news.outcome is Outcome.SUCCEEDED:
+            self.call_cap = min(self.call_cap + 1 / self.call_cap, self.call_most)
+        elif news.outcome in CALL_NEWS:
+            # Refused calls come back at once and would be placed again every tick: fewer in hand, and a pause.
+            self.call_cap = max(self.call_cap * FEWER, 1.0)
+            self.call_after = self.now + self.random.randint(BEAT, 3 * BEAT)
         if news.outcome is Outcome.TIMED_OUT:
             self.spent.add(self.now, self.machine.dependency.linger)
             self.lingering.append(self.now + self.machine.dependency.linger)
@@ -456,7 +465,7 @@
             self.lost_until = 0
             self.say("dependency: calls end well again or are few, ready")
 
-    # What follows from it all, once a batch.
+    # Once a batch.
 
     def alarm(self, at: int, inv: Inv, news: News) -> None:
         heappush(self.alarms, (at, inv.id, news.value, news))
@@ -513,15 +522,14 @@
         return inv.state is HELD
 
     def call_room(self) -> int:
-        """How long one more call may take. A share of one or more bounds the calls in hand at any time; under
-        one, a fading sum of their time does, which never shows less than 1/e of what the window holds."""
+        """How long one more call may take. A share of one or more bounds the calls in hand; under one, a fading
+        sum of their time does, which never shows less than 1/e of what the window holds."""
         below, held = self.machine.dependency, self.count[State.CALLING] + len(self.lingering)
-        if below.kind is not Below.SHARED:
+        if held + 1 > self.call_cap or self.now < self.call_after:
+            return 0
+        if below.kind is not Below.SHARED or below.share >= 1:
             return HOUR
-        if below.share >= 1:
-            return HOUR if held + 1 <= below.share else 0
-        left = below.share * below.window - exp(1) * self.spent.sum(self.now) - below.linger
-        return 0 if held else round(left)
+        return round(below.share * below.window - exp(1) * self.spent.sum(self.now) - below.linger)
 
     def show(self) -> None:
         level = min(self.level(line) for line in self.lines)
@@ -541,7 +549,7 @@
             self.out.append(face.Advertise(amount))
 
     def credit(self, share: float) -> float:
-        """A caller's part of what is run and held; how often one comes twice in a row tells how many they are."""
+        """A caller's part of what is run and held; one that comes twice in a row tells how many they are."""
         mean = sum(line.core.mean(self.now) for line in self.lines) / len(self.lines)
         at_calls = self.count[State.STANDING] + self.count[State.CALLING]
         total = self.limit * (1 + min(map(self.patience, self.lines)) / mean) + at_calls
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -154,6 +154,19 @@
     assert bool(kinds(said, face.PlaceCall)) is again and s.answered is not again
 
 
+def test_refused_calls_are_not_placed_again_every_tick() -> None:
+    """A dependency that refuses at once was called some 20,000 times a second by one server."""
+    world = World(machine(operation(calls=True), below=face.Below.SHARED), Random(1))
+    world.step([world.arrive(unread=0, patience=None)])
+    (s,) = world.of("running")
+    s.state = "at call"
+    said = world.step([face.CallWanted(s.news.inv)])
+    for _ in range(500):
+        refused = [world.end_call(s, Outcome.REJECTED)] if s.state == "calling" else []
+        said += world.step(refused, 2 * MS)
+    assert 2 <= len(kinds(said, face.PlaceCall)) <= 25
+
+
 def test_call_at_the_bound_keeps_its_time_out() -> None:
     """The last call that the share allows was once told to time out at once, as it counted itself."""
     world = World(machine(operation(calls=True), below=face.Below.SHARED, share=1.0), Random(1))
