--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -67,13 +67,11 @@
 RUNNING                       | WANTS         | STANDING | line_up_call
 STANDING                      | PLACE         | CALLING  | call
 STANDING CALLING              | SPARED        | RUNNING  | called skip
-STANDING                      | LATE DUE      | ANSWERED | fail
-STANDING                      | GONE          | ANSWERED |
+STANDING CALLING              | LATE DUE      | ANSWERED | fail
+STANDING CALLING              | GONE          | ANSWERED |
 CALLING                       | CALLED        | RUNNING  | called
 CALLING                       | UNRUN         | STANDING | line_up_call
 CALLING                       | UNSURE        | ANSWERED | fail
-CALLING                       | LATE DUE      | ANSWERED | linger fail
-CALLING                       | GONE          | ANSWERED | linger
 ANSWERED                      | LATE DUE      | ANSWERED | stop
 HELD WAITING STANDING CALLING | ENDED         | OVER     |
 ANSWERED                      | ENDED         | OVER     |
@@ -153,8 +151,8 @@
         self.at_call: deque[Inv] = deque()
         self.alarms: list[tuple[int, int, int, News]] = []
         self.entries: list[int] = []
-        self.lingering: deque[int] = deque()
-        self.spent, self.call_after = Fading(max(machine.dependency.window, 1)), 0
+        self.lingering: list[int] = []
+        self.spent, self.call_after, self.calls_out = Fading(max(machine.dependency.window, 1)), 0, 0
         shared = machine.dependency.kind is Below.SHARED
         self.call_cap = self.call_most = max(machine.dependency.share, 1.0) if shared else 8.0 * machine.cores
         self.admitted = [Fading(QUOTA_SPAN) for _ in machine.customers]
@@ -212,6 +210,7 @@
             else:
                 getattr(self, effect)(inv)
         if state is OVER:
+            self.call_over(inv, lingers=True)
             del self.invs[inv.id]
             self.forgotten.append(inv.id)
         return True
@@ -257,16 +256,20 @@
         self.at_call.append(inv)
 
     def call(self, inv: Inv) -> None:
-        inv.placed = self.now
+        inv.placed, self.calls_out = self.now, self.calls_out + 1
         useful = inv.due - BEAT if inv.line.op.late_share else min(inv.goal, inv.due - BEAT)
         self.out.append(face.PlaceCall(inv.id, min(useful, inv.call_by)))
 
     def called(self, inv: Inv) -> None:
         inv.calls, inv.called = inv.calls + self.now - inv.called, 0
 
-    def linger(self, inv: Inv) -> None:
-        self.spent.add(self.now, self.now - inv.placed + self.machine.dependency.linger)
-        self.lingering.append(self.now + self.machine.dependency.linger)
+    def call_over(self, inv: Inv, lingers: bool) -> None:
+        """A call stays in the dependency's hands until it ends, also where its invocation was answered."""
+        if inv.placed:
+            linger = self.machine.dependency.linger * lingers
+            self.spent.add(self.now, self.now - inv.placed + linger)
+            heappush(self.lingering, self.now + linger)
+            self.calls_out, inv.placed = self.calls_out - 1, 0
 
     def count_run(self, inv: Inv) -> None:
         latency, line = self.now - inv.started, inv.line
@@ -382,7 +385,6 @@
         return True
 
     def on_call_ended(self, news: face.CallEnded) -> None:
-        self.spent.add(self.now, news.latency)
         self.calls_lost.add(self.now, news.outcome in BROKEN_CALLS)
         if news.outcome is Outcome.SUCCEEDED:
             self.call_cap = min(self.call_cap + 1 / self.call_cap, self.call_most)
@@ -390,10 +392,8 @@
             # Refused calls come back at once and would be placed again every tick: fewer in hand, and a pause.
             self.call_cap = max(self.call_cap * FEWER, 1.0)
             self.call_after = self.now + self.random.randint(BEAT, 3 * BEAT)
-        if news.outcome is Outcome.TIMED_OUT:
-            self.spent.add(self.now, self.machine.dependency.linger)
-            self.lingering.append(self.now + self.machine.dependency.linger)
         if inv := self.invs.get(news.inv):
+            self.call_over(inv, lingers=news.outcome is Outcome.TIMED_OUT)
             step = CALL_NEWS.get(news.outcome, News.UNSURE)
             spared = step is not News.CALLED and inv.line.op.degraded_share > 0
             self.step_to(inv, News.SPARED if spared else step)
@@ -475,7 +475,7 @@
             heappop(self.entries)
             self.memory -= self.machine.entry_kb
         while self.lingering and self.lingering[0] <= self.now:
-            self.lingering.popleft()
+            heappop(self.lingering)
         if self.leaving_at and self.now >= self.kill_at - LAST - BEAT:
             for left in list(self.invs.values()):
                 self.step_to(left, News.DUE)
@@ -524,7 +524,7 @@
     def call_room(self) -> int:
         """How long one more call may take. A share of one or more bounds the calls in hand; under one, a fading
         sum of their time does, which never shows less than 1/e of what the window holds."""
-        below, held = self.machine.dependency, self.count[State.CALLING] + len(self.lingering)
+        below, held = self.machine.dependency, self.calls_out + len(self.lingering)
         if held + 1 > self.call_cap or self.now < self.call_after:
             return 0
         if below.kind is not Below.SHARED or below.share >= 1:
