Fewer calls in hand while they take twice their best mean time; no starts that only queue for a call

Cause: a dependency slows when crowded long before it dies, and the told share is what it survives, some five times what serves best; runs then failed at their calls by the half. Covers a slow, crowded or half-lost dependency; may harm where call times vary widely by operation.

--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -35,6 +35,7 @@
 GAIN = 0.1  # of the way there at each beat: half open after some 0.7 s of a full line, as callers hear late
 QUOTA_SPAN = 2 * S  # over which a customer's admitted work is held against its quota
 UNEVEN = 1.5  # callers don't spread a customer's work evenly over the fleet
+CROWDED = 2  # times the best mean call time, from which on calls are taken to crowd their dependency
 FEWER = 0.9  # of the calls in hand that are left after each that was refused
 AJAR = 0.3  # a caller that hears nothing for a while forgets what it was told: it must go on trying
 START = 1.0  # share of the mean run that must still fit for a run to begin
@@ -152,6 +153,7 @@
         self.alarms: list[tuple[int, int, int, News]] = []
         self.entries: list[int] = []
         self.lingering: list[int] = []
+        self.call_time, self.call_best = Fading(2 * S), float(HOUR)
         self.spent, self.call_after, self.calls_out = Fading(max(machine.dependency.window, 1)), 0, 0
         shared = machine.dependency.kind is Below.SHARED
         self.call_cap = self.call_most = max(machine.dependency.share, 1.0) if shared else 8.0 * machine.cores
@@ -386,18 +388,27 @@
 
     def on_call_ended(self, news: face.CallEnded) -> None:
         self.calls_lost.add(self.now, news.outcome in BROKEN_CALLS)
-        if news.outcome is Outcome.SUCCEEDED:
+        if news.outcome is Outcome.SUCCEEDED and not self.crowded(news.latency):
             self.call_cap = min(self.call_cap + 1 / self.call_cap, self.call_most)
-        elif news.outcome in CALL_NEWS:
-            # Refused calls come back at once and would be placed again every tick: fewer in hand, and a pause.
+        elif news.outcome is not Outcome.ERRORED:
             self.call_cap = max(self.call_cap * FEWER, 1.0)
-            self.call_after = self.now + self.random.randint(BEAT, 3 * BEAT)
+            if news.outcome in CALL_NEWS:
+                # Refused calls come back at once and would be placed again every tick.
+                self.call_after = self.now + self.random.randint(BEAT, 3 * BEAT)
         if inv := self.invs.get(news.inv):
             self.call_over(inv, lingers=news.outcome is Outcome.TIMED_OUT)
             step = CALL_NEWS.get(news.outcome, News.UNSURE)
             spared = step is not News.CALLED and inv.line.op.degraded_share > 0
             self.step_to(inv, News.SPARED if spared else step)
 
+    def crowded(self, latency: int) -> bool:
+        """Calls that take far longer than they did at best tell of a dependency with more than it can serve."""
+        self.call_time.add(self.now, latency)
+        mean = self.call_time.mean(self.now)
+        if self.call_time.count >= HEARD:
+            self.call_best = min(self.call_best, mean)
+        return mean > CROWDED * self.call_best
+
     def on_leaving(self, news: face.Leaving) -> None:
         self.leaving_at, self.kill_at = self.now, self.now + news.left
         self.say(f"leaving: {len(self.invs)} in hand, {news.left // MS} ms left")
@@ -509,7 +520,10 @@
         for line in self.lines:
             while line.queue and not self.useful(line.queue[0]):
                 line.queue.popleft()
-        best = min((line for line in self.lines if line.queue), key=lambda line: line.turn, default=None)
+        # Work that would only join a queue for a call is not begun: its cores' time would be lost with it.
+        full = self.count[State.STANDING] > self.call_cap
+        lines = (line for line in self.lines if line.queue and not (full and line.op.calls))
+        best = min(lines, key=lambda line: line.turn, default=None)
         return best.queue[0] if best else None
 
     def useful(self, inv: Inv) -> bool:
