--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -25,7 +25,6 @@
 MEMORY = 8 * S  # how long measurements count: several windows, yet shorter than the troubles they must follow
 WINDOW = 1 * S  # the least time the learner and the warm test compare
 ENOUGH = 30  # completions in a window below which a change of rate is chance
-FEW = 5  # runs in a warm-up window too few to judge
 FALLING = 0.95  # latency under this share of the window before still falls
 CEILING = 0.6  # share of the survivable crowd that is used: a mean over a window must never reach it
 ROOM = 0.9  # share of memory for runs and entries, so that what is read next always fits until it is judged
@@ -43,7 +42,7 @@
 GRACE = 3 * S  # the document's wait between the flag and the closed door
 LAST = 60 * MS  # before the kill, what still runs is failed
 LOST = 0.5  # share of failed calls at which readiness turns bad
-HEARD = 8  # calls under which no share is believed
+HEARD = 8  # calls, or runs in a warm-up window, too few to judge by
 RETURN = (1 * S, 3 * S)  # after this long, by chance, a server that saw its dependency fail tries again
 
 
@@ -61,8 +60,8 @@
 HELD                          | GONE          | OVER     | forget
 WAITING                       | TURN DUE      | OVER     | fail
 WAITING                       | GONE          | OVER     |
-RUNNING                       | LATE          | ANSWERED | count_run end stop insist
-RUNNING                       | DUE           | ANSWERED | count_run fail stop insist
+RUNNING                       | LATE          | ANSWERED | count_run end stop
+RUNNING                       | DUE           | ANSWERED | count_run fail stop
 RUNNING                       | GONE          | ANSWERED | stop
 RUNNING                       | ENDED         | OVER     | count_run
 RUNNING                       | WANTS         | STANDING | line_up_call
@@ -121,10 +120,8 @@
     def __init__(self, op: face.Operation) -> None:
         self.op = op
         self.queue: deque[Inv] = deque()
-        self.length = 0
-        self.run = Fading(MEMORY, op.objective * PRIOR)
-        self.core = Fading(MEMORY, op.objective * PRIOR)
-        self.turn = 0.0
+        self.length, self.turn = 0, 0.0
+        self.run, self.core = (Fading(MEMORY, op.objective * PRIOR) for _ in range(2))
 
 
 class Inv:
@@ -134,8 +131,7 @@
         self.arrived = now - news.unread
         self.due = self.arrived + op.client_timeout if news.patience is None else now + news.patience
         stretch = round(op.objective_stretch * (news.cost * MS if news.cost else line.run.mean(now)))
-        objective = min(op.objective + stretch, op.client_timeout)
-        self.goal = min(self.arrived + objective, self.due)
+        self.goal = min(self.arrived + op.objective + stretch, self.due)
         self.state, self.keyed_read = HELD, news.keyed_read
         self.started = self.called = self.placed = self.call_by = self.calls = 0
 
@@ -143,8 +139,6 @@
 class Controller:
     def __init__(self, machine: face.Machine, seed: int) -> None:
         self.machine, self.random, self.now, self.born = machine, Random(seed), 0, -1
-        self.out: list[face.Action] = []
-        self.forgotten: list[int] = []
         self.invs: dict[int, Inv] = {}
         self.count = dict.fromkeys(State, 0)
         self.memory = self.turn = 0.0
@@ -169,10 +163,10 @@
         self.calls_lost = Fading(2 * S)
         self.shown, self.advertised, self.full = (True, False), -1.0, False
 
-    # The door.
-
     def decide(self, now: int, inputs: Iterable[face.Input]) -> list[face.Action]:
-        self.now, self.out, self.forgotten = now, [], []
+        self.now = now
+        self.out: list[face.Action] = []
+        self.forgotten: list[int] = []
         if self.born < 0:
             self.born = self.window_at = now
             self.out.append(face.Wake(0, BEAT))
@@ -246,12 +240,10 @@
         self.out.append(face.Throttle(inv.id, 0, True) if safe else face.Fail(inv.id))
 
     def stop(self, inv: Inv) -> None:
+        # While the cores stand still a stop does nothing: it is tried again until the run is gone.
         if self.machine.halt is not Halt.NONE:
             self.out.append(face.Halted(inv.id))
-
-    def insist(self, inv: Inv) -> None:
-        # Where the cores stand still the stop does nothing: it is tried again until the run is gone.
-        self.alarm(self.now + 4 * BEAT, inv, News.LATE)
+            self.alarm(self.now + 4 * BEAT, inv, News.LATE)
 
     def line_up_call(self, inv: Inv) -> None:
         inv.called = inv.called or self.now
@@ -282,8 +274,6 @@
         self.warm_runs += 1
         self.warm_sum += core
 
-    # What is known.
-
     def on_cores(self) -> float:
         """Those that run less the part that waits for disk, which only the gauges show."""
         return (self.count[RUNNING] + self.count[ANSWERED]) * (1 - self.at_disk.mean(self.now))
@@ -305,8 +295,8 @@
         """How long what is held takes to get to the cores; what fits on free ones starts at once."""
         held = sum(line.length for line in self.lines)
         beyond = max(held - max(self.limit - self.on_cores(), 0), 0) / max(held, 1)
-        work = sum(line.length * line.core.mean(self.now) for line in self.lines)
-        return work * beyond * self.slowness() * (1 - self.at_disk.mean(self.now)) / self.limit
+        work = beyond * sum(line.length * line.core.mean(self.now) for line in self.lines)
+        return work * self.slowness() * (1 - self.at_disk.mean(self.now)) / self.limit
 
     def patience(self, line: Line) -> float:
         """How long work may be held before the line's objective is in danger."""
@@ -319,27 +309,21 @@
 
     def crowd(self) -> float:
         """The most the cores survive, as slow as the settings allow them to be by now."""
-        machine, speed = self.machine, 1.0
-        if machine.cold:
-            warmed = (self.now - self.born) / machine.ramp
-            speed = min(1.0, machine.cold_speed + (1 - machine.cold_speed) * warmed)
-        return (1 + (machine.fall_multiple - 1) * speed) * machine.cores
+        machine, warmed = self.machine, (self.now - self.born) / self.machine.ramp
+        cold = (1 - machine.cold_speed) * max(1 - warmed, 0) if machine.cold else 0.0
+        return (1 + (machine.fall_multiple - 1) * (1 - cold)) * machine.cores
 
     def may_run(self) -> bool:
         """Those at calls come back when they like: all together stay under what the cores survive."""
-        limit, cores = min(self.limit, CEILING * self.crowd()), self.machine.cores
         begun = sum(self.count[state] for state in BEGUN)
-        room = begun < max(floor(ROOM * self.crowd()), cores)
-        return room and self.on_cores() + 0.5 < max(floor(limit), cores)
+        return begun < max(floor(ROOM * self.crowd()), self.machine.cores) and self.on_cores() + 0.5 < self.limit
 
     # News.
 
     def on_arrived(self, news: face.Arrived) -> None:
         now, line = self.now, self.lines[news.operation]
-        inv = Inv(news, line, now)
-        self.invs[inv.id] = inv
-        self.count[HELD] += 1
-        line.length += 1
+        self.invs[news.inv] = inv = Inv(news, line, now)
+        self.count[HELD], line.length = self.count[HELD] + 1, line.length + 1
         self.memory += inv.kb
         self.same_caller.add(now, news.caller == self.last_caller)
         self.last_caller = news.caller
@@ -402,7 +386,7 @@
             self.step_to(inv, News.SPARED if spared else step)
 
     def crowded(self, latency: int) -> bool:
-        """Calls that take far longer than they did at best tell of a dependency with more than it can serve."""
+        """Calls that take far longer than at best tell of a dependency with more than it can serve."""
         self.call_time.add(self.now, latency)
         mean = self.call_time.mean(self.now)
         if self.call_time.count >= HEARD:
@@ -420,11 +404,9 @@
         self.warm_up()
         self.watch_dependency()
 
-    # The learned limit.
-
     def learn(self, runnable: float | None) -> None:
         waits = any(line.length for line in self.lines)
-        busy, running = self.on_cores() + 0.5 >= floor(self.limit), self.count[RUNNING]
+        busy, running = self.on_cores() + 0.5 >= self.limit, self.count[RUNNING]
         cores, wanting = self.machine.cores, self.machine.cores if runnable is None else runnable
         if 2 * running >= cores and wanting <= running:
             self.at_disk.add(self.now, 1 - wanting / running)
@@ -440,10 +422,8 @@
             rate = self.window_done * S / span
             if self.bound and self.window_done >= ENOUGH:
                 if rate <= self.last_rate:
-                    self.limit -= self.step
-                    self.step = -self.step
-                self.limit += self.step
-                self.last_rate = rate
+                    self.limit, self.step = self.limit - self.step, -self.step
+                self.limit, self.last_rate = self.limit + self.step, rate
             self.window_at, self.window_done, self.bound = self.now, 0, True
         self.limit = max(min(self.limit, floor(CEILING * self.crowd())), float(self.machine.cores))
 
@@ -458,19 +438,17 @@
         if self.warm or age < WINDOW * (1 + self.warm_windows):
             return
         mean = self.warm_sum / max(self.warm_runs, 1)
-        few = self.warm_runs < FEW
-        if few or age >= self.machine.ramp or (self.warm_last and mean >= FALLING * self.warm_last):
+        few = self.warm_runs < HEARD
+        if few or age >= self.machine.ramp or 0 < FALLING * self.warm_last <= mean:
             self.warm = True
             self.say(f"warm after {age // MS} ms{', too few runs to judge' * few}")
-        self.warm_windows += 1
-        self.warm_last, self.warm_sum, self.warm_runs = mean, 0.0, 0
+        self.warm_windows, self.warm_last, self.warm_sum, self.warm_runs = self.warm_windows + 1, mean, 0.0, 0
 
     def watch_dependency(self) -> None:
         lost = self.calls_lost.sum(self.now)
         bad = self.calls_lost.count >= HEARD and lost > LOST * self.calls_lost.count
         if bad and self.now >= self.lost_until:
-            if not self.lost_until:
-                self.say("dependency: most recent calls fail, not ready")
+            self.say("dependency: most recent calls fail, not ready")
             self.lost_until = self.now + self.random.randint(*RETURN)
         elif 0 < self.lost_until <= self.now:
             self.lost_until = 0
@@ -510,7 +488,7 @@
             self.step_to(self.at_call.popleft(), News.PLACE)
         while self.may_run() and (inv := self.next_held()):
             if self.memory + inv.kb * (self.machine.run_factor - 1) > ROOM * self.machine.memory_kb:
-                return
+                break
             inv.line.queue.popleft()
             self.turn = inv.line.turn
             inv.line.turn += inv.line.core.mean(self.now) / max(inv.line.op.billed_value, 0.01)
@@ -528,16 +506,16 @@
 
     def useful(self, inv: Inv) -> bool:
         """Work that cannot end within its objective is not begun, unless late work earns and little waits."""
-        late = self.now + self.latest(inv) > inv.goal
+        vain = not inv.line.op.late_share or self.level(inv.line) > 0
         if inv.state is HELD and self.closed(inv):
             self.step_to(inv, News.TURN)
-        elif inv.state is HELD and late and (not inv.line.op.late_share or self.level(inv.line) > 0):
+        elif vain and self.now + self.latest(inv) > inv.goal and inv.state is HELD:
             self.step_to(inv, News.LATE)
         return inv.state is HELD
 
     def call_room(self) -> int:
-        """How long one more call may take. A share of one or more bounds the calls in hand; under one, a fading
-        sum of their time does, which never shows less than 1/e of what the window holds."""
+        """How long one more call may take. A share of one or more bounds the calls in hand; under one, a
+        fading sum of their time does, which never shows less than 1/e of what the window holds."""
         below, held = self.machine.dependency, self.calls_out + len(self.lingering)
         if held + 1 > self.call_cap or self.now < self.call_after:
             return 0
