--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -157,8 +157,8 @@
         self.open, self.unread = 1.0, Fading(1 * S)
         self.step, self.last_rate, self.bound = 1, 0.0, True
         self.window_at, self.window_done, self.sum_started = -1, 0, 0
-        self.warm = not machine.cold
-        self.warm_sum, self.warm_runs, self.warm_last, self.warm_windows = 0.0, 0, 0.0, 0
+        self.warm, self.warm_windows = not machine.cold, 0
+        self.warm_sum, self.warm_runs, self.warm_last = 0.0, 0, 0.0
         self.leaving_at = self.kill_at = self.lost_until = 0
         self.calls_lost = Fading(2 * S)
         self.shown, self.advertised, self.full = (True, False), -1.0, False
@@ -181,9 +181,6 @@
         self.show()
         return self.out
 
-    def say(self, text: str) -> None:
-        self.out.append(face.Log(text))
-
     def step_to(self, inv: Inv, news: News) -> bool:
         old = inv.state
         if (old, news) not in TABLE:
@@ -316,7 +313,8 @@
     def may_run(self) -> bool:
         """Those at calls come back when they like: all together stay under what the cores survive."""
         begun = sum(self.count[state] for state in BEGUN)
-        return begun < max(floor(ROOM * self.crowd()), self.machine.cores) and self.on_cores() + 0.5 < self.limit
+        room = max(floor(ROOM * self.crowd()), self.machine.cores) - begun
+        return room > 0 and self.on_cores() + 0.5 < self.limit
 
     # News.
 
@@ -395,7 +393,7 @@
 
     def on_leaving(self, news: face.Leaving) -> None:
         self.leaving_at, self.kill_at = self.now, self.now + news.left
-        self.say(f"leaving: {len(self.invs)} in hand, {news.left // MS} ms left")
+        self.out.append(face.Log(f"leaving: {len(self.invs)} in hand, {news.left // MS} ms left"))
 
     def on_timer(self, news: face.TimerFired) -> None:
         self.out.append(face.Wake(0, BEAT))
@@ -441,18 +439,18 @@
         few = self.warm_runs < HEARD
         if few or age >= self.machine.ramp or 0 < FALLING * self.warm_last <= mean:
             self.warm = True
-            self.say(f"warm after {age // MS} ms{', too few runs to judge' * few}")
+            self.out.append(face.Log(f"warm after {age // MS} ms{', too few runs to judge' * few}"))
         self.warm_windows, self.warm_last, self.warm_sum, self.warm_runs = self.warm_windows + 1, mean, 0.0, 0
 
     def watch_dependency(self) -> None:
         lost = self.calls_lost.sum(self.now)
         bad = self.calls_lost.count >= HEARD and lost > LOST * self.calls_lost.count
         if bad and self.now >= self.lost_until:
-            self.say("dependency: most recent calls fail, not ready")
+            self.out.append(face.Log("dependency: most recent calls fail, not ready"))
             self.lost_until = self.now + self.random.randint(*RETURN)
         elif 0 < self.lost_until <= self.now:
             self.lost_until = 0
-            self.say("dependency: calls end well again or are few, ready")
+            self.out.append(face.Log("dependency: calls end well again or are few, ready"))
 
     # Once a batch.
 
@@ -498,10 +496,7 @@
         for line in self.lines:
             while line.queue and not self.useful(line.queue[0]):
                 line.queue.popleft()
-        # Work that would only join a queue for a call is not begun: its cores' time would be lost with it.
-        full = self.count[State.STANDING] > self.call_cap
-        lines = (line for line in self.lines if line.queue and not (full and line.op.calls))
-        best = min(lines, key=lambda line: line.turn, default=None)
+        best = min((line for line in self.lines if line.queue), key=lambda line: line.turn, default=None)
         return best.queue[0] if best else None
 
     def useful(self, inv: Inv) -> bool:
@@ -533,7 +528,7 @@
             self.out.append(face.Readiness(*shown))
         if (level >= 1) != self.full:
             self.full = not self.full
-            self.say("overload: line full" if self.full else "overload: line open")
+            self.out.append(face.Log("overload: line full" if self.full else "overload: line open"))
         share, kind = 0.0 if self.leaving_at else self.open, self.machine.advert
         amount = {Advert.CREDIT: self.credit(share), Advert.WEIGHT: share}.get(kind, 1 - share)
         if kind is not Advert.NONE and abs(amount - self.advertised) > 0.1 * max(amount, self.advertised):
