--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -224,7 +224,7 @@
         """A door long half shut tells of a fleet without room: the next server would read it in vain. By
         chance, as a server that is slow alone shuts its door as well, and others could run it."""
         longest, late = self.machine.longest_pause, self.now + self.latest(inv) > inv.goal
-        give_up = not self.leaving_at and (late or self.random.random() > 2 * self.open)
+        give_up = not self.leaving_at and (late or self.random.random() > self.open**2)
         excess = max(round(self.wait() - CALM * min(map(self.patience, self.lines))), 0)
         pause = longest if self.leaving_at else 0 if late else min(excess, longest)
         self.out.append(face.Throttle(inv.id, pause, give_up))
