--- a/ringshift/benchlink/__main__.py
+++ b/ringshift/benchlink/__main__.py
@@ -5,7 +5,8 @@
 import sys
 
 from ringshift.benchlink.hosts import Hosts
-from ringshift.benchlink.wire import Malformed, read_batch, write_reply
+from ringshift.benchlink.wire import read_batch, write_reply
+from ringshift.machine import Malformed
 
 
 def main() -> int:
--- a/ringshift/benchlink/hosts.py
+++ b/ringshift/benchlink/hosts.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from ringshift.benchlink import wire
-from ringshift.benchlink.wire import Malformed
 from ringshift.control import Controller
 from ringshift.interface import Input
+from ringshift.machine import Malformed, need, read_machine
 
 
 class Ids:
@@ -41,7 +41,7 @@
     def __init__(self, who: int, seed: int, env: dict[str, Any]) -> None:
         self.who = who
         self.ids = Ids()
-        machine = wire.read_machine(env)
+        machine = read_machine(env)
         self.operations = {op.name: index for index, op in enumerate(machine.operations)}
         self.customers = {customer.name: index for index, customer in enumerate(machine.customers)}
         self.controller = Controller(machine, seed)
@@ -73,9 +73,9 @@
                 self.hosts.pop(who, None)
                 batches.pop(who, None)
             elif name == "Create":
-                env = wire.need(fields, "env", name, dict)
+                env = need(fields, "env", name, dict)
                 try:
-                    self.hosts[who] = Host(who, wire.need(fields, "seed", name, int), env)
+                    self.hosts[who] = Host(who, need(fields, "seed", name, int), env)
                 except ValueError as wrong:
                     raise Malformed(f"Create: env: {wrong}") from None
                 batches[who] = []
--- /dev/null
+++ b/ringshift/lifecycle/configuration.py
@@ -0,0 +1,90 @@
+"""What the platform tells a backend at its start, read from the environment and checked once."""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from ringshift.interface import Below, Effect, Machine
+from ringshift.machine import Malformed, maybe, need, ns, read_machine
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    name: str
+    listen: Address
+    agent: Address
+    announce: Address
+    seed: int
+    stop: int
+    sockets: int
+    machine: Machine
+    deep_checks: bool
+
+
+def read_address(text: str, where: str) -> Address:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError:
+        raise Malformed(f"{where}: expected an IP address and a port, not {text!r}") from None
+    if not 0 <= number < 65536:
+        raise Malformed(f"{where}: port {number} is none")
+    return host, number
+
+
+def read_seed(told: Any) -> int:
+    if isinstance(told, int) and not isinstance(told, bool):
+        return told
+    try:
+        return int(str(told), 16)
+    except ValueError:
+        raise Malformed(f"seed: expected hexadecimal digits, not {told!r}") from None
+
+
+def read_backend(environ: Mapping[str, str] = os.environ) -> Backend:
+    path = environ.get("PROXY_CONFIG", "")
+    if not path:
+        raise Malformed("PROXY_CONFIG: missing")
+    try:
+        told = orjson.loads(Path(path).read_bytes())
+    except OSError as wrong:
+        raise Malformed(f"PROXY_CONFIG: {path}: {wrong.strerror}") from None
+    except orjson.JSONDecodeError as wrong:
+        raise Malformed(f"PROXY_CONFIG: {path}: not JSON: {wrong}") from None
+    if not isinstance(told, dict):
+        raise Malformed(f"PROXY_CONFIG: {path}: expected an object")
+    return read_told(told, environ)
+
+
+def read_told(told: Mapping[str, Any], environ: Mapping[str, str]) -> Backend:
+    limits = maybe(told, "limits", "configuration", dict, {})
+    env = need(told, "settings", "configuration", dict)
+    try:
+        machine = read_machine(env)
+    except ValueError as wrong:
+        raise Malformed(f"settings: {wrong}") from None
+    if any(op.effect is Effect.TOKENED for op in machine.operations):
+        raise Malformed("settings: classes: effect: keyed: requests on sockets carry no token to know repeats by")
+    if machine.dependency.kind is not Below.NONE:
+        raise Malformed("settings: extra: below: the agent of this protocol places no calls")
+    return Backend(
+        name=environ.get("PROXY_NAME") or need(told, "name", "configuration", str),
+        listen=read_address(environ.get("PROXY_LISTEN") or need(told, "listen", "configuration", str), "listen"),
+        agent=read_address(need(told, "agent", "configuration", str), "agent"),
+        announce=read_address(need(told, "announce", "configuration", str), "announce"),
+        seed=read_seed(told.get("seed", 0)),
+        stop=ns(maybe(told, "stop_ms", "configuration", float, 3000.0)),
+        sockets=maybe(limits, "sockets", "limits", int, 1024),
+        machine=machine,
+        deep_checks=bool(env["extra"].get("real_checks", False)),
+    )
--- /dev/null
+++ b/ringshift/lifecycle/program.py
@@ -0,0 +1,131 @@
+"""One backend from start to exit. Its phases are named, and a table says what leads from one to the next."""
+
+from __future__ import annotations
+
+import signal
+from enum import Enum
+from random import Random
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from ringshift.lifecycle.clock import Clock
+from ringshift.lifecycle.configuration import Backend
+from ringshift.owner import Owner
+from ringshift.wire.agent import Agent
+from ringshift.wire.announce import Announcer
+from ringshift.wire.news import ToldToLeave
+from ringshift.wire.sidecars import Sidecars
+
+BEFORE_KILL = 0.1  # seconds: by then everything is answered, and closing must not be cut off
+CLOSING_TIME = 0.08
+
+
+class Phase(Enum):
+    STARTING = "starting"  # nothing listens yet
+    WAITING = "waiting"  # listens; the agent has not greeted
+    SERVING = "serving"
+    LEAVING = "leaving"  # told to: answers what is there, refuses what comes late
+    CLOSING = "closing"  # nothing is owed; connections end
+    CLOSED = "closed"
+    FAILED = "failed"  # a bug, or an address that can't be had
+
+
+class Happening(Enum):
+    LISTENS = "listens"
+    GREETED = "greeted"
+    TOLD = "told to leave"
+    SETTLED = "settled"
+    ENDED = "ended"
+    BROKEN = "broken"
+
+
+P, H = Phase, Happening
+# phase, event -> next phase, what is done. What is missing changes nothing: a second notice, a link made anew.
+PHASES: dict[tuple[Phase, Happening], tuple[Phase, tuple[str, ...]]] = {
+    (P.STARTING, H.LISTENS): (P.WAITING, ()),
+    (P.STARTING, H.TOLD): (P.CLOSED, ("finish",)),
+    (P.STARTING, H.BROKEN): (P.FAILED, ("finish",)),
+    (P.WAITING, H.GREETED): (P.SERVING, ("announce",)),
+    (P.WAITING, H.TOLD): (P.LEAVING, ("tell_owner",)),
+    (P.WAITING, H.BROKEN): (P.FAILED, ("finish",)),
+    (P.SERVING, H.TOLD): (P.LEAVING, ("hush", "tell_owner")),
+    (P.SERVING, H.BROKEN): (P.FAILED, ("finish",)),
+    (P.LEAVING, H.SETTLED): (P.CLOSING, ("close",)),
+    (P.LEAVING, H.BROKEN): (P.FAILED, ("finish",)),
+    (P.CLOSING, H.ENDED): (P.CLOSED, ("finish",)),
+    (P.CLOSING, H.BROKEN): (P.FAILED, ("finish",)),
+}
+
+
+class Program:
+    def __init__(self, backend: Backend) -> None:
+        self.backend, self.phase, self.done = backend, Phase.STARTING, Event()
+        self.clock, random = Clock(), Random(backend.seed)
+        self.announcer = Announcer(backend.announce, backend.name)
+        self.agent = Agent(backend.agent, random)
+        self.owner = Owner(backend.machine, backend.deep_checks, backend.seed, self.clock, self.agent, self.ready)
+
+    def run(self) -> int:
+        """The exit status."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self.to, Happening.TOLD)
+        operations = {op.name: index for index, op in enumerate(self.backend.machine.operations)}
+        try:
+            self.sidecars = Sidecars(self.backend.listen, operations, self.owner.post, self.backend.sockets)
+        except OSError as wrong:
+            host, port = self.backend.listen
+            logger.error("listen: {}:{} can't be bound: {}", host, port, wrong.strerror)
+            return 1
+        if self.phase is Phase.STARTING:
+            self.to(Happening.LISTENS)
+            owner, agent = gevent.spawn(self.owner.run), self.agent.start(self.owner.post)
+            for greenlet in (owner, agent, self.sidecars.accepting):
+                greenlet.link_exception(self.broken)
+        self.done.wait()
+        return 0 if self.phase is Phase.CLOSED else 1
+
+    def to(self, event: Happening) -> None:
+        step = PHASES.get((self.phase, event))
+        if step is None:
+            return
+        old, (self.phase, effects) = self.phase, step
+        logger.info("{}: {} -> {}", event.value, old.value, self.phase.value)
+        for effect in effects:
+            getattr(self, effect)()
+
+    def ready(self, good: bool) -> None:
+        """The owner's word for readiness; the first one comes with the agent's greeting."""
+        self.announcer.ready = good
+        self.to(Happening.GREETED)
+
+    def broken(self, greenlet: gevent.Greenlet[..., Any]) -> None:
+        logger.error("ended by a bug: {}", repr(greenlet.exception))
+        self.to(Happening.BROKEN)
+
+    # What a step of the table does.
+
+    def announce(self) -> None:
+        self.announcer.start()
+
+    def hush(self) -> None:
+        # An entry lapses three seconds after its last report: the sooner they end, the fewer still come.
+        self.announcer.stop()
+
+    def tell_owner(self) -> None:
+        gevent.spawn(self.leave)
+
+    def leave(self) -> None:
+        seconds = self.backend.stop / 1e9
+        self.owner.post(ToldToLeave(self.backend.stop))
+        self.owner.settled.wait(seconds - BEFORE_KILL)
+        self.to(Happening.SETTLED)
+
+    def close(self) -> None:
+        self.sidecars.close(CLOSING_TIME)
+        self.to(Happening.ENDED)
+
+    def finish(self) -> None:
+        self.done.set()
--- /dev/null
+++ b/ringshift/owner.py
@@ -0,0 +1,281 @@
+"""The one greenlet that holds the module. Socket code reaches it through its queue only; it never waits on a socket.
+
+It takes all that the queue holds as one batch, adds the timers that are due, calls `decide` once and carries the
+actions out in their order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from heapq import heappop, heappush
+from itertools import count
+from typing import Any, Protocol
+
+from gevent.event import Event
+from gevent.queue import Empty, Queue
+from loguru import logger
+
+from ringshift import interface as face
+from ringshift.control import Controller
+from ringshift.lifecycle.clock import Clock
+from ringshift.lifecycle.logs import counted
+from ringshift.machine import NS_PER_MS
+from ringshift.store.invocations import Invocation, Invocations, Try
+from ringshift.wire import calls, news
+from ringshift.wire.news import Door, News
+
+MS = NS_PER_MS
+MOST_NEWS = 4096
+GAUGES_IN = 20 * MS  # a timer waits this long for its gauges; after that they are told as not known
+CHECK_IN = 1000 * MS  # a deep check whose work does not come back fails
+MOST_CHECKS = 64
+QUIET = 300 * MS  # leaving early is safe when nothing has come for this long after the grace
+
+OUTCOMES = {"good": face.Outcome.SUCCEEDED, "bad": face.Outcome.ERRORED,
+            "cut": face.Outcome.STOPPED, "gone": face.Outcome.MOOT}  # fmt: skip
+
+
+class Commands(Protocol):
+    """The agent, as far as the owner speaks to it. Never waits."""
+
+    def launch(self, job: str, operation: str, body: bytes) -> None: ...
+    def freeze(self, job: str) -> None: ...
+    def sample(self, ref: str) -> None: ...
+    def exercise(self, ref: str) -> None: ...
+
+
+class Owner:
+    def __init__(self, machine: face.Machine, deep_checks: bool, seed: int, clock: Clock, agent: Commands,
+                 ready: Callable[[bool], None]) -> None:  # fmt: skip
+        self.machine, self.deep_checks, self.seed, self.clock = machine, deep_checks, seed, clock
+        self.agent, self.ready = agent, ready
+        self.queue: Queue[News] = Queue(MOST_NEWS)
+        self.controller: Controller | None = None
+        self.invocations = Invocations()
+        self.timers: list[tuple[int, int, Callable[[Any], None], Any]] = []
+        self.order, self.refs = count(), count(1)
+        self.sampled_for: dict[str, int] = {}  # sample -> the module's timer that waits for it
+        self.checks: dict[str, tuple[Door, int]] = {}
+        self.mark = self.confirmed = 0
+        self.barrier = ""  # the sample whose answer comes after all notices that a new link still had to tell
+        self.health, self.fields = (True, False), dict[str, str]()
+        self.inputs: list[face.Input] = []
+        self.leaving_at = self.left = self.heard = self.again_from = 0
+        self.settled = Event()
+
+    def post(self, item: News) -> None:
+        """For socket code: waits while the queue is full, which slows reading down."""
+        self.queue.put(item)
+
+    def run(self) -> None:
+        while True:
+            self.step(self.wait())
+
+    def wait(self) -> list[News]:
+        batch: list[News] = []
+        left = (self.timers[0][0] - self.clock.now()) / 1e9 if self.timers else None
+        try:
+            batch.append(self.queue.get(timeout=left) if left is None or left > 0 else self.queue.get_nowait())
+            while True:
+                batch.append(self.queue.get_nowait())
+        except Empty:
+            return batch
+
+    def step(self, batch: list[News]) -> None:
+        for item in batch:
+            HEARD[type(item)](self, item)
+        while self.timers and self.timers[0][0] <= self.clock.now():
+            _, _, due, what = heappop(self.timers)
+            due(what)
+        if self.controller is None:
+            if self.leaving_at:
+                self.settled.set()
+            return
+        if self.inputs:
+            self.decide(self.clock.now())
+        self.look_whether_settled()
+
+    def decide(self, now: int) -> None:
+        assert self.controller is not None
+        inputs, self.inputs = self.inputs, []
+        for action in self.controller.decide(now, inputs):
+            CARRY_OUT[type(action)](self, action)
+        for index in self.controller.forgotten:
+            inv = self.invocations.drop(index)
+            if inv is not None and inv.state in (Try.HELD, Try.LAUNCHED):
+                counted.warn("invocation forgotten without an answer", "failed")
+                self.invocations.answer(inv, calls.failed(inv.request, self.fields))
+
+    def timer(self, at: int, due: Callable[[Any], None], what: Any) -> None:
+        heappush(self.timers, (at, next(self.order), due, what))
+
+    def look_whether_settled(self) -> None:
+        if self.leaving_at and not self.invocations.owed:
+            now = self.clock.now()
+            if now > self.leaving_at + self.machine.grace and now > self.heard + QUIET:
+                self.settled.set()
+
+    # What is heard.
+
+    def on_called(self, item: news.Called) -> None:
+        self.heard = self.clock.now()
+        if self.controller is None:
+            item.door.send(item.request, calls.refused(item.request, self.fields, 0, False))
+            return
+        if item.job in self.invocations.by_job:
+            counted.warn("request answered as failed", "job id in use")
+            item.door.send(item.request, calls.failed(item.request, self.fields, 400))
+            return
+        inv = self.invocations.add(item.job, item.operation, item.body, item.door, item.request)
+        unread = self.clock.since(item.came)
+        self.inputs.append(face.Arrived(
+            inv=inv.index, operation=item.operation, customer=-1,
+            patience=None if item.allow is None else max(item.allow - unread, 0),
+            cost=0.0, kb=item.kb, rank=item.rank, keyed_read=bool(item.item),
+            caller=item.caller, unread=unread, repeats=None,
+        ))  # fmt: skip
+
+    def on_checked(self, item: news.Checked) -> None:
+        good, stored = self.health
+        if not good or stored or not item.deep or not self.deep_checks or self.controller is None:
+            item.door.send(item.request, calls.checked(item.request, self.fields, good))
+        elif len(self.checks) >= MOST_CHECKS:
+            item.door.send(item.request, calls.checked(item.request, self.fields, False))
+        else:
+            ref = f"check-{next(self.refs)}"
+            self.checks[ref] = item.door, item.request
+            self.agent.exercise(ref)
+            self.timer(self.clock.now() + CHECK_IN, self.end_check, news.Exercised(ref, False))
+
+    def end_check(self, item: news.Exercised) -> None:
+        check = self.checks.pop(item.ref, None)
+        if check is not None:
+            door, request = check
+            door.send(request, calls.checked(request, self.fields, item.good and self.health[0]))
+
+    def on_caller_left(self, item: news.CallerLeft) -> None:
+        inv = self.invocations.caller_left(item.door, item.request)
+        if inv is not None:
+            self.inputs.append(face.CallerGone(inv.index))
+
+    def on_greeted(self, item: news.Greeted) -> None:
+        now = self.clock.now()
+        if self.controller is None:
+            machine = self.machine if self.machine.cold == item.cold else replace(self.machine, cold=item.cold)
+            self.controller = Controller(machine, self.seed)
+            logger.info("agent greeted after {} ms, {} start", item.took // MS, "cold" if item.cold else "warm")
+            self.decide(now - item.took)  # it warms since its own start
+            self.ready(self.health[0])
+            if self.leaving_at:
+                self.inputs.append(face.Leaving(self.leaving_at + self.left - now))
+        else:
+            logger.info("agent's link made anew")
+            self.again_from = self.confirmed
+            self.barrier = self.sample()
+
+    def on_link_lost(self, _: news.LinkLost) -> None:
+        self.barrier = ""
+
+    def sample(self) -> str:
+        self.mark = next(self.refs)
+        self.agent.sample(str(self.mark))
+        return str(self.mark)
+
+    def on_sampled(self, item: news.Sampled) -> None:
+        self.end_timer(item.ref, item.gauges)
+        if item.ref.isdigit():
+            self.confirmed = max(self.confirmed, int(item.ref))
+        if item.ref == self.barrier:
+            # All that ended meanwhile has been told: what is neither told nor known to have been read is sent again.
+            self.barrier = ""
+            for inv in self.invocations:
+                if inv.launched and self.again_from <= inv.mark < int(item.ref):
+                    self.launch(inv)
+
+    def end_timer(self, ref: str, gauges: Any) -> None:
+        name = self.sampled_for.pop(ref, None)
+        if name is not None:
+            self.inputs.append(face.TimerFired(name, gauges))
+
+    def on_run_ended(self, item: news.RunEnded) -> None:
+        inv = self.invocations.by_job.get(item.job)
+        outcome = OUTCOMES.get(item.state)
+        if inv is None or outcome is None:
+            counted.warn("outcome that belongs to nothing in hand", item.state)
+            return
+        inv.launched = False
+        if outcome is face.Outcome.SUCCEEDED:
+            self.invocations.answer(inv, calls.served(inv.request, self.fields, item.result))
+        elif outcome is face.Outcome.ERRORED:
+            self.invocations.answer(inv, calls.failed(inv.request, self.fields))
+        self.inputs.append(face.Finished(inv.index, outcome, item.took))
+
+    def on_command_refused(self, item: news.CommandRefused) -> None:
+        counted.warn("agent refused a command", item.command)
+        if item.command == "launch":
+            self.on_run_ended(news.RunEnded(item.job, "bad", 0, b""))
+
+    def on_told_to_leave(self, item: news.ToldToLeave) -> None:
+        self.leaving_at, self.left = self.clock.now(), item.left
+        if self.controller is not None:
+            self.inputs.append(face.Leaving(item.left))
+
+    # What the module decided.
+
+    def launch(self, inv: Invocation) -> None:
+        self.invocations.launch(inv, self.mark)
+        self.agent.launch(inv.job, self.machine.operations[inv.operation].name, inv.body)
+
+    def start(self, action: face.Start) -> None:
+        self.launch(self.invocations.by_index[action.inv])
+
+    def halt(self, action: face.Halted) -> None:
+        self.agent.freeze(self.invocations.by_index[action.inv].job)
+
+    def throttle(self, action: face.Throttle) -> None:
+        inv = self.invocations.by_index[action.inv]
+        # On sockets a refusal promises that this try never ran: the end of a run that did is a failed answer.
+        data = (calls.refused(inv.request, self.fields, action.pause, action.give_up) if inv.state is Try.HELD
+                else calls.failed(inv.request, self.fields))  # fmt: skip
+        self.invocations.answer(inv, data)
+
+    def fail(self, action: face.Fail) -> None:
+        inv = self.invocations.by_index[action.inv]
+        self.invocations.answer(inv, calls.failed(inv.request, self.fields))
+
+    def tell_health(self, action: face.Readiness) -> None:
+        self.health = action.good, action.stored
+        self.ready(action.good)
+
+    def advertise(self, action: face.Advertise) -> None:
+        self.fields = calls.advice(action.amount)
+
+    def close_idle(self, action: face.CloseIdle) -> None:
+        pass
+
+    def wake(self, action: face.Wake) -> None:
+        self.timer(self.clock.now() + action.after, self.ask_gauges, action.name)
+
+    def ask_gauges(self, name: int) -> None:
+        ref = self.sample()
+        self.sampled_for[ref] = name
+        self.timer(self.clock.now() + GAUGES_IN, self.give_gauges_up, ref)
+
+    def give_gauges_up(self, ref: str) -> None:
+        self.end_timer(ref, ())
+
+    def log(self, action: face.Log) -> None:
+        logger.info(action.text)
+
+
+HEARD: dict[type, Callable[..., None]] = {
+    news.Called: Owner.on_called, news.Checked: Owner.on_checked, news.CallerLeft: Owner.on_caller_left,
+    news.Greeted: Owner.on_greeted, news.LinkLost: Owner.on_link_lost, news.RunEnded: Owner.on_run_ended,
+    news.Sampled: Owner.on_sampled, news.Exercised: Owner.end_check,
+    news.CommandRefused: Owner.on_command_refused, news.ToldToLeave: Owner.on_told_to_leave}  # fmt: skip
+
+CARRY_OUT: dict[type, Callable[..., None]] = {
+    face.Start: Owner.start, face.Halted: Owner.halt, face.Throttle: Owner.throttle, face.Fail: Owner.fail,
+    face.Readiness: Owner.tell_health, face.Advertise: Owner.advertise, face.CloseIdle: Owner.close_idle,
+    face.Wake: Owner.wake, face.Log: Owner.log}  # fmt: skip
--- /dev/null
+++ b/ringshift/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What is spoken on sockets: FastCGI with sidecars, the agent's link, the announce service. Nothing here decides."""
--- /dev/null
+++ b/ringshift/wire/agent.py
@@ -0,0 +1,158 @@
+"""The link to the agent: JSON objects, one a line. It is made anew whenever it ends, after the last notice read."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any
+
+import gevent
+import orjson
+from gevent import socket
+from loguru import logger
+
+from ringshift.lifecycle.logs import counted
+from ringshift.machine import Malformed, maybe, need, ns
+from ringshift.wire.news import CommandRefused, Exercised, Greeted, LinkLost, News, RunEnded, Sampled
+from ringshift.wire.outbox import Outbox
+
+LONGEST_LINE = 64 * 1024
+UNSENT = 1024 * 1024  # bytes of commands
+FIRST_WAIT, LONGEST_WAIT = 0.02, 1.0  # seconds between two tries to connect
+CONNECTING = 2.0
+
+Fields = Mapping[str, Any]
+
+
+class Agent:
+    def __init__(self, address: tuple[str, int], random: Random) -> None:
+        self.address, self.random = address, random
+        self.read_up_to = 0
+        self.outbox: Outbox | None = None
+
+    def start(self, post: Callable[[News], None]) -> gevent.Greenlet[..., Any]:
+        self.post = post
+        return gevent.spawn(self.keep)
+
+    # Called by the owner: never waits. Without a link a command is dropped; the owner repeats what matters.
+
+    def say(self, **fields: Any) -> None:
+        if self.outbox is not None:
+            self.outbox.put(orjson.dumps(fields) + b"\n")
+
+    def launch(self, job: str, operation: str, body: bytes) -> None:
+        self.say(type="launch", job=job, kind=operation, data=b64encode(body).decode())
+
+    def freeze(self, job: str) -> None:
+        self.say(type="freeze", job=job)
+
+    def sample(self, ref: str) -> None:
+        self.say(type="sample", ref=ref)
+
+    def exercise(self, ref: str) -> None:
+        self.say(type="exercise", ref=ref)
+
+    # The link.
+
+    def keep(self) -> None:
+        wait = FIRST_WAIT
+        while True:
+            try:
+                sock = socket.create_connection(self.address, CONNECTING)
+            except OSError as wrong:
+                counted.warn("agent can't be reached", str(wrong))
+            else:
+                if self.talk(sock):
+                    wait = FIRST_WAIT
+            # By chance, as all backends of a machine room lose their agents in the same moment.
+            gevent.sleep(wait * (0.5 + self.random.random()))
+            wait = min(wait * 2, LONGEST_WAIT)
+
+    def talk(self, sock: socket.socket) -> bool:
+        """Until the link ends; whether the agent greeted."""
+        greeted = False
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        outbox = Outbox(sock, UNSENT)
+        outbox.put(orjson.dumps({"type": "subscribe", "n": self.read_up_to}) + b"\n")
+        why = "closed by the agent"
+        try:
+            rest = b""
+            while data := sock.recv(65536):
+                *lines, rest = (rest + data).split(b"\n")
+                if len(rest) > LONGEST_LINE:
+                    raise Malformed("line longer than any notice")
+                for line in lines:
+                    news = self.read(line)
+                    if isinstance(news, Greeted):
+                        greeted, self.outbox = True, outbox
+                    if news is not None:
+                        self.post(news)
+        except OSError as wrong:
+            why = str(wrong)
+        except Malformed as wrong:
+            why = f"not a notice: {wrong}"
+        finally:
+            self.outbox = None
+            outbox.close()
+            sock.close()
+        counted.warn("agent's link ended", why)
+        if greeted:
+            self.post(LinkLost())
+        return greeted
+
+    def read(self, line: bytes) -> News | None:
+        try:
+            fields = orjson.loads(line)
+        except orjson.JSONDecodeError:
+            raise Malformed(repr(line[:80])) from None
+        if not isinstance(fields, dict):
+            raise Malformed(repr(line[:80]))
+        kind = fields.get("type")
+        if kind not in NOTICES:
+            raise Malformed(f"type {kind!r}")
+        number = maybe(fields, "n", str(kind), int, 0)
+        if number:
+            if number <= self.read_up_to:
+                return None  # told again after a new link
+            self.read_up_to = number
+        return NOTICES[kind](fields)
+
+
+def read_greeting(fields: Fields) -> News:
+    state = need(fields, "state", "greeting", str)
+    if state not in ("new", "old"):
+        raise Malformed(f"greeting: state {state!r}")
+    return Greeted(state == "new", ns(maybe(fields, "took", "greeting", float, 0.0)))
+
+
+def read_outcome(fields: Fields) -> News:
+    try:
+        result = b64decode(maybe(fields, "data", "outcome", str, ""), validate=True)
+    except ValueError:
+        raise Malformed("outcome: data: not base64") from None
+    return RunEnded(need(fields, "job", "outcome", str), need(fields, "state", "outcome", str),
+                    ns(maybe(fields, "took", "outcome", float, 0.0)), result)  # fmt: skip
+
+
+def read_sampled(fields: Fields) -> News:
+    gauges = [g if isinstance(g, (int, float)) else None for g in maybe(fields, "gauges", "sampled", list, [])]
+    return Sampled(need(fields, "ref", "sampled", str), gauges)
+
+
+def read_exercised(fields: Fields) -> News:
+    return Exercised(need(fields, "ref", "exercised", str), fields.get("state") == "good")
+
+
+def read_refusal(fields: Fields) -> News:
+    return CommandRefused(maybe(fields, "state", "refusal", str, ""), maybe(fields, "job", "refusal", str, ""))
+
+
+def read_aside(fields: Fields) -> None:
+    logger.debug("agent remarks: {}", fields.get("state"))
+
+
+NOTICES: dict[str, Callable[[Fields], News | None]] = {
+    "greeting": read_greeting, "outcome": read_outcome, "sampled": read_sampled,
+    "exercised": read_exercised, "refusal": read_refusal, "aside": read_aside}  # fmt: skip
--- /dev/null
+++ b/ringshift/wire/announce.py
@@ -0,0 +1,35 @@
+"""Reports to the announce service: one datagram each, no answer."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+from gevent import socket
+
+from ringshift.lifecycle.logs import counted
+
+EVERY = 0.7  # seconds: three may be lost or late before the entry lapses after three seconds
+
+
+class Announcer:
+    def __init__(self, address: tuple[str, int], name: str) -> None:
+        self.address, self.name, self.ready = address, name, True
+        self.reporting: gevent.Greenlet[..., Any] | None = None
+
+    def start(self) -> None:
+        if self.reporting is None:
+            self.reporting = gevent.spawn(self.report)
+
+    def stop(self) -> None:
+        if self.reporting is not None:
+            self.reporting.kill(block=False)
+
+    def report(self) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            while True:
+                try:
+                    sock.sendto(f"announce {self.name} {str(self.ready).lower()}".encode(), self.address)
+                except OSError as wrong:
+                    counted.warn("announce service can't be reached", str(wrong))
+                gevent.sleep(EVERY)
--- /dev/null
+++ b/ringshift/wire/calls.py
@@ -0,0 +1,93 @@
+"""The protocol's own names: CGI parameters of a request, status and fields of an answer."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from urllib.parse import parse_qs
+
+from ringshift.machine import NS_PER_MS, ns
+from ringshift.wire import fastcgi
+from ringshift.wire.news import Called, Checked, Door
+
+CALL, CHECK = "/call/", "/ping"
+SERVED, REFUSED, FAILED = 200, 429, 500
+MOST_KB = 2000.0
+Fields = Mapping[str, str]
+
+
+class Wrong(Exception):
+    """The request can't be taken; the text names the field."""
+
+
+def number(params: Fields, name: str, least: float = -math.inf, below: float = math.inf) -> float:
+    told = params.get(name)
+    if told is None:
+        raise Wrong(f"{name} missing")
+    try:
+        value = float(told)
+    except ValueError:
+        raise Wrong(f"{name} is no number") from None
+    if not (math.isfinite(value) and least <= value < below):
+        raise Wrong(f"{name} out of its range")
+    return value
+
+
+def read(request: fastcgi.Request, door: Door, operations: Mapping[str, int]) -> Called | Checked:
+    params = request.params or {}
+    path = params.get("SCRIPT_NAME", "")
+    if request.wrong:
+        raise Wrong(request.wrong)
+    if path == CHECK:
+        return Checked(door, request.id, parse_qs(params.get("QUERY_STRING", "")).get("all", ["0"])[-1] == "1")
+    if not path.startswith(CALL):
+        raise Wrong("SCRIPT_NAME unknown")
+    if params.get("REQUEST_METHOD") != "POST":
+        raise Wrong("REQUEST_METHOD is not POST")
+    operation = operations.get(path[len(CALL) :])
+    if operation is None:
+        raise Wrong("operation unknown")
+    job = params.get("HTTP_X_JOB_ID", "")
+    if len(job) != 16 or not set(job) <= set("0123456789abcdefABCDEF"):
+        raise Wrong("HTTP_X_JOB_ID is not 16 hex digits")
+    allow = number(params, "HTTP_X_ALLOW_MS", 0.0) if "HTTP_X_ALLOW_MS" in params else None
+    return Called(
+        door=door,
+        request=request.id,
+        job=job,
+        operation=operation,
+        body=request.body,
+        item=params.get("HTTP_X_ITEM", ""),
+        came=round(number(params, "HTTP_X_DOOR_TIME", 0.0, 1e15) * NS_PER_MS),
+        allow=None if allow is None else ns(allow),
+        kb=number(params, "HTTP_X_RAM_KB", 1e-9, MOST_KB),
+        rank=number(params, "HTTP_X_PRECEDENCE", 0.0, 1.0),
+        caller=int(number(params, "HTTP_X_SENDER", 0.0, 2.0**53)),
+    )
+
+
+def advice(amount: float | None) -> dict[str, str]:
+    return {} if amount is None else {"X-Advice": f"{amount:.6g}"}
+
+
+def served(request: int, fields: Fields, result: bytes) -> bytes:
+    return fastcgi.reply(request, SERVED, fields, result)
+
+
+def refused(request: int, fields: Fields, pause: int, give_up: bool) -> bytes:
+    """Promises that this try never ran."""
+    more = dict(fields)
+    if pause > 0:
+        more["X-Wait-Ms"] = str(-(-pause // NS_PER_MS))
+    if give_up:
+        more["X-Terminal"] = "1"
+    return fastcgi.reply(request, REFUSED, more)
+
+
+def failed(request: int, fields: Fields, status: int = FAILED) -> bytes:
+    """Promises nothing, so it never has a status that does."""
+    return fastcgi.reply(request, status, fields)
+
+
+def checked(request: int, fields: Fields, good: bool) -> bytes:
+    return fastcgi.reply(request, SERVED if good else 503, fields)
--- /dev/null
+++ b/ringshift/wire/fastcgi.py
@@ -0,0 +1,233 @@
+"""FastCGI 1.0 in the Responder role: bytes to messages and back, without input or output.
+
+Bytes are read straight into the decoder's buffer (`space`, then `took`); record contents are slices of it. What a
+request has sent stays a slice until the buffer is used again, and is copied only then (`keep`).
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+VERSION, HEADER = 1, struct.Struct("!BBHHBx")
+BEGIN, ABORT, END, PARAMS, STDIN, STDOUT = 1, 2, 3, 4, 5, 6
+GET_VALUES, GET_VALUES_RESULT, UNKNOWN_TYPE = 9, 10, 11
+RESPONDER, KEEP_CONN = 1, 1
+COMPLETE, CANT_MULTIPLEX, OVERLOADED, UNKNOWN_ROLE = 0, 1, 2, 3
+MANAGEMENT = 0
+
+BUFFER = 16 * 1024
+MOST_OPEN = 32
+MOST_PARAMS = 8 * 1024
+MOST_BODY = 2 * 1024
+MOST_PAIRS = 64
+
+
+class NotFastCGI(Exception):
+    """The bytes are no FastCGI: nothing more can be read from this connection."""
+
+
+@dataclass(slots=True)
+class Request:
+    """One request as far as it has come; `body` and `params` are whole once it was yielded."""
+
+    id: int
+    keep: bool
+    parts: list[memoryview | bytes] = field(default_factory=list)
+    bodies: list[memoryview | bytes] = field(default_factory=list)
+    sizes: list[int] = field(default_factory=lambda: [0, 0])
+    params: dict[str, str] | None = None
+    wrong: str = ""
+
+    @property
+    def body(self) -> bytes:
+        """A copy: it must outlive the buffer, as the agent gets it when the module says so."""
+        return b"".join(self.bodies)
+
+
+@dataclass(frozen=True, slots=True)
+class Aborted:
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What the specification has answered at once, whatever the request is about."""
+
+    data: bytes
+    close: bool = False
+
+
+Message = Request | Aborted | Answer
+
+
+def record(kind: int, request: int, content: bytes = b"") -> bytes:
+    return HEADER.pack(VERSION, kind, request, len(content), 0) + content
+
+
+def end(request: int, protocol: int = COMPLETE) -> bytes:
+    return record(END, request, struct.pack("!IB3x", 0, protocol))
+
+
+def reply(request: int, status: int, fields: Mapping[str, str], body: bytes = b"") -> bytes:
+    head = [f"Status: {status}", "Content-Type: application/octet-stream"]
+    head += [f"{name}: {value}" for name, value in fields.items()]
+    content = "\r\n".join(head).encode() + b"\r\n\r\n" + body
+    return record(STDOUT, request, content) + record(STDOUT, request) + end(request)
+
+
+def length(value: int) -> bytes:
+    return bytes((value,)) if value < 128 else struct.pack("!I", value | 1 << 31)
+
+
+def write_pairs(pairs: Mapping[str, str]) -> bytes:
+    encoded = ((name.encode("latin-1"), value.encode("latin-1")) for name, value in pairs.items())
+    return b"".join(length(len(n)) + length(len(v)) + n + v for n, v in encoded)
+
+
+def read_pairs(data: memoryview | bytes) -> dict[str, str]:
+    """Raises ValueError where lengths point beyond the end."""
+    pairs: dict[str, str] = {}
+    at, sizes = 0, [0, 0]
+    while at < len(data):
+        for which in (0, 1):
+            if at >= len(data):
+                raise ValueError("name-value pair: lengths are cut short")
+            size = data[at]
+            at += 1
+            if size & 128:
+                if at + 3 > len(data):
+                    raise ValueError("name-value pair: lengths are cut short")
+                size = (size & 127) << 24 | data[at] << 16 | data[at + 1] << 8 | data[at + 2]
+                at += 3
+            sizes[which] = size
+        name, value = at + sizes[0], at + sizes[0] + sizes[1]
+        if value > len(data):
+            raise ValueError("name-value pair: longer than its stream")
+        if len(pairs) >= MOST_PAIRS:
+            raise ValueError("name-value pair: too many")
+        pairs[str(data[at:name], "latin-1")] = str(data[name:value], "latin-1")
+        at = value
+    return pairs
+
+
+class Decoder:
+    """One connection's bytes. The owner of the connection closes a request it has answered (`close`)."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray(BUFFER)
+        self.view = memoryview(self.buffer)
+        self.start = self.stop = 0
+        self.kind = self.request = self.content = self.padding = 0
+        self.inside = False
+        self.coming: dict[int, Request] = {}
+        self.open: set[int] = set()
+
+    def space(self) -> memoryview:
+        """Where the next bytes go. What earlier bytes are still needed is copied or moved first."""
+        for request in self.coming.values():
+            request.parts = [part if isinstance(part, bytes) else bytes(part) for part in request.parts]
+            request.bodies = [part if isinstance(part, bytes) else bytes(part) for part in request.bodies]
+        left = self.stop - self.start
+        if self.start and left:
+            self.buffer[:left] = self.buffer[self.start : self.stop]
+        self.start, self.stop = 0, left
+        return self.view[left:]
+
+    def took(self, size: int) -> Iterator[Message]:
+        self.stop += size
+        while True:
+            if not self.inside:
+                if self.stop - self.start < HEADER.size:
+                    return
+                version, self.kind, self.request, self.content, self.padding = HEADER.unpack_from(
+                    self.buffer, self.start
+                )
+                if version != VERSION:
+                    raise NotFastCGI(f"version {version} where FastCGI has {VERSION}")
+                self.start += HEADER.size
+                self.inside = True
+            have = self.stop - self.start
+            whole = have >= self.content
+            # A record longer than the buffer comes in parts; all others are taken whole.
+            if not whole and (self.content + HEADER.size < BUFFER or have == 0):
+                return
+            part = self.view[self.start : self.start + min(have, self.content)]
+            self.start += len(part)
+            self.content -= len(part)
+            ended = self.content == 0
+            yield from self.record(part, ended)
+            if not ended:
+                continue
+            self.content = 0
+            if self.stop - self.start < self.padding:
+                # The rest of the padding is skipped as an unknown record's content would be.
+                self.kind, self.content, self.padding = 0, self.padding, 0
+                if self.request == MANAGEMENT:
+                    self.request = -1
+                continue
+            self.start += self.padding
+            self.inside = False
+
+    def record(self, part: memoryview, ended: bool) -> Iterator[Message]:
+        kind, number = self.kind, self.request
+        if number == MANAGEMENT:
+            if kind == GET_VALUES and ended:
+                yield Answer(record(GET_VALUES_RESULT, MANAGEMENT, self.values(part)))
+            elif kind != GET_VALUES and ended:
+                yield Answer(record(UNKNOWN_TYPE, MANAGEMENT, struct.pack("!B7x", kind)))
+        elif kind == BEGIN:
+            yield from self.begin(part)
+        elif kind == ABORT and number in self.open:
+            self.coming.pop(number, None)
+            yield Aborted(number)
+        elif kind in (PARAMS, STDIN) and number in self.coming:
+            yield from self.stream(self.coming[number], part, kind is STDIN)
+        # Records of a request that is not open any more crossed its end: they are passed over.
+
+    def begin(self, part: memoryview) -> Iterator[Message]:
+        number = self.request
+        if len(part) != 8:
+            raise NotFastCGI("a BEGIN_REQUEST that is not 8 bytes long")
+        role, flags = part[0] << 8 | part[1], part[2]
+        if number in self.open:
+            raise NotFastCGI("a BEGIN_REQUEST with the id of an open request")
+        if role != RESPONDER:
+            yield Answer(end(number, UNKNOWN_ROLE), not flags & KEEP_CONN)
+        elif len(self.open) >= MOST_OPEN:
+            yield Answer(end(number, OVERLOADED), not flags & KEEP_CONN)
+        else:
+            self.open.add(number)
+            self.coming[number] = Request(number, bool(flags & KEEP_CONN))
+
+    def stream(self, request: Request, part: memoryview, body: bool) -> Iterator[Message]:
+        if len(part):
+            request.sizes[body] += len(part)
+            if request.sizes[body] > (MOST_BODY if body else MOST_PARAMS):
+                request.wrong = request.wrong or ("body over 2 KiB" if body else "params too long")
+            elif request.params is None or body:
+                (request.bodies if body else request.parts).append(part)
+        elif not body and request.params is None:
+            parts = request.parts
+            try:
+                request.params = read_pairs(parts[0] if len(parts) == 1 else b"".join(parts))
+            except ValueError as wrong:
+                request.params, request.wrong = {}, request.wrong or str(wrong)
+            request.parts = []
+        elif body:
+            del self.coming[request.id]
+            if request.params is None:
+                request.params, request.wrong = {}, "body before the end of the params"
+            yield request
+
+    def values(self, part: memoryview) -> bytes:
+        known = {"FCGI_MAX_CONNS": "512", "FCGI_MAX_REQS": str(512 * MOST_OPEN), "FCGI_MPXS_CONNS": "1"}
+        try:
+            asked = read_pairs(part)
+        except ValueError:
+            return b""
+        return write_pairs({name: value for name, value in known.items() if name in asked})
+
+    def close(self, number: int) -> None:
+        self.open.discard(number)
--- /dev/null
+++ b/ringshift/wire/outbox.py
@@ -0,0 +1,52 @@
+"""What waits to be written to one socket, under a bound, and the greenlet that writes it."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+
+class Outbox:
+    """`put` never waits: beyond its bound the other side does not read, and the socket is given up."""
+
+    def __init__(self, sock: socket.socket, most: int) -> None:
+        self.sock, self.most, self.size = sock, most, 0
+        self.parts: deque[bytes] = deque()
+        self.some, self.empty = Event(), Event()
+        self.empty.set()
+        self.broken = False
+        self.writer = gevent.spawn(self.write)
+
+    def put(self, data: bytes) -> bool:
+        """False where it was not taken: the socket is broken or full."""
+        if self.broken or self.size + len(data) > self.most:
+            return False
+        self.parts.append(data)
+        self.size += len(data)
+        self.some.set()
+        self.empty.clear()
+        return True
+
+    def write(self) -> None:
+        try:
+            while True:
+                self.some.wait()
+                self.some.clear()
+                while self.parts:
+                    data = b"".join(self.parts)
+                    self.parts.clear()
+                    self.sock.sendall(data)
+                    self.size -= len(data)
+                self.empty.set()
+        except OSError:
+            self.broken = True
+            self.parts.clear()
+            self.empty.set()
+
+    def close(self) -> None:
+        self.broken = True
+        self.parts.clear()
+        self.writer.kill(block=False)
