A caller's part of the credit is never less than one over the callers told

Cause: control.py, credit(): the front deals in turn, so no caller comes twice in a row, and the more regular arrivals of sockets show it more. The prior, one over the callers told, is now the least. It may be too generous where far more callers come than were told; refusals then bound what comes.

--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -536,12 +536,12 @@
             self.out.append(face.Advertise(amount))
 
     def credit(self, share: float) -> float:
-        """A caller's part of what is run and held; one that comes twice in a row tells how many they are.
-        A part under one holds each to chance alone: callers that check would skip idle servers."""
+        """A caller's part of what is run and held; one that comes twice in a row tells how many they are. Dealt in
+        turn none does, yet they are no more than told. A part under one would have callers skip idle servers."""
         mean = sum(line.core.mean(self.now) for line in self.lines) / len(self.lines)
         total = self.limit * (1 + min(map(self.patience, self.lines)) / mean)
         total += self.count[State.STANDING] + self.count[State.CALLING]
-        return share * max(2 * total * self.same_caller.mean(self.now), 1.0)
+        return share * max(2 * total * max(self.same_caller.mean(self.now), self.same_caller.prior), 1.0)
 
 
 HANDLERS: dict[type, Callable[..., None]] = dict.fromkeys(PLAIN_NEWS, Controller.on_plain) | {
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -179,6 +179,18 @@
     assert [a.amount >= 1 for a in [*world.first, *said] if isinstance(a, face.Advertise)] == [True]
 
 
+def test_callers_dealt_in_turn_keep_their_part_of_the_credit() -> None:
+    """A front that deals in turn lets no caller come twice in a row, which read as callers without number:
+    on sockets credits fell to a fourteenth and a fifth of a day's work was turned back from idle cores."""
+    world = World(machine(callers=8, cores=6, advert=face.Advert.CREDIT), Random(1))
+    told = [*world.first]
+    for turn in range(160):
+        told += world.step([world.arrive(unread=0, patience=None, caller=turn % 8)], 10 * MS)
+        told += world.step([world.finish(s) for s in world.of("running")], 40 * MS)
+    said = [a.amount for a in told if isinstance(a, face.Advertise)]
+    assert min(said) > 0.5 * said[0] > 1
+
+
 def test_drain_flags_runs_the_grace_and_answers_all() -> None:
     world = World(machine(), Random(1))
     first = world.arrive(unread=0, patience=None)
