--- a/ringshift/benchlink/hosts.py
+++ b/ringshift/benchlink/hosts.py
@@ -91,5 +91,3 @@
             except Exception as bug:
                 output.append({"Die": {"who": who, "reason_text": f"{type(bug).__name__}: {bug}"}})
         return output
-
-
--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -536,8 +536,8 @@
             self.out.append(face.Advertise(amount))
 
     def credit(self, share: float) -> float:
-        """A caller's part of what is run and held; one that comes twice in a row tells how many they are. Dealt in
-        turn none does, yet they are no more than told. A part under one would have callers skip idle servers."""
+        """A caller's part of what is run and held; one that comes twice in a row tells how many. Dealt in
+        turn none does, yet they are no more than told. A part under one has callers skip idle servers."""
         mean = sum(line.core.mean(self.now) for line in self.lines) / len(self.lines)
         total = self.limit * (1 + min(map(self.patience, self.lines)) / mean)
         total += self.count[State.STANDING] + self.count[State.CALLING]
--- a/ringshift/lifecycle/clock.py
+++ b/ringshift/lifecycle/clock.py
@@ -6,7 +6,7 @@
 
 
 class Clock:
-    """Starts at Unix time and goes on with the monotonic clock: a step of the system's time moves no timer."""
+    """Starts at Unix time and goes on with the monotonic clock: a step of the system's time moves none."""
 
     __slots__ = ("offset",)
 
--- a/ringshift/lifecycle/configuration.py
+++ b/ringshift/lifecycle/configuration.py
@@ -74,12 +74,13 @@
     except ValueError as wrong:
         raise Malformed(f"settings: {wrong}") from None
     if any(op.effect is Effect.TOKENED for op in machine.operations):
-        raise Malformed("settings: classes: effect: keyed: requests on sockets carry no token to know repeats by")
+        raise Malformed("settings: classes: effect: keyed: requests on sockets carry no token")
     if machine.dependency.kind is not Below.NONE:
         raise Malformed("settings: extra: below: the agent of this protocol places no calls")
+    listen = environ.get("PROXY_LISTEN") or need(told, "listen", "configuration", str)
     return Backend(
         name=environ.get("PROXY_NAME") or need(told, "name", "configuration", str),
-        listen=read_address(environ.get("PROXY_LISTEN") or need(told, "listen", "configuration", str), "listen"),
+        listen=read_address(listen, "listen"),
         agent=read_address(need(told, "agent", "configuration", str), "agent"),
         announce=read_address(need(told, "announce", "configuration", str), "announce"),
         seed=read_seed(told.get("seed", 0)),
--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -43,7 +43,7 @@
 
 
 P, H = Phase, Happening
-# phase, event -> next phase, what is done. What is missing changes nothing: a second notice, a link made anew.
+# phase, event -> next phase, what is done. What is missing changes nothing, such as a second notice.
 PHASES: dict[tuple[Phase, Happening], tuple[Phase, tuple[str, ...]]] = {
     (P.STARTING, H.LISTENS): (P.WAITING, ()),
     (P.STARTING, H.TOLD): (P.CLOSED, ("finish",)),
@@ -66,7 +66,8 @@
         self.clock, random = Clock(), Random(backend.seed)
         self.announcer = Announcer(backend.announce, backend.name)
         self.agent = Agent(backend.agent, random)
-        self.owner = Owner(backend.machine, backend.deep_checks, backend.seed, self.clock, self.agent, self.ready)
+        self.owner = Owner(backend.machine, backend.deep_checks, backend.seed, self.clock, self.agent,
+                           self.ready, self.close_idle)  # fmt: skip
 
     def run(self) -> int:
         """The exit status."""
@@ -80,6 +81,7 @@
             logger.error("listen: {}:{} can't be bound: {}", host, port, wrong.strerror)
             return 1
         if self.phase is Phase.STARTING:
+            logger.info("listening on {}:{}", *self.sidecars.sock.getsockname())
             self.to(Happening.LISTENS)
             owner, agent = gevent.spawn(self.owner.run), self.agent.start(self.owner.post)
             for greenlet in (owner, agent, self.sidecars.accepting):
@@ -101,6 +103,9 @@
         self.announcer.ready = good
         self.to(Happening.GREETED)
 
+    def close_idle(self, after: int) -> None:
+        self.sidecars.idle_after = after / 1e9
+
     def broken(self, greenlet: gevent.Greenlet[..., Any]) -> None:
         logger.error("ended by a bug: {}", repr(greenlet.exception))
         self.to(Happening.BROKEN)
--- a/ringshift/machine.py
+++ b/ringshift/machine.py
@@ -1,4 +1,4 @@
-"""The operators' settings, as they are told at a start, read into a Machine: for the simulator and for sockets."""
+"""The operators' settings, as they are told at a start, read into a Machine: for simulator and sockets."""
 
 from __future__ import annotations
 
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -1,7 +1,7 @@
-"""The one greenlet that holds the module. Socket code reaches it through its queue only; it never waits on a socket.
+"""The one greenlet that holds the module. Socket code reaches it through its queue only.
 
-It takes all that the queue holds as one batch, adds the timers that are due, calls `decide` once and carries the
-actions out in their order.
+It takes all that the queue holds as one batch, adds the timers that are due, calls `decide` once and carries
+the actions out in their order. It never waits on a socket.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from ringshift.lifecycle.logs import counted
 from ringshift.machine import NS_PER_MS
 from ringshift.store.invocations import Invocation, Invocations, Try
+from ringshift.store.results import Results
 from ringshift.wire import calls, news
 from ringshift.wire.news import Door, News
 
@@ -47,12 +48,12 @@
 
 class Owner:
     def __init__(self, machine: face.Machine, deep_checks: bool, seed: int, clock: Clock, agent: Commands,
-                 ready: Callable[[bool], None]) -> None:  # fmt: skip
+                 ready: Callable[[bool], None], idle: Callable[[int], None]) -> None:  # fmt: skip
         self.machine, self.deep_checks, self.seed, self.clock = machine, deep_checks, seed, clock
-        self.agent, self.ready = agent, ready
+        self.agent, self.ready, self.idle = agent, ready, idle
         self.queue: Queue[News] = Queue(MOST_NEWS)
         self.controller: Controller | None = None
-        self.invocations = Invocations()
+        self.invocations, self.results = Invocations(), Results(machine.fresh)
         self.timers: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.order, self.refs = count(), count(1)
         self.sampled_for: dict[str, int] = {}  # sample -> the module's timer that waits for it
@@ -76,7 +77,8 @@
         batch: list[News] = []
         left = (self.timers[0][0] - self.clock.now()) / 1e9 if self.timers else None
         try:
-            batch.append(self.queue.get(timeout=left) if left is None or left > 0 else self.queue.get_nowait())
+            if left is None or left > 0:
+                batch.append(self.queue.get(timeout=left))
             while True:
                 batch.append(self.queue.get_nowait())
         except Empty:
@@ -92,7 +94,7 @@
             if self.leaving_at:
                 self.settled.set()
             return
-        if self.inputs:
+        while self.inputs:  # a reuse ends at once, which is news again
             self.decide(self.clock.now())
         self.look_whether_settled()
 
@@ -103,6 +105,7 @@
             CARRY_OUT[type(action)](self, action)
         for index in self.controller.forgotten:
             inv = self.invocations.drop(index)
+            self.end_repeats(self.results.dropped(index), None)
             if inv is not None and inv.state in (Try.HELD, Try.LAUNCHED):
                 counted.warn("invocation forgotten without an answer", "failed")
                 self.invocations.answer(inv, calls.failed(inv.request, self.fields))
@@ -127,13 +130,15 @@
             counted.warn("request answered as failed", "job id in use")
             item.door.send(item.request, calls.failed(item.request, self.fields, 400))
             return
-        inv = self.invocations.add(item.job, item.operation, item.body, item.door, item.request)
+        inv = self.invocations.add(item.job, item.operation, item.body, item.door, item.request,
+                                   item.item)  # fmt: skip
         unread = self.clock.since(item.came)
         self.inputs.append(face.Arrived(
             inv=inv.index, operation=item.operation, customer=-1,
             patience=None if item.allow is None else max(item.allow - unread, 0),
             cost=0.0, kb=item.kb, rank=item.rank, keyed_read=bool(item.item),
-            caller=item.caller, unread=unread, repeats=None,
+            caller=item.caller, unread=unread,
+            repeats=self.results.original(inv, self.clock.now()),
         ))  # fmt: skip
 
     def on_checked(self, item: news.Checked) -> None:
@@ -162,9 +167,9 @@
     def on_greeted(self, item: news.Greeted) -> None:
         now = self.clock.now()
         if self.controller is None:
-            machine = self.machine if self.machine.cold == item.cold else replace(self.machine, cold=item.cold)
-            self.controller = Controller(machine, self.seed)
-            logger.info("agent greeted after {} ms, {} start", item.took // MS, "cold" if item.cold else "warm")
+            self.controller = Controller(replace(self.machine, cold=item.cold), self.seed)
+            start = "cold" if item.cold else "warm"
+            logger.info("agent greeted after {} ms, {} start", item.took // MS, start)
             self.decide(now - item.took)  # it warms since its own start
             self.ready(self.health[0])
             if self.leaving_at:
@@ -187,7 +192,8 @@
         if item.ref.isdigit():
             self.confirmed = max(self.confirmed, int(item.ref))
         if item.ref == self.barrier:
-            # All that ended meanwhile has been told: what is neither told nor known to have been read is sent again.
+            # All that ended meanwhile has been told: what is neither that nor known to have been read is
+            # sent again.
             self.barrier = ""
             for inv in self.invocations:
                 if inv.launched and self.again_from <= inv.mark < int(item.ref):
@@ -205,7 +211,10 @@
             counted.warn("outcome that belongs to nothing in hand", item.state)
             return
         inv.launched = False
-        if outcome is face.Outcome.SUCCEEDED:
+        good = outcome is face.Outcome.SUCCEEDED
+        self.end_repeats(self.results.ended(inv.index, self.clock.now(), item.result if good else None),
+                         item.result if good else None)  # fmt: skip
+        if good:
             self.invocations.answer(inv, calls.served(inv.request, self.fields, item.result))
         elif outcome is face.Outcome.ERRORED:
             self.invocations.answer(inv, calls.failed(inv.request, self.fields))
@@ -252,7 +261,29 @@
         self.fields = calls.advice(action.amount)
 
     def close_idle(self, action: face.CloseIdle) -> None:
-        pass
+        self.idle(action.after)
+
+    def remember(self, action: face.Remember) -> None:
+        self.results.keep(self.invocations.by_index[action.inv], self.clock.now() + action.ttl)
+
+    def forget(self, action: face.Forget) -> None:
+        self.results.forget(action.inv)
+
+    def reuse(self, action: face.Reuse) -> None:
+        inv = self.invocations.by_index[action.inv]
+        kept = self.results.reuse(inv)
+        if kept is not None:
+            self.end_repeats([inv], kept)
+
+    def end_repeats(self, repeats: list[Invocation], result: bytes | None) -> None:
+        """Those that waited for another's run end as it did."""
+        for inv in repeats:
+            if result is None:
+                self.invocations.answer(inv, calls.failed(inv.request, self.fields))
+            else:
+                self.invocations.answer(inv, calls.served(inv.request, self.fields, result))
+            outcome = face.Outcome.ERRORED if result is None else face.Outcome.SUCCEEDED
+            self.inputs.append(face.Finished(inv.index, outcome, 0))
 
     def wake(self, action: face.Wake) -> None:
         self.timer(self.clock.now() + action.after, self.ask_gauges, action.name)
@@ -278,4 +309,5 @@
 CARRY_OUT: dict[type, Callable[..., None]] = {
     face.Start: Owner.start, face.Halted: Owner.halt, face.Throttle: Owner.throttle, face.Fail: Owner.fail,
     face.Readiness: Owner.tell_health, face.Advertise: Owner.advertise, face.CloseIdle: Owner.close_idle,
+    face.Remember: Owner.remember, face.Forget: Owner.forget, face.Reuse: Owner.reuse,
     face.Wake: Owner.wake, face.Log: Owner.log}  # fmt: skip
--- a/ringshift/store/invocations.py
+++ b/ringshift/store/invocations.py
@@ -1,4 +1,4 @@
-"""Invocations in hand: ids as indices, how far each try is, and the one place that lets a final answer out."""
+"""Invocations in hand: ids as indices, how far each try is, the one place that lets a final answer out."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class Try(Enum):
-    """HELD never ran; LAUNCHED may run; ANSWERED runs on with its answer given; GONE has no caller any more."""
+    """HELD never ran; LAUNCHED may run; ANSWERED runs on with its answer given; GONE has no caller left."""
 
     HELD = "held"
     LAUNCHED = "launched"
@@ -26,6 +26,7 @@
     body: bytes
     door: Door
     request: int
+    item: str = ""
     state: Try = Try.HELD
     launched: bool = False
     mark: int = 0
@@ -47,8 +48,9 @@
         """How many still wait for their answer."""
         return len(self.by_request)
 
-    def add(self, job: str, operation: int, body: bytes, door: Door, request: int) -> Invocation:
-        inv = Invocation(self.next, job, operation, body, door, request)
+    def add(self, job: str, operation: int, body: bytes, door: Door, request: int,
+            item: str = "") -> Invocation:  # fmt: skip
+        inv = Invocation(self.next, job, operation, body, door, request, item)
         self.next += 1
         self.by_job[job] = self.by_index[inv.index] = self.by_request[door, request] = inv
         return inv
--- /dev/null
+++ b/ringshift/store/results.py
@@ -0,0 +1,103 @@
+"""Reads that may serve others: found by operation and item, with the result of their run, under a bound."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ringshift.store.invocations import Invocation
+
+MOST_ENTRIES = 4096
+MOST_BYTES = 8 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class Entry:
+    index: int
+    until: int
+    ended: int = 0
+    """When its run ended well; 0 while it has not."""
+    result: bytes = b""
+    waiting: list[Invocation] = field(default_factory=list)
+
+
+class Results:
+    """`fresh` is how long a result may serve others; with 0 nothing is kept."""
+
+    def __init__(self, fresh: int) -> None:
+        self.fresh, self.size = fresh, 0
+        self.entries: dict[tuple[int, str], Entry] = {}
+        self.keys: dict[int, tuple[int, str]] = {}
+
+    def original(self, inv: Invocation, now: int) -> int | None:
+        """Of which kept invocation this one is a repeat."""
+        entry = self.entries.get((inv.operation, inv.item))
+        if entry is None or now >= entry.until or (entry.ended and now > entry.ended + self.fresh):
+            return None
+        return entry.index
+
+    def keep(self, inv: Invocation, until: int) -> None:
+        if not (self.fresh and inv.item):
+            return
+        key = (inv.operation, inv.item)
+        old = self.entries.get(key)
+        if old is not None and old.index == inv.index:
+            old.until = until
+            return
+        if old is not None and not old.waiting:
+            self.remove(key)
+        elif old is not None:
+            return  # others wait for its end: it stays the one that is repeated
+        self.make_room()
+        if len(self.entries) < MOST_ENTRIES:
+            self.entries[key] = Entry(inv.index, until)
+            self.keys[inv.index] = key
+
+    def reuse(self, inv: Invocation) -> bytes | None:
+        """The kept result, or None where it waits for the run to end."""
+        entry = self.entries.get((inv.operation, inv.item))
+        if entry is None:
+            return None
+        if entry.ended:
+            return entry.result
+        entry.waiting.append(inv)
+        return None
+
+    def ended(self, index: int, now: int, result: bytes | None) -> list[Invocation]:
+        """A run ended, with its result where it went well; those that waited for it."""
+        key = self.keys.get(index)
+        if key is None:
+            return []
+        entry = self.entries[key]
+        waiting, entry.waiting = entry.waiting, []
+        if result is None:
+            self.remove(key)
+        else:
+            entry.ended, entry.result = now, result
+            self.size += len(result)
+            self.make_room()
+        return waiting
+
+    def dropped(self, index: int) -> list[Invocation]:
+        """An invocation is over; where it had not ended well those that waited for it are left without."""
+        key = self.keys.get(index)
+        if key is None or self.entries[key].ended:
+            return []
+        return self.ended(index, 0, None)
+
+    def forget(self, index: int) -> None:
+        key = self.keys.get(index)
+        if key is not None and not self.entries[key].waiting:
+            self.remove(key)
+
+    def remove(self, key: tuple[int, str]) -> None:
+        entry = self.entries.pop(key)
+        del self.keys[entry.index]
+        self.size -= len(entry.result)
+
+    def make_room(self) -> None:
+        """The oldest results go first; entries whose run has not ended are bounded by what is in hand."""
+        for key in list(self.entries):
+            if self.size <= MOST_BYTES and len(self.entries) < MOST_ENTRIES:
+                return
+            if self.entries[key].ended:
+                self.remove(key)
--- a/ringshift/wire/__init__.py
+++ b/ringshift/wire/__init__.py
@@ -1,1 +1,1 @@
-"""What is spoken on sockets: FastCGI with sidecars, the agent's link, the announce service. Nothing here decides."""
+"""What is spoken on sockets: FastCGI with sidecars, the agent's link, the announce service. No decisions."""
--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -1,4 +1,4 @@
-"""The link to the agent: JSON objects, one a line. It is made anew whenever it ends, after the last notice read."""
+"""The link to the agent: JSON objects, one a line. When it ends it is made anew, from the last notice."""
 
 from __future__ import annotations
 
@@ -137,7 +137,8 @@
 
 
 def read_sampled(fields: Fields) -> News:
-    gauges = [g if isinstance(g, (int, float)) else None for g in maybe(fields, "gauges", "sampled", list, [])]
+    gauges = maybe(fields, "gauges", "sampled", list, [])
+    gauges = [gauge if isinstance(gauge, (int, float)) else None for gauge in gauges]
     return Sampled(need(fields, "ref", "sampled", str), gauges)
 
 
@@ -146,7 +147,8 @@
 
 
 def read_refusal(fields: Fields) -> News:
-    return CommandRefused(maybe(fields, "state", "refusal", str, ""), maybe(fields, "job", "refusal", str, ""))
+    command, job = (maybe(fields, key, "refusal", str, "") for key in ("state", "job"))
+    return CommandRefused(command, job)
 
 
 def read_aside(fields: Fields) -> None:
--- a/ringshift/wire/calls.py
+++ b/ringshift/wire/calls.py
@@ -39,7 +39,8 @@
     if request.wrong:
         raise Wrong(request.wrong)
     if path == CHECK:
-        return Checked(door, request.id, parse_qs(params.get("QUERY_STRING", "")).get("all", ["0"])[-1] == "1")
+        query = parse_qs(params.get("QUERY_STRING", ""))
+        return Checked(door, request.id, query.get("all", ["0"])[-1] == "1")
     if not path.startswith(CALL):
         raise Wrong("SCRIPT_NAME unknown")
     if params.get("REQUEST_METHOD") != "POST":
--- a/ringshift/wire/fastcgi.py
+++ b/ringshift/wire/fastcgi.py
@@ -1,7 +1,7 @@
 """FastCGI 1.0 in the Responder role: bytes to messages and back, without input or output.
 
-Bytes are read straight into the decoder's buffer (`space`, then `took`); record contents are slices of it. What a
-request has sent stays a slice until the buffer is used again, and is copied only then (`keep`).
+Bytes are read straight into the decoder's buffer (`space`, then `took`); record contents are slices of it.
+What a request has sent stays a slice until the buffer is used again, and is copied only then.
 """
 
 from __future__ import annotations
@@ -229,5 +229,10 @@
             return b""
         return write_pairs({name: value for name, value in known.items() if name in asked})
 
+    @property
+    def partial(self) -> bool:
+        """A record has begun and not ended."""
+        return self.inside or self.stop > self.start
+
     def close(self, number: int) -> None:
         self.open.discard(number)
--- a/ringshift/wire/news.py
+++ b/ringshift/wire/news.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Called:
-    """One try of an invocation. Times are nanoseconds: `came` Unix time, `allow` from then on, None if not told."""
+    """One try of an invocation. Nanoseconds: `came` in Unix time, `allow` from then on, None if not told."""
 
     door: Door
     request: int
@@ -92,5 +92,14 @@
 
 
 News = (
-    Called | Checked | CallerLeft | Greeted | LinkLost | RunEnded | Sampled | Exercised | CommandRefused | ToldToLeave
+    Called
+    | Checked
+    | CallerLeft
+    | Greeted
+    | LinkLost
+    | RunEnded
+    | Sampled
+    | Exercised
+    | CommandRefused
+    | ToldToLeave
 )
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -1,8 +1,11 @@
-"""Sidecars' connections: bytes in, whole requests to the owner's queue, answers out. No decision is made here."""
+"""Sidecars' connections: bytes in, whole requests to the owner's queue, answers out. No decisions."""
 
 from __future__ import annotations
 
 import errno
+import fcntl
+import struct
+import termios
 import time
 from collections.abc import Callable, Mapping
 from contextlib import suppress
@@ -17,11 +20,14 @@
 from ringshift.wire.news import CallerLeft, News
 from ringshift.wire.outbox import Outbox
 
-UNREAD_ANSWERS = 256 * 1024  # bytes: more than all answers a connection can have open, so only no reader fills it
+UNREAD_ANSWERS = 256 * 1024  # bytes: more than all answers to open requests, so that only no reader fills it
+KERNELS_PART = 128 * 1024  # bytes of them that the kernel may hold, which otherwise grows to megabytes
 SILENCE = 30.0  # seconds that a request may stay half sent
-BACKLOG = 1024
-SPARE = 64  # descriptors kept for everything that is no sidecar's connection
+SWEEP = 1.0  # seconds between two looks for idle and half-sent connections
 CROSSING = 0.05  # seconds within which a request may cross a close
+LAST_READ = 0.2  # seconds for the other side's end, as unread bytes would reset what was written
+BACKLOG = 1024
+OWN_DESCRIPTORS = 24  # loop, log, agent, announce service and what they need while they are made anew
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 Post = Callable[[News], None]
 
@@ -30,39 +36,76 @@
     def __init__(self, sock: socket.socket, operations: Mapping[str, int], post: Post,
                  over: Callable[[Connection], None]) -> None:  # fmt: skip
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNELS_PART)
         self.sock, self.operations, self.post, self.over = sock, operations, post, over
         self.decoder = fastcgi.Decoder()
         self.outbox = Outbox(sock, UNREAD_ANSWERS)
         self.finishing: set[int] = set()  # requests after whose answer the connection closes
         self.ended = False
-        self.heard = time.monotonic()
-        self.changed = Event()
+        self.touched = time.monotonic()
+        self.answered = Event()
         self.reader = gevent.spawn(self.run)
 
-    # Called by the owner: never waits.
+    # Called by the owner and the sweep: never waits.
 
     def send(self, request: int, data: bytes) -> None:
         if self.ended or request not in self.decoder.open:
             return
         self.decoder.close(request)
+        self.touched = time.monotonic()
+        self.write(data)
+        self.answered.set()
+        if request in self.finishing:
+            gevent.spawn(self.hang_up)
+
+    def write(self, data: bytes) -> None:
         if not self.outbox.put(data):
             counted.warn("sidecar does not read its answers", "connection closed")
-            self.reader.kill(block=False)
-        self.changed.set()
+            self.close()
+
+    def close(self) -> None:
+        self.reader.kill(block=False)
 
     @property
     def idle(self) -> bool:
         return not self.decoder.open and self.outbox.empty.is_set()
 
+    @property
+    def half_sent(self) -> bool:
+        return bool(self.decoder.coming) or self.decoder.partial
+
+    def unread(self) -> bool:
+        """Bytes lie in the kernel that no one has read: closing now would reset the connection."""
+        size = fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, b"\0\0\0\0")
+        return bool(struct.unpack("i", size)[0])
+
+    def quiet(self, seconds: float) -> bool:
+        still = self.idle and not self.half_sent and time.monotonic() > self.touched + seconds
+        return still and not self.unread()
+
+    def give_half_sent_up(self) -> None:
+        """Requests that never came whole fail alone; the bytes of a record cut short take the connection."""
+        if time.monotonic() > self.touched + SILENCE:
+            self.fail_coming("request half sent, then silence")
+            if self.idle:
+                self.close()
+
+    def fail_coming(self, why: str) -> None:
+        for request in list(self.decoder.coming):
+            del self.decoder.coming[request]
+            self.fail(request, why)
+
+    def fail(self, request: int, why: str) -> None:
+        counted.warn("request answered as failed", why)
+        self.send(request, calls.failed(request, {}, 400))
+
     # The reader.
 
     def run(self) -> None:
         try:
             self.read()
-        except fastcgi.NotFastCGI as wrong:
-            counted.warn("bytes that are not FastCGI", str(wrong))
         except OSError:
-            pass  # reset or timed out: what is open is told as gone below
+            pass  # reset: what is open is told as gone below
         except gevent.GreenletExit:
             pass
         except Exception as bug:
@@ -71,23 +114,25 @@
             self.end()
 
     def read(self) -> None:
-        while True:
-            self.sock.settimeout(SILENCE if self.decoder.coming else None)
-            size = self.sock.recv_into(self.decoder.space())
-            if not size:
-                break
-            self.heard = time.monotonic()
-            for message in self.decoder.took(size):
-                self.handle(message)
-        # The sidecar may have closed its sending side only: what it asked before is still answered.
-        for request in list(self.decoder.coming):
-            self.decoder.close(request)
+        try:
+            while size := self.sock.recv_into(self.decoder.space()):
+                self.touched = time.monotonic()
+                for message in self.decoder.took(size):
+                    self.handle(message)
+                gevent.sleep(0)  # a read that finds bytes never waits: a flood would leave no one a turn
+        except fastcgi.NotFastCGI as wrong:
+            counted.warn("bytes that are not FastCGI", str(wrong))
+        # Nothing more is read, yet what came whole is still answered: the sidecar may have closed its sending
+        # side only.
+        self.fail_coming("connection ended within a request")
         while not (self.idle or self.outbox.broken):
-            self.changed.clear()
-            if self.decoder.open:
-                self.changed.wait()
-            else:
-                self.outbox.empty.wait()
+            self.answered.clear()
+            (self.answered if self.decoder.open else self.outbox.empty).wait()
+        self.sock.shutdown(socket.SHUT_WR)
+        self.sock.settimeout(LAST_READ)
+        for _ in range(64):
+            if not self.sock.recv_into(self.decoder.view):
+                break
 
     def handle(self, message: fastcgi.Message) -> None:
         if isinstance(message, fastcgi.Request):
@@ -96,15 +141,20 @@
             try:
                 self.post(calls.read(message, self, self.operations))
             except calls.Wrong as wrong:
-                counted.warn("request answered as failed", str(wrong))
-                self.send(message.id, calls.failed(message.id, {}, 400))
+                self.fail(message.id, str(wrong))
         elif isinstance(message, fastcgi.Aborted):
-            # The specification wants the end of the request told; as an answer it is neither served nor refused.
+            # The specification wants its end told; as an answer that is neither served nor refused.
             self.decoder.close(message.id)
-            self.outbox.put(fastcgi.end(message.id))
+            self.write(fastcgi.end(message.id))
             self.post(CallerLeft(self, message.id))
-        elif not self.outbox.put(message.data):
-            self.reader.kill(block=False)
+        else:
+            self.write(message.data)
+            if message.close:
+                gevent.spawn(self.hang_up)
+
+    def hang_up(self) -> None:
+        self.outbox.empty.wait()
+        self.close()
 
     def end(self) -> None:
         if self.ended:
@@ -120,33 +170,38 @@
 class Sidecars:
     """The listening socket and all connections that came through it."""
 
-    def __init__(self, address: tuple[str, int], operations: Mapping[str, int], post: Post, sockets: int) -> None:
-        self.operations, self.post, self.most = operations, post, max(sockets - SPARE, 8)
+    def __init__(self, address: tuple[str, int], operations: Mapping[str, int], post: Post,
+                 sockets: int) -> None:  # fmt: skip
+        self.operations, self.post = operations, post
+        self.most = max(sockets - OWN_DESCRIPTORS, 1)
         self.connections: set[Connection] = set()
         self.room = Event()
+        self.idle_after = 0.0  # seconds; 0 leaves it to the sidecars
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
-        self.sock.listen(BACKLOG)
-        self.accepting = gevent.spawn(self.accept)
+        try:
+            self.sock.bind(address)
+            self.sock.listen(BACKLOG)
+        except OSError:
+            self.sock.close()
+            raise
+        self.accepting, self.sweeping = gevent.spawn(self.accept), gevent.spawn(self.sweep)
 
     def accept(self) -> None:
         while True:
             if len(self.connections) >= self.most:
-                counted.warn("connection table full", f"{len(self.connections)} open; accepting waits")
-                self.room.clear()
-                self.room.wait()
+                self.make_room(f"{len(self.connections)} connections open")
+                continue
             try:
                 sock, _ = self.sock.accept()
             except OSError as wrong:
                 if wrong.errno in NO_ROOM:
-                    counted.warn("no descriptor for a connection", str(wrong))
-                    gevent.sleep(0.05)  # it can't be waited for: the limit is the process's, not this table's
-                    continue
-                if wrong.errno in (errno.ECONNABORTED, errno.EINTR):
-                    continue
-                raise
+                    self.make_room(str(wrong))
+                elif wrong.errno not in (errno.ECONNABORTED, errno.EINTR):
+                    raise
+                continue
             self.add(sock)
+            gevent.sleep(0)
 
     def add(self, sock: socket.socket) -> None:
         self.connections.add(Connection(sock, self.operations, self.post, self.gone))
@@ -155,10 +210,31 @@
         self.connections.discard(connection)
         self.room.set()
 
+    def make_room(self, why: str) -> None:
+        """The connection that has been idle longest goes; with none, new ones wait in the kernel's queue. The
+        limit is waited for, never spun on."""
+        idle = [connection for connection in self.connections if connection.quiet(CROSSING)]
+        if idle:
+            min(idle, key=lambda connection: connection.touched).close()
+        else:
+            counted.warn("no room for a connection", why)
+        self.room.clear()
+        self.room.wait(CROSSING)
+
+    def sweep(self) -> None:
+        while True:
+            gevent.sleep(SWEEP)
+            for connection in list(self.connections):
+                if connection.half_sent:
+                    connection.give_half_sent_up()
+                elif self.idle_after and connection.quiet(self.idle_after):
+                    connection.close()
+
     def close(self, seconds: float) -> None:
         """Loses nothing that the kernel accepted: what waits to be accepted is, and a connection closes only
         once nothing is open on it and nothing has come for a while, as its unread bytes would reset it."""
         self.accepting.kill()
+        self.sweeping.kill()
         self.sock.settimeout(0.0)
         with suppress(OSError):
             while True:
@@ -167,6 +243,6 @@
         until = time.monotonic() + seconds
         while self.connections and time.monotonic() < until:
             for connection in list(self.connections):
-                if connection.idle and time.monotonic() > connection.heard + CROSSING:
-                    connection.reader.kill(block=False)
-            gevent.sleep(0.005)
+                if connection.quiet(CROSSING):
+                    connection.close()
+            gevent.sleep(CROSSING / 10)
--- /dev/null
+++ b/standins/room.py
@@ -0,0 +1,102 @@
+"""A machine with one backend on it: its agent, the announce service, its configuration and its process."""
+
+from __future__ import annotations
+
+import os
+import sys
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import gevent
+import orjson
+from gevent import subprocess
+from gevent.event import Event
+
+from standins.agent import Agent
+from standins.announce import Announce
+from standins.sidecar import Sidecar
+
+ROOT = Path(__file__).parent.parent
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {"name": "look", "effect": "safe", "aim": 1500.0, "hard_limit": 3000.0, "late_worth": 0.0},
+        {"name": "order", "effect": "unsafe", "aim": 1500.0, "hard_limit": 3000.0, "late_worth": 0.2},
+    ],
+    "extra": {"n_cores": 4, "ram_kb": 60000.0, "run_factor": 8.0, "gauges": ["cpu_busy", "runnable"],
+              "halt": "drop", "advert": "tokens", "upstreams": 3, "real_checks": True},
+    "rules": {"fall_multiple": 8.0, "stop_sending_within": 300.0, "cold_from": 0.2, "ramp_time": 2000.0},
+    "limits": {"retry_after": True, "max_retry_after": 1000.0},
+}  # fmt: skip
+
+
+class Room:
+    def __init__(self, agent: Agent | None = None, /, stop_ms: float = 2000.0, sockets: int = 1024,
+                 settings: dict[str, Any] = SETTINGS, command: tuple[str, ...] = ("-m", "ringshift"),
+                 listen: str = "127.0.0.1:0", **other: Any) -> None:  # fmt: skip
+        self.agent, self.announce = agent or Agent(), Announce()
+        self.folder = tempfile.TemporaryDirectory()
+        told = {"name": "n3", "listen": listen, "agent": self.agent.address,
+                "announce": self.announce.address,
+                "seed": "8c1f30d27a5be964", "stop_ms": stop_ms, "settings": settings,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, **other}  # fmt: skip
+        path = Path(self.folder.name, "config.json")
+        path.write_bytes(orjson.dumps({key: value for key, value in told.items() if value is not None}))
+        self.lines: list[str] = []
+        self.logged = Event()
+        environ = {**os.environ, "PROXY_CONFIG": str(path)}
+        self.process = subprocess.Popen(
+            [sys.executable, *command], cwd=ROOT, env=environ, stderr=subprocess.PIPE
+        )
+        self.reading = gevent.spawn(self.read)
+
+    def __enter__(self) -> Room:
+        return self
+
+    def __exit__(self, *_: Any) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.reading.join(10)
+        self.agent.server.stop(0)
+        self.announce.server.stop(0)
+        self.folder.cleanup()
+
+    def read(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.lines.append(line.decode().rstrip())
+            self.logged.set()
+
+    def line(self, text: str, seconds: float = 10.0) -> str:
+        """The first log line that holds a text, once it is there."""
+
+        def found() -> list[str]:
+            return [line for line in self.lines if text in line]
+
+        self.wait(self.logged, lambda: bool(found()), seconds)
+        return found()[0]
+
+    def wait(self, event: Event, test: Callable[[], bool], seconds: float = 10.0) -> None:
+        with gevent.Timeout(seconds):
+            while not test():
+                event.wait()
+                event.clear()
+
+    def address(self) -> tuple[str, int]:
+        host, _, port = self.line("listening on").rpartition(" ")[2].rpartition(":")
+        return host, int(port)
+
+    def sidecar(self) -> Sidecar:
+        return Sidecar(self.address())
+
+    def serving(self) -> Sidecar:
+        self.line("-> serving")
+        return self.sidecar()
+
+    def ended(self, seconds: float = 10.0) -> int:
+        with gevent.Timeout(seconds):
+            status = self.process.wait()
+            self.reading.join()
+        return int(status)
--- /dev/null
+++ b/tests/test_fastcgi.py
@@ -0,0 +1,151 @@
+"""The codec: plain cases against the specification, and any split of any legal stream."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ringshift.wire import fastcgi
+from ringshift.wire.fastcgi import Aborted, Answer, Decoder, NotFastCGI, Request
+
+
+def feed(decoder: Decoder, pieces: Iterable[bytes]) -> list[object]:
+    """Messages as plain values, taken as the connection takes them: before the buffer is used again."""
+    said: list[object] = []
+    for piece in pieces:
+        while piece:
+            space = decoder.space()
+            size = min(len(space), len(piece))
+            space[:size], piece = piece[:size], piece[size:]
+            for message in decoder.took(size):
+                if isinstance(message, Request):
+                    said.append((message.id, message.keep, message.params, message.body, message.wrong))
+                    decoder.close(message.id)
+                else:
+                    said.append(message)
+                    if isinstance(message, Aborted):
+                        decoder.close(message.id)
+    return said
+
+
+def padded(kind: int, request: int, content: bytes, padding: int) -> bytes:
+    return struct.pack("!BBHHBx", 1, kind, request, len(content), padding) + content + b"\xff" * padding
+
+
+def begin(request: int, role: int = 1, flags: int = 1) -> bytes:
+    return padded(fastcgi.BEGIN, request, struct.pack("!HB5x", role, flags), 0)
+
+
+def test_bytes_of_an_answer() -> None:
+    assert fastcgi.end(258, fastcgi.OVERLOADED) == b"\x01\x03\x01\x02\x00\x08\x00\x00" + b"\0\0\0\0\x02\0\0\0"
+    answer = fastcgi.reply(1, 200, {"X-Advice": "1.5"}, b"\r\n\x00")
+    assert answer.startswith(b"\x01\x06\x00\x01") and answer.endswith(fastcgi.record(6, 1) + fastcgi.end(1))
+    assert b"Status: 200\r\n" in answer and b"X-Advice: 1.5\r\n\r\n\r\n\x00" in answer
+
+
+def test_pairs_have_lengths_of_one_or_four_bytes() -> None:
+    long = "v" * 300
+    data = fastcgi.write_pairs({"a": "", "b": long})
+    assert data == b"\x01\x00a" + b"\x01\x80\x00\x01\x2cb" + long.encode()
+    assert fastcgi.read_pairs(memoryview(data)) == {"a": "", "b": long}
+    for cut in (1, 2, 4, len(data) - 1):
+        with pytest.raises(ValueError):
+            fastcgi.read_pairs(data[:cut])
+
+
+def test_records_of_closed_requests_are_passed_over_and_ids_can_come_again() -> None:
+    decoder = Decoder()
+    call = begin(1) + padded(fastcgi.PARAMS, 1, b"", 3) + padded(fastcgi.STDIN, 1, b"", 0)
+    late = padded(fastcgi.STDIN, 1, b"late", 5) + padded(fastcgi.ABORT, 1, b"", 0)
+    assert feed(decoder, [call, late, call]) == [(1, True, {}, b"", "")] * 2
+    assert not decoder.open and not decoder.partial
+
+
+def test_a_second_begin_of_an_open_request_is_no_fastcgi() -> None:
+    with pytest.raises(NotFastCGI):
+        feed(Decoder(), [begin(1) + begin(1)])
+
+
+def test_oversized_streams_fail_their_request_alone_without_being_kept() -> None:
+    decoder = Decoder()
+    huge = b"".join(padded(fastcgi.STDIN, 1, bytes(60_000), 200) for _ in range(3))
+    heads = [begin(n) + padded(fastcgi.PARAMS, n, b"", 0) for n in (1, 2)]
+    ends = [padded(fastcgi.STDIN, n, b"", 0) for n in (1, 2)]
+    said = feed(decoder, [heads[0] + huge + ends[0], heads[1] + ends[1]])
+    assert [(m[0], m[3], m[4]) for m in said if isinstance(m, tuple)] == [
+        (1, b"", "body over 2 KiB"),
+        (2, b"", ""),
+    ]
+
+
+def test_big_unknown_management_records_are_answered_once() -> None:
+    said = feed(Decoder(), [padded(99, 0, bytes(40_000), 255)])
+    assert said == [Answer(fastcgi.record(fastcgi.UNKNOWN_TYPE, 0, b"\x63" + bytes(7)))]
+
+
+CALLS = st.lists(
+    st.tuples(
+        st.dictionaries(st.sampled_from(["A", "HTTP_X_JOB_ID", "L" * 130]), st.text("ab\xff", max_size=200)),
+        st.binary(max_size=2048), st.booleans(), st.lists(st.integers(0, 2048), max_size=3),
+        st.integers(0, 255), st.sampled_from(["whole", "aborted", "other role"]),
+    ),
+    min_size=1, max_size=6,
+)  # fmt: skip
+
+
+def stream(kind: int, request: int, data: bytes, cuts: list[int], padding: int) -> list[bytes]:
+    at = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
+    pieces = [data[a:b] for a, b in zip(at, at[1:], strict=False)]
+    return [padded(kind, request, piece, padding) for piece in pieces] + [padded(kind, request, b"", padding)]
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(CALLS, st.randoms(use_true_random=False), st.lists(st.integers(1, 4000), max_size=12))
+def test_any_split_of_any_interleaving_decodes_to_the_same_messages(calls, chance, sizes) -> None:  # type: ignore[no-untyped-def]
+    lines: list[list[bytes]] = []
+    wanted: dict[int, object] = {}
+    for request, (params, body, keep, cuts, padding, how) in enumerate(calls, 1):
+        if how == "other role":
+            lines.append([begin(request, 3, keep)])
+            wanted[request] = Answer(fastcgi.end(request, fastcgi.UNKNOWN_ROLE), not keep)
+            continue
+        pairs = stream(fastcgi.PARAMS, request, fastcgi.write_pairs(params), cuts, padding)
+        bodies = stream(fastcgi.STDIN, request, body, cuts, padding)
+        if how == "aborted":
+            lines.append(
+                [begin(request, flags=keep), *pairs, *bodies[:-1], padded(fastcgi.ABORT, request, b"", 0)]
+            )
+            wanted[request] = Aborted(request)
+        else:
+            lines.append([begin(request, flags=keep), *pairs, *bodies])
+            wanted[request] = (request, keep, params, body, "")
+    mixed = []
+    while lines:
+        line = chance.choice(lines)
+        mixed.append(line.pop(0))
+        lines = [rest for rest in lines if rest]
+    data, pieces = b"".join(mixed), []
+    for size in sizes:
+        pieces.append(data[:size])
+        data = data[size:]
+    decoder = Decoder()
+    said = feed(decoder, [*pieces, data])
+    assert sorted(map(repr, said)) == sorted(map(repr, wanted.values()))
+    assert not decoder.coming and not decoder.open and not decoder.partial
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.lists(st.one_of(st.binary(max_size=300),
+                          st.builds(padded, st.integers(0, 12), st.integers(0, 3), st.binary(max_size=40),
+                                    st.integers(0, 9))), max_size=12))  # fmt: skip
+def test_random_bytes_raise_nothing_but_not_fastcgi(pieces: list[bytes]) -> None:
+    decoder = Decoder()
+    try:
+        feed(decoder, pieces)
+    except NotFastCGI:
+        return
+    assert len(decoder.open) <= fastcgi.MOST_OPEN
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,396 @@
+"""The program as it is started in service, spoken to over loopback by stand-ins."""
+
+from __future__ import annotations
+
+import signal
+import struct
+import time
+from typing import Any
+
+import gevent
+import pytest
+
+from ringshift.wire import fastcgi
+from standins.agent import Agent
+from standins.room import SETTINGS, Room
+
+
+def at_once(job: str, kind: str, body: bytes) -> tuple[float, str, bytes]:
+    return 0.0, "good", kind.encode() + b":" + body
+
+
+def job(request: int) -> str:
+    return f"{request:016x}"
+
+
+def test_serves_what_the_agent_made_and_reports_itself() -> None:
+    body = bytes(range(256)) * 8
+    with Room(Agent(at_once)) as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1, "order", body))
+        answer = sidecar.answer(1)
+        assert (answer.status, answer.body) == (200, b"order:" + body)
+        assert float(answer.fields["X-Advice"]) > 0
+        room.wait(room.announce.reported, lambda: "announce n3 true" in room.announce.reports)
+
+
+def test_open_requests_share_a_connection_and_are_answered_in_any_order() -> None:
+    """All that is open belongs to this connection: one more gets OVERLOADED, and none is mixed up."""
+    extra = {**SETTINGS["extra"], "n_cores": 40}
+    with Room(settings={**SETTINGS, "extra": extra}) as room:
+        sidecar = room.serving()
+        for request in range(1, 33):
+            sidecar.send(sidecar.call(request, "order", b"%d" % request))
+        sidecar.send(sidecar.call(33))
+        assert sidecar.answer(33).protocol == fastcgi.OVERLOADED
+        for _ in range(32):
+            room.agent.until(lambda: bool(room.agent.running))
+            id = max(room.agent.running)  # the last one first
+            room.agent.finish(id, result=room.agent.launched(id)[0])
+            answer = sidecar.answer(int(id, 16))
+            assert (answer.status, answer.body) == (200, b"%d" % int(id, 16))
+
+
+def test_abort_ends_the_request_and_its_result_goes_nowhere() -> None:
+    with Room() as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1))
+        room.agent.until(lambda: bool(room.agent.launches))
+        sidecar.send(fastcgi.record(fastcgi.ABORT, 1))
+        assert sidecar.answer(1).status == 0
+        room.agent.until(lambda: any(c["type"] == "freeze" for c in room.agent.commands))
+        sidecar.send(sidecar.call(1, HTTP_X_JOB_ID=job(2)))
+        room.agent.until(lambda: bool(room.agent.launched(job(2))))
+        room.agent.finish(job(2), result=b"second")
+        assert sidecar.answer(1).body == b"second"
+
+
+def test_what_can_not_end_in_time_is_refused_and_never_launched() -> None:
+    with Room() as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1, HTTP_X_ALLOW_MS="20"))
+        answer = sidecar.answer(1)
+        assert answer.status == 429 and answer.fields["X-Terminal"] == "1" and not room.agent.launches
+
+
+@pytest.mark.parametrize("end", ["bad", "late"])
+def test_what_ran_is_never_refused(end: str) -> None:
+    """429, 503 and OVERLOADED promise that nothing ran: a sidecar would send an order again."""
+    with Room() as room:
+        sidecar = room.serving()
+        for request, operation in ((1, "look"), (2, "order")):
+            sidecar.send(sidecar.call(request, operation, HTTP_X_ALLOW_MS="3000" if end == "bad" else "700"))
+            room.agent.until(lambda request=request: bool(room.agent.launched(job(request))))  # type: ignore[misc]
+            if end == "bad":
+                room.agent.finish(job(request), "bad", b"")
+            answer = sidecar.answer(request)
+            assert answer.status == 500 and answer.protocol == fastcgi.COMPLETE
+
+
+BAD: dict[str, dict[str, Any]] = {
+    "operation unknown": {"operation": "nothing"},
+    "HTTP_X_JOB_ID is not": {"HTTP_X_JOB_ID": "xyz"},
+    "HTTP_X_DOOR_TIME missing": {"HTTP_X_DOOR_TIME": None},
+    "HTTP_X_RAM_KB out of": {"HTTP_X_RAM_KB": "nan"},
+    "HTTP_X_PRECEDENCE is no": {"HTTP_X_PRECEDENCE": "high"},
+    "HTTP_X_ALLOW_MS out of": {"HTTP_X_ALLOW_MS": "-4"},
+    "body over 2 KiB": {"body": bytes(3000)},
+    "params too long": {"HTTP_X_ITEM": "x" * 20_000},
+    "SCRIPT_NAME unknown": {"SCRIPT_NAME": "/other"},
+    "REQUEST_METHOD is not": {"REQUEST_METHOD": "GET"},
+}
+
+
+def test_a_request_that_can_not_be_taken_fails_alone() -> None:
+    """Answered as failed, never launched; a kind of line each, and the connection goes on."""
+    with Room(Agent(at_once)) as room:
+        sidecar = room.serving()
+        for request, (why, wrong) in enumerate(BAD.items(), 1):
+            sidecar.send(sidecar.call(request, **wrong))
+            assert sidecar.answer(request).status == 400, why
+        assert not room.agent.launches
+        assert "operation unknown" in room.line("request answered as failed")
+        sidecar.send(sidecar.call(50))
+        assert sidecar.answer(50).status == 200
+        sidecar.send(sidecar.call(51, HTTP_X_JOB_ID=job(99), HTTP_X_UNKNOWN="1"))
+        assert sidecar.answer(51).status == 200
+
+
+def test_a_job_id_in_use_fails_the_newcomer() -> None:
+    with Room() as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1))
+        room.agent.until(lambda: bool(room.agent.launches))
+        sidecar.send(sidecar.call(2, HTTP_X_JOB_ID=job(1)))
+        assert sidecar.answer(2).status == 400
+        room.agent.finish(job(1))
+        assert sidecar.answer(1).status == 200 and len(room.agent.launches) == 1
+
+
+def test_bytes_that_are_no_fastcgi_end_their_connection_after_what_came_whole() -> None:
+    with Room() as room:
+        first, other = room.serving(), room.sidecar()
+        first.send(first.call(1) + b"GET / HTTP/1.1\r\n\r\n")
+        room.agent.until(lambda: bool(room.agent.launches))
+        room.agent.finish(job(1))
+        assert first.answer(1).status == 200
+        first.until_end()
+        assert "version 71" in room.line("bytes that are not FastCGI")
+        other.send(other.call(2))
+        room.agent.until(lambda: bool(room.agent.launched(job(2))))
+
+
+def test_a_half_closed_connection_still_gets_its_answers() -> None:
+    with Room() as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1) + sidecar.begin(2))
+        sidecar.sock.shutdown(1)
+        room.agent.until(lambda: bool(room.agent.launches))
+        room.agent.finish(job(1), result=b"kept")
+        assert sidecar.answer(1).body == b"kept" and sidecar.answer(2).status == 400
+        sidecar.until_end()
+
+
+def test_without_keep_conn_the_connection_ends_after_its_answer() -> None:
+    with Room() as room:
+        room.line("listening on")
+        sidecar = room.sidecar()
+        sidecar.send(sidecar.check())
+        assert sidecar.answer(1).status == 200
+        sidecar.until_end()
+
+
+def test_an_agent_that_comes_late_is_waited_for() -> None:
+    """Before it checks hear good, nothing is announced; its cold start is told to the module."""
+    with Room(Agent(at_once, up=False, state="new")) as room:
+        sidecar = room.sidecar()
+        sidecar.send(sidecar.check())
+        assert sidecar.answer(1).status == 200 and not room.announce.reports
+        room.agent.up.set()
+        room.line("cold start")
+        other = room.serving()
+        other.send(other.check())
+        assert other.answer(1).status == 503
+        room.wait(room.announce.reported, lambda: "announce n3 false" in room.announce.reports)
+
+
+def test_deep_checks_do_work_and_fail_in_time() -> None:
+    """The module has checks answered from store until runs take far longer than usual: here they hang."""
+    classes = [{"name": "look", "effect": "safe", "aim": 200.0, "hard_limit": 9000.0, "late_worth": 0.2}]
+    with Room(settings={**SETTINGS, "classes": classes}) as room:
+
+        def checked(deep: bool = True) -> int:
+            sidecar = room.sidecar()
+            sidecar.send(sidecar.check(deep=deep))
+            return sidecar.answer(1).status
+
+        def exercised() -> int:
+            return sum(c["type"] == "exercise" for c in room.agent.commands)
+
+        sidecar = room.serving()
+        assert checked() == 200 and not exercised()
+        for request in range(1, 5):
+            sidecar.send(sidecar.call(request, HTTP_X_ALLOW_MS="9000"))
+        with gevent.Timeout(10):
+            while not exercised():
+                assert checked() == 200
+        for room.agent.exercise, status in (("bad", 503), (None, 503)):
+            assert (checked(), checked(deep=False)) == (status, 200)
+        assert exercised() == 3
+
+
+@pytest.mark.parametrize(
+    "last", [b"", b'{"type":"outcome","n":1,"jo', b"what?\n", b'{"type":"odd"}\n', b"[1]\n"]
+)
+def test_a_link_that_ends_anywhere_is_made_anew_and_loses_nothing(last: bytes) -> None:
+    """What ended meanwhile is told from the last number read; what the agent never read is launched again;
+    what it did read is not, as it may have ended in between."""
+    with Room() as room:
+        sidecar, agent = room.serving(), room.agent
+        sidecar.send(sidecar.call(1) + sidecar.call(2, "order"))
+        agent.until(lambda: len(agent.launches) == 2)
+        samples = len(agent.commands)
+        agent.until(lambda: sum(c["type"] == "sample" for c in agent.commands[samples:]) >= 2)
+        agent.notify(type="aside", state="nothing")
+        agent.finish(job(1), result=b"one")
+        assert sidecar.answer(1).body == b"one"
+        agent.cut_link(last)
+        agent.finish(job(2), result=b"two")
+        assert sidecar.answer(2).body == b"two"
+        subscribed = [c["n"] for c in agent.commands if c["type"] == "subscribe"]
+        assert subscribed[:2] == [0, 2]
+        assert [agent.launched(job(n)) for n in (1, 2)] == [[b"body"], [b"body"]]
+        room.line("agent's link ended")
+        sidecar.send(sidecar.call(3))
+        agent.until(lambda: bool(agent.launched(job(3))))
+
+
+def test_due_times_hold_without_a_link() -> None:
+    with Room() as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1, "order", HTTP_X_ALLOW_MS="800"))
+        room.agent.until(lambda: bool(room.agent.launches))
+        room.agent.server.stop(0)
+        room.agent.cut_link()
+        assert sidecar.answer(1, 2).status == 500
+
+
+def test_a_refused_launch_fails_its_request() -> None:
+    with Room() as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1))
+        room.agent.until(lambda: bool(room.agent.launches))
+        room.agent.say({"type": "refusal", "state": "launch", "job": job(1)})
+        assert sidecar.answer(1).status == 500
+        room.line("agent refused a command")
+
+
+def test_a_sidecar_that_does_not_read_loses_its_connection_alone() -> None:
+    """Its answers may fill one outbox, not the memory."""
+    with Room(Agent(lambda job, kind, body: (0.0, "good", bytes(4096)))) as room:
+        slow, other = room.serving(), room.sidecar()
+        values = fastcgi.record(fastcgi.GET_VALUES, 0, fastcgi.write_pairs({"FCGI_MPXS_CONNS": ""}))
+        with pytest.raises(ConnectionError):
+            for _ in range(5000):
+                slow.send(values * 400)
+        room.line("does not read its answers")
+        other.send(other.call(1))
+        assert other.answer(1).status == 200
+
+
+def test_at_the_descriptor_limit_the_longest_idle_connection_makes_room() -> None:
+    with Room(Agent(at_once), sockets=28) as room:
+        idle = [room.serving() for _ in range(4)]
+        for request, sidecar in enumerate(idle, 1):
+            sidecar.send(sidecar.call(request))
+            assert sidecar.answer(request).status == 200
+        sidecar = room.sidecar()
+        sidecar.send(sidecar.call(9))
+        assert sidecar.answer(9).status == 200
+        idle[0].until_end()
+        assert room.process.poll() is None
+
+
+def test_management_records_and_unknown_roles_are_answered() -> None:
+    with Room() as room:
+        room.line("listening on")
+        sidecar = room.sidecar()
+        sidecar.send(
+            fastcgi.record(fastcgi.GET_VALUES, 0, fastcgi.write_pairs({"FCGI_MPXS_CONNS": "", "X": ""}))
+        )
+        sidecar.send(fastcgi.record(77, 0, b"any"))
+        sidecar.send(sidecar.begin(5, role=2))
+        assert sidecar.answer(5).protocol == fastcgi.UNKNOWN_ROLE
+        assert sidecar.other == [
+            (fastcgi.GET_VALUES_RESULT, fastcgi.write_pairs({"FCGI_MPXS_CONNS": "1"})),
+            (fastcgi.UNKNOWN_TYPE, struct.pack("!B7x", 77)),
+        ]
+
+
+# Leaving.
+
+
+def test_leaves_after_what_is_in_hand_and_refuses_what_comes_late() -> None:
+    with Room(stop_ms=5000.0) as room:
+        sidecar, agent = room.serving(), room.agent
+        idle = room.sidecar()
+        sidecar.send(sidecar.call(1, "order"))
+        agent.until(lambda: bool(agent.launches))
+        room.process.send_signal(signal.SIGTERM)
+        room.process.send_signal(signal.SIGTERM)
+        room.line("-> leaving")
+        sidecar.send(sidecar.call(2))
+        agent.until(lambda: bool(agent.launched(job(2))))
+        came = str(int(time.time() * 1000 + 1000))  # a second after the notice, over the grace of 300 ms
+        room.line("leaving: 1 in hand")
+        gevent.sleep(1.05)
+        sidecar.send(sidecar.call(3, HTTP_X_DOOR_TIME=came))
+        late = sidecar.answer(3)
+        assert late.status == 429 and late.fields["X-Wait-Ms"] == "1000" and "X-Terminal" not in late.fields
+        agent.finish(job(1))
+        agent.finish(job(2))
+        assert [sidecar.answer(1).status, sidecar.answer(2).status] == [200, 200]
+        sidecar.until_end()
+        idle.until_end()
+        assert room.ended() == 0 and not agent.launched(job(3))
+        assert sum("told to leave" in line for line in room.lines) == 1
+
+
+def test_all_is_answered_by_the_kill() -> None:
+    with Room(stop_ms=900.0) as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1, "order"))
+        room.agent.until(lambda: bool(room.agent.launches))
+        room.process.send_signal(signal.SIGTERM)
+        assert sidecar.answer(1, 0.9).status == 500
+        assert room.ended(2) == 0
+
+
+def test_a_request_in_the_kernels_backlog_at_the_notice_is_answered() -> None:
+    with Room(Agent(at_once)) as room:
+        room.line("-> serving")
+        room.process.send_signal(signal.SIGSTOP)
+        waiting = [room.sidecar() for _ in range(3)]
+        for sidecar in waiting:
+            sidecar.send(sidecar.call(1, HTTP_X_JOB_ID=job(id(sidecar))))
+        room.process.send_signal(signal.SIGTERM)
+        room.process.send_signal(signal.SIGCONT)
+        assert [sidecar.answer(1).status for sidecar in waiting] == [200] * 3
+        assert room.ended() == 0
+
+
+def test_leaves_at_once_while_the_agent_is_not_up() -> None:
+    with Room(Agent(up=False)) as room:
+        room.line("-> waiting")
+        room.process.send_signal(signal.SIGTERM)
+        assert room.ended(1.5) == 0
+
+
+# What can't be started.
+
+
+@pytest.mark.parametrize("named, wrong", [
+    ("agent: expected an IP address and a port", {"agent": "nowhere"}),
+    ("settings: missing", {"settings": None}),
+    ("settings: cores must be above 0", {"settings": {
+        **SETTINGS, "extra": {**SETTINGS["extra"], "n_cores": 0}}}),
+    ("effect: keyed", {"settings": {**SETTINGS, "classes": [
+        {"name": "a", "effect": "keyed", "aim": 1.0, "hard_limit": 2.0, "window": 3.0}]}}),
+    ("seed: expected hexadecimal digits", {"seed": "what"}),
+    ("stop_ms: expected a number", {"stop_ms": "soon"}),
+])  # fmt: skip
+def test_wrong_configuration_ends_it_with_one_plain_line(named: str, wrong: dict[str, Any]) -> None:
+    with Room(**wrong) as room:
+        assert room.ended() == 2
+        assert len(room.lines) == 1 and named in room.lines[0]
+
+
+def test_an_address_in_use_ends_it_with_one_plain_line() -> None:
+    with Room() as first:
+        host, port = first.address()
+        with Room(listen=f"{host}:{port}") as second:
+            assert second.ended() == 1
+            assert len(second.lines) == 1 and f"listen: {host}:{port} can't be bound" in second.lines[0]
+
+
+def test_a_bug_in_the_owner_ends_the_program() -> None:
+    code = ("import sys, ringshift.owner as o; from ringshift.__main__ import run; "
+            "o.HEARD.pop(o.news.Called); sys.exit(run())")  # fmt: skip
+    with Room(command=("-c", code)) as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1))
+        assert room.ended() == 1
+        room.line("ended by a bug")
+
+
+def test_a_bug_in_a_connection_ends_that_connection() -> None:
+    code = ("import sys, ringshift.wire.calls as c; from ringshift.__main__ import run; read = c.read\n"
+            "def odd(request, *rest): return read(request, *rest) if request.id == 1 else 1 // 0\n"
+            "c.read = odd; sys.exit(run())")  # fmt: skip
+    with Room(Agent(at_once), command=("-c", code)) as room:
+        bad, good = room.serving(), room.sidecar()
+        bad.send(bad.call(2))
+        bad.until_end()
+        room.line("bug in a connection")
+        good.send(good.call(1))
+        assert good.answer(1).status == 200
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -100,7 +100,7 @@
 
 
 def test_hung_cores_turn_work_away_before_any_run_ends() -> None:
-    """A hang, a pause or a machine slowed many times shows in the age of what runs, long before a completion."""
+    """A hang, a pause or a machine slowed many times shows in the age of what runs, before a completion."""
     world = World(machine(operation(objective=3000)), Random(1))
     for _ in range(20):  # teach it what runs take
         world.step([world.arrive(unread=0, patience=None)])
@@ -144,7 +144,9 @@
 
 def test_line_of_little_weight_does_not_fill_that_of_much() -> None:
     """Work worth ten was turned away for a line of work worth one that it would have overtaken."""
-    world = World(machine(operation("low", objective=1800), operation("high", value=10.0, objective=1800)), Random(1))
+    world = World(
+        machine(operation("low", objective=1800), operation("high", value=10.0, objective=1800)), Random(1)
+    )
     world.step([world.arrive(0, unread=0, patience=None, rank=0.49) for _ in range(30)])
     assert kinds(world.step([world.arrive(0, unread=0, patience=None, rank=0.3)]), face.Throttle)
     assert not kinds(world.step([world.arrive(1, unread=0, patience=None, rank=0.5)]), face.Throttle)
@@ -161,7 +163,7 @@
 
 
 def test_told_cost_decides_whether_a_run_still_fits() -> None:
-    """Bulky work was begun on the mean run's word, passed its objective on the cores and was stopped there."""
+    """Bulky work was begun on the mean run's word, passed its objective on the cores and was stopped."""
     world = World(machine(), Random(1))
     for _ in range(20):
         world.step([world.arrive(unread=0, patience=None, cost=100.0)])
@@ -207,9 +209,12 @@
 
 
 @pytest.mark.parametrize("cores, spans, earliest", [
-    (4, [400] * 3 + [300] * 4 + [200] * 14, 2000), (2, [800] * 4 + [600] * 4 + [400] * 13, 3000)])  # fmt: skip
-def test_cold_start_is_unready_until_latency_stops_falling(cores: int, spans: list[int], earliest: int) -> None:
-    """A cold server of two cores ended fewer than eight runs in its first second and was called warm at once."""
+    (4, [400] * 3 + [300] * 4 + [200] * 14, 2000), (2, [800] * 4 + [600] * 4 + [400] * 13, 3000),
+])  # fmt: skip
+def test_cold_start_is_unready_until_latency_stops_falling(
+    cores: int, spans: list[int], earliest: int
+) -> None:
+    """A cold server of two cores ended fewer than eight runs in a second and was called warm at once."""
     world, ready = World(machine(cold=True, cores=cores), Random(1)), []
     for span in spans:
         world.step([world.arrive(unread=0, patience=None) for _ in range(cores)])
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,4 +1,4 @@
-"""A server as loose as the wire allows: any legal news at any time; the rules are checked after every step."""
+"""A server as loose as the wire allows: any legal news at any time; rules are checked after every step."""
 
 from __future__ import annotations
 
@@ -15,16 +15,17 @@
 PROVEN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT)
 
 
-def operation(name: str = "op", effect: Effect = Effect.IDEMPOTENT, calls: bool = False, *, value: float = 1.0,
-              late: float = 0.0, spare: float = 0.0, objective: int = 1500) -> face.Operation:  # fmt: skip
+def operation(name: str = "op", effect: Effect = Effect.IDEMPOTENT, calls: bool = False, *,
+              value: float = 1.0, late: float = 0.0, spare: float = 0.0,
+              objective: int = 1500) -> face.Operation:  # fmt: skip
     return face.Operation(name, effect, objective * MS, 0.0, 4000 * MS, value, late, 5000 * MS, calls, spare)
 
 
 def machine(*operations: face.Operation, below: face.Below = face.Below.NONE, share: float = 20.0,
             **other: object) -> face.Machine:  # fmt: skip
     plain = face.Machine(
-        cores=4, memory_kb=40_000.0, run_factor=8.0, entry_kb=20.0, cold=False, cold_speed=0.25, ramp=10_000 * MS,
-        fall_multiple=8.0, grace=2000 * MS, tick=2 * MS, fleet=5, callers=3, halt=Halt.DROP,
+        cores=4, memory_kb=40_000.0, run_factor=8.0, entry_kb=20.0, cold=False, cold_speed=0.25,
+        ramp=10_000 * MS, fall_multiple=8.0, grace=2000 * MS, tick=2 * MS, fleet=5, callers=3, halt=Halt.DROP,
         advert=face.Advert.WEIGHT, heeded=1000 * MS, fresh=0, longest_pause=1000 * MS, over_quota_share=0.1,
         operations=operations or (operation(),), customers=(), gauges=("cpu_busy", "runnable", "mem_used"),
         dependency=face.Dependency(below, share, 5000 * MS, 200 * MS),
@@ -35,7 +36,8 @@
 def any_machine(chance: Random) -> face.Machine:
     below = chance.choice(list(face.Below))
     operations = [
-        operation(f"op{i}", chance.choice(list(Effect)), below is not face.Below.NONE and chance.random() < 0.7,
+        operation(f"op{i}", chance.choice(list(Effect)),
+                  below is not face.Below.NONE and chance.random() < 0.7,
                   value=chance.choice([1.0, 3.0, 10.0]), late=chance.choice([0.0, 0.2]),
                   spare=chance.choice([0.0, 0.5]), objective=chance.choice([300, 1500, 4000]))
         for i in range(chance.randint(1, 3))
@@ -44,8 +46,9 @@
         *operations, below=below, share=chance.choice([0.3, 1.0, 2.5, 30.0]), cores=chance.choice([1, 2, 6]),
         callers=chance.choice([3, 900]), fleet=chance.choice([5, 300]),
         memory_kb=chance.choice([900.0, 5000.0, 60_000.0]), run_factor=chance.choice([2.0, 16.0]),
-        cold=chance.random() < 0.4, fall_multiple=chance.choice([1.5, 3.0, 8.0]), halt=chance.choice(list(Halt)),
-        advert=chance.choice(list(face.Advert)), fresh=chance.choice([0, 300 * MS]),
+        cold=chance.random() < 0.4, fall_multiple=chance.choice([1.5, 3.0, 8.0]),
+        halt=chance.choice(list(Halt)), advert=chance.choice(list(face.Advert)),
+        fresh=chance.choice([0, 300 * MS]),
         customers=tuple(face.Customer(f"c{i}", 5.0) for i in range(chance.choice([0, 2]))),
     )  # fmt: skip
 
@@ -101,9 +104,10 @@
                 holder, until = s.news.inv, self.now + 1
         known = until > self.now and (spec.effect is Effect.TOKENED or self.m.fresh > 0)
         patience = chance.choice([None, spec.client_timeout, 400 * MS, 5 * MS])
-        news = face.Arrived(self.made, op, chance.randrange(len(self.m.customers)) if self.m.customers else -1,
-                            patience, 0.0, chance.uniform(5, 60), chance.random(), True, chance.randint(0, 2),
-                            unread, holder if known else None)  # fmt: skip
+        customer = chance.randrange(len(self.m.customers)) if self.m.customers else -1
+        news = face.Arrived(self.made, op, customer, patience, 0.0, chance.uniform(5, 60),
+                            chance.random(), True, chance.randint(0, 2), unread,
+                            holder if known else None)  # fmt: skip
         news = replace(news, **other)  # type: ignore[arg-type]
         self.made += 1
         arrived = self.now - news.unread
@@ -137,7 +141,9 @@
                 s.state, s.call = "at call", None
                 news.append(face.CallWanted(s.news.inv))
             elif s.state == "calling" and roll < 0.3:
-                news.append(self.end_call(s, chance.choice([o for o in Outcome if o.value not in ("stopped",)])))
+                news.append(
+                    self.end_call(s, chance.choice([o for o in Outcome if o.value not in ("stopped",)]))
+                )
             elif s.state == "waiting" and roll < 0.1:
                 news.append(self.finish(s))
             elif s.state != "over" and roll > 0.99 and not s.gone:
@@ -188,7 +194,9 @@
                 assert s.arrived <= self.notice + m.grace, "ran what came after the grace"
             for other in self.seen.values() if s.op.effect is Effect.TOKENED else ():
                 if other is not s and other.token == s.token and other.ran:
-                    assert abs(s.arrived - other.arrived) > s.op.window, "a tokened one ran twice in its window"
+                    assert abs(s.arrived - other.arrived) > s.op.window, (
+                        "a tokened one ran twice in its window"
+                    )
             s.state, s.ran, s.since = "running", True, self.now
         elif isinstance(action, face.Throttle | face.Fail):
             assert not s.answered, "answered twice"
@@ -232,7 +240,9 @@
         assert need <= m.memory_kb + 1e-6, "out of memory"
         for s in live:
             assert s.answered or s.gone or self.now <= s.due + SLACK, "lost: not answered by its due time"
-            assert s.answered or s.gone or not self.kill or self.now < self.kill, "drain: not answered by the kill"
+            assert s.answered or s.gone or not self.kill or self.now < self.kill, (
+                "drain: not answered by the kill"
+            )
         if m.cold:
             speed = min(1.0, m.cold_speed + (1 - m.cold_speed) * (self.now - self.born) / m.ramp)
         crowd = (1 + (m.fall_multiple - 1) * speed) * m.cores
@@ -241,4 +251,6 @@
             since = self.now - m.dependency.window
             spans = self.spans + [(s.since, self.now) for s in self.of("calling")]
             held = sum(max(0, min(b, self.now) - max(a, since)) for a, b in spans)
-            assert held <= m.dependency.share * m.dependency.window + MS, "dependency loaded past this server's share"
+            assert held <= m.dependency.share * m.dependency.window + MS, (
+                "dependency loaded past this server's share"
+            )
