--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -20,7 +20,7 @@
 from ringshift.wire.sidecars import Sidecars
 
 BEFORE_KILL = 0.1  # seconds: by then everything is answered, and closing must not be cut off
-CLOSING_TIME = 0.08
+SPARE = 0.02  # what is left of that for the exit itself
 
 
 class Phase(Enum):
@@ -100,7 +100,7 @@
 
     def ready(self, good: bool) -> None:
         """The owner's word for readiness; the first one comes with the agent's greeting."""
-        self.announcer.ready = good
+        self.announcer.tell(good)
         self.to(Happening.GREETED)
 
     def close_idle(self, after: int) -> None:
@@ -124,12 +124,13 @@
 
     def leave(self) -> None:
         seconds = self.backend.stop / 1e9
+        self.kill_at = self.clock.now() + self.backend.stop
         self.owner.post(ToldToLeave(self.backend.stop))
         self.owner.settled.wait(seconds - BEFORE_KILL)
         self.to(Happening.SETTLED)
 
     def close(self) -> None:
-        self.sidecars.close(CLOSING_TIME)
+        self.sidecars.close((self.kill_at - self.clock.now()) / 1e9 - SPARE)
         self.to(Happening.ENDED)
 
     def finish(self) -> None:
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -31,6 +31,7 @@
 GAUGES_IN = 20 * MS  # a timer waits this long for its gauges; after that they are told as not known
 CHECK_IN = 1000 * MS  # a deep check whose work does not come back fails
 MOST_CHECKS = 64
+MOST_IN_HAND = 8192  # the program's own memory: some four kilobytes each, whatever the sidecars book
 QUIET = 300 * MS  # leaving early is safe when nothing has come for this long after the grace
 
 OUTCOMES = {"good": face.Outcome.SUCCEEDED, "bad": face.Outcome.ERRORED,
@@ -123,7 +124,7 @@
 
     def on_called(self, item: news.Called) -> None:
         self.heard = self.clock.now()
-        if self.controller is None:
+        if self.controller is None or len(self.invocations.by_index) >= MOST_IN_HAND:
             item.door.send(item.request, calls.refused(item.request, self.fields, 0, False))
             return
         if item.job in self.invocations.by_job:
--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -4,6 +4,7 @@
 
 from base64 import b64decode, b64encode
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from random import Random
 from typing import Any
 
@@ -14,10 +15,10 @@
 
 from ringshift.lifecycle.logs import counted
 from ringshift.machine import Malformed, maybe, need, ns
+from ringshift.wire.lines import Lines, TooLong
 from ringshift.wire.news import CommandRefused, Exercised, Greeted, LinkLost, News, RunEnded, Sampled
-from ringshift.wire.outbox import Outbox
+from ringshift.wire.outbox import Budget, Outbox
 
-LONGEST_LINE = 64 * 1024
 UNSENT = 1024 * 1024  # bytes of commands
 FIRST_WAIT, LONGEST_WAIT = 0.02, 1.0  # seconds between two tries to connect
 CONNECTING = 2.0
@@ -38,8 +39,11 @@
     # Called by the owner: never waits. Without a link a command is dropped; the owner repeats what matters.
 
     def say(self, **fields: Any) -> None:
-        if self.outbox is not None:
-            self.outbox.put(orjson.dumps(fields) + b"\n")
+        if self.outbox is not None and not self.outbox.put(orjson.dumps(fields) + b"\n"):
+            # Commands can't be left out one by one: the link is made anew and what matters is repeated.
+            with suppress(OSError):
+                self.outbox.sock.shutdown(socket.SHUT_RDWR)
+            self.outbox = None
 
     def launch(self, job: str, operation: str, body: bytes) -> None:
         self.say(type="launch", job=job, kind=operation, data=b64encode(body).decode())
@@ -74,23 +78,23 @@
         greeted = False
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        outbox = Outbox(sock, UNSENT)
+        outbox = Outbox(sock, UNSENT, Budget(UNSENT))
         outbox.put(orjson.dumps({"type": "subscribe", "n": self.read_up_to}) + b"\n")
         why = "closed by the agent"
         try:
-            rest = b""
-            while data := sock.recv(65536):
-                *lines, rest = (rest + data).split(b"\n")
-                if len(rest) > LONGEST_LINE:
-                    raise Malformed("line longer than any notice")
-                for line in lines:
+            lines = Lines()
+            while size := sock.recv_into(lines.space()):
+                for line in lines.took(size):
                     news = self.read(line)
                     if isinstance(news, Greeted):
                         greeted, self.outbox = True, outbox
                     if news is not None:
                         self.post(news)
+                gevent.sleep(0)  # as in sidecars: a read that finds bytes never waits
         except OSError as wrong:
             why = str(wrong)
+        except TooLong:
+            why = "a line longer than any notice"
         except Malformed as wrong:
             why = f"not a notice: {wrong}"
         finally:
@@ -102,13 +106,13 @@
             self.post(LinkLost())
         return greeted
 
-    def read(self, line: bytes) -> News | None:
+    def read(self, line: memoryview) -> News | None:
         try:
             fields = orjson.loads(line)
         except orjson.JSONDecodeError:
-            raise Malformed(repr(line[:80])) from None
+            raise Malformed(repr(bytes(line[:80]))) from None
         if not isinstance(fields, dict):
-            raise Malformed(repr(line[:80]))
+            raise Malformed(repr(bytes(line[:80])))
         kind = fields.get("type")
         if kind not in NOTICES:
             raise Malformed(f"type {kind!r}")
--- a/ringshift/wire/announce.py
+++ b/ringshift/wire/announce.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from ringshift.lifecycle.logs import counted
 
@@ -15,12 +16,18 @@
 class Announcer:
     def __init__(self, address: tuple[str, int], name: str) -> None:
         self.address, self.name, self.ready = address, name, True
+        self.changed = Event()
         self.reporting: gevent.Greenlet[..., Any] | None = None
 
     def start(self) -> None:
         if self.reporting is None:
             self.reporting = gevent.spawn(self.report)
 
+    def tell(self, ready: bool) -> None:
+        if ready != self.ready:
+            self.ready = ready
+            self.changed.set()
+
     def stop(self) -> None:
         if self.reporting is not None:
             self.reporting.kill(block=False)
@@ -32,4 +39,5 @@
                     sock.sendto(f"announce {self.name} {str(self.ready).lower()}".encode(), self.address)
                 except OSError as wrong:
                     counted.warn("announce service can't be reached", str(wrong))
-                gevent.sleep(EVERY)
+                self.changed.wait(EVERY)
+                self.changed.clear()
--- a/ringshift/wire/fastcgi.py
+++ b/ringshift/wire/fastcgi.py
@@ -22,6 +22,7 @@
 MOST_PARAMS = 8 * 1024
 MOST_BODY = 2 * 1024
 MOST_PAIRS = 64
+MOST_COMING = 64 * 1024  # bytes of one connection's requests that are not whole yet
 
 
 class NotFastCGI(Exception):
@@ -40,6 +41,11 @@
     params: dict[str, str] | None = None
     wrong: str = ""
 
+    def fail(self, why: str) -> None:
+        """Its end is still awaited, what it sent is not kept."""
+        self.wrong = self.wrong or why
+        self.parts, self.bodies = [], []
+
     @property
     def body(self) -> bytes:
         """A copy: it must outlive the buffer, as the agent gets it when the module says so."""
@@ -205,20 +211,24 @@
         if len(part):
             request.sizes[body] += len(part)
             if request.sizes[body] > (MOST_BODY if body else MOST_PARAMS):
-                request.wrong = request.wrong or ("body over 2 KiB" if body else "params too long")
-            elif request.params is None or body:
+                request.fail("body over 2 KiB" if body else "params too long")
+            elif sum(sum(other.sizes) for other in self.coming.values() if not other.wrong) > MOST_COMING:
+                request.fail("too much half sent on one connection")
+            elif not request.wrong and (request.params is None or body):
                 (request.bodies if body else request.parts).append(part)
         elif not body and request.params is None:
             parts = request.parts
             try:
                 request.params = read_pairs(parts[0] if len(parts) == 1 else b"".join(parts))
             except ValueError as wrong:
-                request.params, request.wrong = {}, request.wrong or str(wrong)
+                request.params = {}
+                request.fail(str(wrong))
             request.parts = []
         elif body:
             del self.coming[request.id]
             if request.params is None:
-                request.params, request.wrong = {}, "body before the end of the params"
+                request.params = {}
+                request.fail("body before the end of the params")
             yield request
 
     def values(self, part: memoryview) -> bytes:
--- a/ringshift/wire/outbox.py
+++ b/ringshift/wire/outbox.py
@@ -9,11 +9,18 @@
 from gevent.event import Event
 
 
+class Budget:
+    """What all outboxes of one kind may hold together: many slow readers must not fill the memory either."""
+
+    def __init__(self, left: int) -> None:
+        self.left = left
+
+
 class Outbox:
     """`put` never waits: beyond its bound the other side does not read, and the socket is given up."""
 
-    def __init__(self, sock: socket.socket, most: int) -> None:
-        self.sock, self.most, self.size = sock, most, 0
+    def __init__(self, sock: socket.socket, most: int, budget: Budget) -> None:
+        self.sock, self.most, self.size, self.budget = sock, most, 0, budget
         self.parts: deque[bytes] = deque()
         self.some, self.empty = Event(), Event()
         self.empty.set()
@@ -22,10 +29,10 @@
 
     def put(self, data: bytes) -> bool:
         """False where it was not taken: the socket is broken or full."""
-        if self.broken or self.size + len(data) > self.most:
+        if self.broken or self.size + len(data) > self.most or len(data) > self.budget.left:
             return False
         self.parts.append(data)
-        self.size += len(data)
+        self.took(len(data))
         self.some.set()
         self.empty.clear()
         return True
@@ -39,14 +46,22 @@
                     data = b"".join(self.parts)
                     self.parts.clear()
                     self.sock.sendall(data)
-                    self.size -= len(data)
+                    if not self.broken:
+                        self.took(-len(data))
                 self.empty.set()
         except OSError:
-            self.broken = True
-            self.parts.clear()
-            self.empty.set()
+            self.give_up()
 
-    def close(self) -> None:
+    def took(self, size: int) -> None:
+        self.size += size
+        self.budget.left -= size
+
+    def give_up(self) -> None:
         self.broken = True
         self.parts.clear()
+        self.took(-self.size)
+        self.empty.set()
+
+    def close(self) -> None:
+        self.give_up()
         self.writer.kill(block=False)
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -18,9 +18,10 @@
 from ringshift.lifecycle.logs import counted
 from ringshift.wire import calls, fastcgi
 from ringshift.wire.news import CallerLeft, News
-from ringshift.wire.outbox import Outbox
+from ringshift.wire.outbox import Budget, Outbox
 
 UNREAD_ANSWERS = 256 * 1024  # bytes: more than all answers to open requests, so that only no reader fills it
+ALL_UNREAD = 32 * 1024 * 1024  # bytes, of all connections together
 KERNELS_PART = 128 * 1024  # bytes of them that the kernel may hold, which otherwise grows to megabytes
 SILENCE = 30.0  # seconds that a request may stay half sent
 SWEEP = 1.0  # seconds between two looks for idle and half-sent connections
@@ -34,12 +35,12 @@
 
 class Connection:
     def __init__(self, sock: socket.socket, operations: Mapping[str, int], post: Post,
-                 over: Callable[[Connection], None]) -> None:  # fmt: skip
+                 budget: Budget, over: Callable[[Connection], None]) -> None:  # fmt: skip
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNELS_PART)
         self.sock, self.operations, self.post, self.over = sock, operations, post, over
         self.decoder = fastcgi.Decoder()
-        self.outbox = Outbox(sock, UNREAD_ANSWERS)
+        self.outbox = Outbox(sock, UNREAD_ANSWERS, budget)
         self.finishing: set[int] = set()  # requests after whose answer the connection closes
         self.ended = False
         self.touched = time.monotonic()
@@ -175,7 +176,7 @@
         self.operations, self.post = operations, post
         self.most = max(sockets - OWN_DESCRIPTORS, 1)
         self.connections: set[Connection] = set()
-        self.room = Event()
+        self.room, self.budget = Event(), Budget(ALL_UNREAD)
         self.idle_after = 0.0  # seconds; 0 leaves it to the sidecars
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -204,7 +205,7 @@
             gevent.sleep(0)
 
     def add(self, sock: socket.socket) -> None:
-        self.connections.add(Connection(sock, self.operations, self.post, self.gone))
+        self.connections.add(Connection(sock, self.operations, self.post, self.budget, self.gone))
 
     def gone(self, connection: Connection) -> None:
         self.connections.discard(connection)
@@ -242,7 +243,8 @@
         self.sock.close()
         until = time.monotonic() + seconds
         while self.connections and time.monotonic() < until:
+            last = time.monotonic() > until - CROSSING  # what then crosses is sent again by the sidecar
             for connection in list(self.connections):
-                if connection.quiet(CROSSING):
+                if connection.quiet(0.0 if last else CROSSING):
                     connection.close()
             gevent.sleep(CROSSING / 10)
--- a/standins/room.py
+++ b/standins/room.py
@@ -34,7 +34,7 @@
 class Room:
     def __init__(self, agent: Agent | None = None, /, stop_ms: float = 2000.0, sockets: int = 1024,
                  settings: dict[str, Any] = SETTINGS, command: tuple[str, ...] = ("-m", "ringshift"),
-                 listen: str = "127.0.0.1:0", **other: Any) -> None:  # fmt: skip
+                 listen: str = "127.0.0.1:0", echo: bool = False, **other: Any) -> None:  # fmt: skip
         self.agent, self.announce = agent or Agent(), Announce()
         self.folder = tempfile.TemporaryDirectory()
         told = {"name": "n3", "listen": listen, "agent": self.agent.address,
@@ -44,6 +44,7 @@
         path = Path(self.folder.name, "config.json")
         path.write_bytes(orjson.dumps({key: value for key, value in told.items() if value is not None}))
         self.lines: list[str] = []
+        self.echo = echo
         self.logged = Event()
         environ = {**os.environ, "PROXY_CONFIG": str(path)}
         self.process = subprocess.Popen(
@@ -67,6 +68,8 @@
         assert self.process.stderr is not None
         for line in self.process.stderr:
             self.lines.append(line.decode().rstrip())
+            if self.echo:
+                print(self.lines[-1], flush=True)
             self.logged.set()
 
     def line(self, text: str, seconds: float = 10.0) -> str:
--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -11,6 +11,7 @@
 
 from ringshift.wire import fastcgi
 from ringshift.wire.fastcgi import Aborted, Answer, Decoder, NotFastCGI, Request
+from ringshift.wire.lines import Lines, TooLong
 
 
 def feed(decoder: Decoder, pieces: Iterable[bytes]) -> list[object]:
@@ -87,6 +88,32 @@
     assert said == [Answer(fastcgi.record(fastcgi.UNKNOWN_TYPE, 0, b"\x63" + bytes(7)))]
 
 
+def test_half_sent_requests_of_one_connection_are_bounded_together() -> None:
+    decoder = Decoder()
+    said = feed(decoder, [begin(n) + padded(fastcgi.PARAMS, n, bytes(8000), 0) for n in range(1, 33)])
+    held = sum(len(part) for request in decoder.coming.values() for part in request.parts)
+    assert not said and held <= fastcgi.MOST_COMING and decoder.coming[32].wrong
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(st.lists(st.binary(max_size=50).map(lambda line: line.replace(b"\n", b"")), max_size=20),
+       st.lists(st.integers(1, 90), max_size=20))  # fmt: skip
+def test_any_split_of_lines_reads_as_the_same_lines(wanted: list[bytes], sizes: list[int]) -> None:
+    lines, data, said = Lines(), b"".join(line + b"\n" for line in wanted), []
+    for size in [*sizes, len(data)]:
+        piece, data = data[:size], data[size:]
+        lines.space()[: len(piece)] = piece
+        said += [bytes(line) for line in lines.took(len(piece))]
+    assert said == wanted
+
+
+def test_a_line_without_end_is_given_up() -> None:
+    lines = Lines()
+    with pytest.raises(TooLong):
+        while True:
+            assert not list(lines.took(len(lines.space())))
+
+
 CALLS = st.lists(
     st.tuples(
         st.dictionaries(st.sampled_from(["A", "HTTP_X_JOB_ID", "L" * 130]), st.text("ab\xff", max_size=200)),
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -6,7 +6,9 @@
 from random import Random
 from typing import Any
 
+import gevent
 import pytest
+from gevent import socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -19,6 +21,7 @@
 from ringshift.store.invocations import Invocations, Try
 from ringshift.store.results import MOST_BYTES, MOST_ENTRIES, Results
 from ringshift.wire import news
+from ringshift.wire.outbox import Budget, Outbox
 from tests.world import MS, machine, operation
 
 
@@ -150,6 +153,24 @@
     assert clock.now() >= before and clock.since(real) == 0
 
 
+def test_more_in_hand_than_the_memory_bears_is_refused_unrun(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What sidecars book says nothing of what a try costs this program."""
+    monkeypatch.setattr("ringshift.owner.MOST_IN_HAND", 3)
+    played = Played()
+    played.step(*(played.call(request) for request in range(1, 5)))
+    assert played.status(4) == [429] and len(list(played.owner.invocations)) == 3
+
+
+def test_slow_readers_share_one_budget_and_give_it_back() -> None:
+    budget, (ours, theirs) = Budget(5000), socket.socketpair()
+    first, second = (Outbox(ours, 4000, budget) for _ in range(2))
+    assert [first.put(bytes(3900)), second.put(bytes(3900)), first.put(bytes(200))] == [True, False, False]
+    assert second.put(bytes(1000))
+    second.close()
+    gevent.idle()
+    assert len(theirs.recv(9000)) == 3900 and budget.left == 5000
+
+
 def reads(fresh: int = 300 * MS) -> Played:
     return Played(machine(operation(), fresh=fresh))
 
