No resolver thread, one report socket made at the start, free values never in exponents

Seen: a second thread in the process, from create_connection's look-up of a plain address; a report socket that was made anew could fail at the descriptor limit and end reports silently.

--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -84,7 +84,7 @@
             logger.info("listening on {}:{}", *self.sidecars.sock.getsockname())
             self.to(Happening.LISTENS)
             owner, agent = gevent.spawn(self.owner.run), self.agent.start(self.owner.post)
-            for greenlet in (owner, agent, self.sidecars.accepting):
+            for greenlet in (owner, agent, self.sidecars.accepting, self.sidecars.sweeping):
                 greenlet.link_exception(self.broken)
         self.done.wait()
         return 0 if self.phase is Phase.CLOSED else 1
--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -63,12 +63,14 @@
         wait = FIRST_WAIT
         while True:
             try:
-                sock = socket.create_connection(self.address, CONNECTING)
+                # Not create_connection, which asks a resolver's thread even for plain addresses.
+                with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+                    sock.settimeout(CONNECTING)
+                    sock.connect(self.address)
+                    if self.talk(sock):
+                        wait = FIRST_WAIT
             except OSError as wrong:
                 counted.warn("agent can't be reached", str(wrong))
-            else:
-                if self.talk(sock):
-                    wait = FIRST_WAIT
             # By chance, as all backends of a machine room lose their agents in the same moment.
             gevent.sleep(wait * (0.5 + self.random.random()))
             wait = min(wait * 2, LONGEST_WAIT)
@@ -100,7 +102,6 @@
         finally:
             self.outbox = None
             outbox.close()
-            sock.close()
         counted.warn("agent's link ended", why)
         if greeted:
             self.post(LinkLost())
--- a/ringshift/wire/announce.py
+++ b/ringshift/wire/announce.py
@@ -17,6 +17,7 @@
     def __init__(self, address: tuple[str, int], name: str) -> None:
         self.address, self.name, self.ready = address, name, True
         self.changed = Event()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)  # now, while descriptors are to be had
         self.reporting: gevent.Greenlet[..., Any] | None = None
 
     def start(self) -> None:
@@ -33,11 +34,10 @@
             self.reporting.kill(block=False)
 
     def report(self) -> None:
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            while True:
-                try:
-                    sock.sendto(f"announce {self.name} {str(self.ready).lower()}".encode(), self.address)
-                except OSError as wrong:
-                    counted.warn("announce service can't be reached", str(wrong))
-                self.changed.wait(EVERY)
-                self.changed.clear()
+        while True:
+            try:
+                self.sock.sendto(f"announce {self.name} {str(self.ready).lower()}".encode(), self.address)
+            except OSError as wrong:
+                counted.warn("announce service can't be reached", str(wrong))
+            self.changed.wait(EVERY)
+            self.changed.clear()
--- a/ringshift/wire/calls.py
+++ b/ringshift/wire/calls.py
@@ -68,7 +68,7 @@
 
 
 def advice(amount: float | None) -> dict[str, str]:
-    return {} if amount is None else {"X-Advice": f"{amount:.6g}"}
+    return {} if amount is None else {"X-Advice": f"{amount:.6f}"}
 
 
 def served(request: int, fields: Fields, result: bytes) -> bytes:
