--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -180,9 +180,6 @@
             self.again_from = self.confirmed
             self.barrier = self.sample()
 
-    def on_link_lost(self, _: news.LinkLost) -> None:
-        self.barrier = ""
-
     def sample(self) -> str:
         self.mark = next(self.refs)
         self.agent.sample(str(self.mark))
@@ -303,7 +300,7 @@
 
 HEARD: dict[type, Callable[..., None]] = {
     news.Called: Owner.on_called, news.Checked: Owner.on_checked, news.CallerLeft: Owner.on_caller_left,
-    news.Greeted: Owner.on_greeted, news.LinkLost: Owner.on_link_lost, news.RunEnded: Owner.on_run_ended,
+    news.Greeted: Owner.on_greeted, news.RunEnded: Owner.on_run_ended,
     news.Sampled: Owner.on_sampled, news.Exercised: Owner.end_check,
     news.CommandRefused: Owner.on_command_refused, news.ToldToLeave: Owner.on_told_to_leave}  # fmt: skip
 
--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -16,7 +16,7 @@
 from ringshift.lifecycle.logs import counted
 from ringshift.machine import Malformed, maybe, need, ns
 from ringshift.wire.lines import Lines, TooLong
-from ringshift.wire.news import CommandRefused, Exercised, Greeted, LinkLost, News, RunEnded, Sampled
+from ringshift.wire.news import CommandRefused, Exercised, Greeted, News, RunEnded, Sampled
 from ringshift.wire.outbox import Budget, Outbox
 
 UNSENT = 1024 * 1024  # bytes of commands
@@ -103,8 +103,6 @@
             self.outbox = None
             outbox.close()
         counted.warn("agent's link ended", why)
-        if greeted:
-            self.post(LinkLost())
         return greeted
 
     def read(self, line: memoryview) -> News | None:
--- a/ringshift/wire/news.py
+++ b/ringshift/wire/news.py
@@ -55,11 +55,6 @@
     took: int
 
 
-@dataclass(frozen=True, slots=True)
-class LinkLost:
-    pass
-
-
 @dataclass(frozen=True, slots=True)
 class RunEnded:
     job: str
@@ -91,15 +86,4 @@
     left: int
 
 
-News = (
-    Called
-    | Checked
-    | CallerLeft
-    | Greeted
-    | LinkLost
-    | RunEnded
-    | Sampled
-    | Exercised
-    | CommandRefused
-    | ToldToLeave
-)
+News = Called | Checked | CallerLeft | Greeted | RunEnded | Sampled | Exercised | CommandRefused | ToldToLeave
