--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -27,7 +27,7 @@
     STARTING = "starting"  # nothing listens yet
     WAITING = "waiting"  # listens; the agent has not greeted
     SERVING = "serving"
-    LEAVING = "leaving"  # told to: answers what is there, refuses what comes late
+    LEAVING = "leaving"  # told to: answers what is there, throttles what comes late
     CLOSING = "closing"  # nothing is owed; connections end
     CLOSED = "closed"
     FAILED = "failed"  # a bug, or an address that can't be had
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -108,8 +108,8 @@
             inv = self.invocations.drop(index)
             self.end_repeats(self.results.dropped(index), None)
             if inv is not None and inv.state in (Try.HELD, Try.LAUNCHED):
-                counted.warn("invocation forgotten without an answer", "failed")
-                self.invocations.answer(inv, calls.failed(inv.request, self.fields))
+                counted.warn("invocation forgotten without an answer", "errored")
+                self.invocations.answer(inv, calls.errored(inv.request, self.fields))
 
     def timer(self, at: int, due: Callable[[Any], None], what: Any) -> None:
         heappush(self.timers, (at, next(self.order), due, what))
@@ -125,11 +125,11 @@
     def on_called(self, item: news.Called) -> None:
         self.heard = self.clock.now()
         if self.controller is None or len(self.invocations.by_index) >= MOST_IN_HAND:
-            item.door.send(item.request, calls.refused(item.request, self.fields, 0, False))
+            item.door.send(item.request, calls.throttled(item.request, self.fields, 0, False))
             return
         if item.job in self.invocations.by_job:
-            counted.warn("request answered as failed", "job id in use")
-            item.door.send(item.request, calls.failed(item.request, self.fields, 400))
+            counted.warn("request answered as errored", "job id in use")
+            item.door.send(item.request, calls.errored(item.request, self.fields, 400))
             return
         inv = self.invocations.add(item.job, item.operation, item.body, item.door, item.request,
                                    item.item)  # fmt: skip
@@ -213,9 +213,9 @@
         self.end_repeats(self.results.ended(inv.index, self.clock.now(), item.result if good else None),
                          item.result if good else None)  # fmt: skip
         if good:
-            self.invocations.answer(inv, calls.served(inv.request, self.fields, item.result))
+            self.invocations.answer(inv, calls.succeeded(inv.request, self.fields, item.result))
         elif outcome is face.Outcome.ERRORED:
-            self.invocations.answer(inv, calls.failed(inv.request, self.fields))
+            self.invocations.answer(inv, calls.errored(inv.request, self.fields))
         self.inputs.append(face.Finished(inv.index, outcome, item.took))
 
     def on_command_refused(self, item: news.CommandRefused) -> None:
@@ -242,14 +242,15 @@
 
     def throttle(self, action: face.Throttle) -> None:
         inv = self.invocations.by_index[action.inv]
-        # On sockets a refusal promises that this try never ran: the end of a run that did is a failed answer.
-        data = (calls.refused(inv.request, self.fields, action.pause, action.give_up) if inv.state is Try.HELD
-                else calls.failed(inv.request, self.fields))  # fmt: skip
+        data = calls.throttled(inv.request, self.fields, action.pause, action.give_up)
+        if inv.state is not Try.HELD:
+            # On sockets a throttled answer promises that this try never ran.
+            data = calls.errored(inv.request, self.fields)
         self.invocations.answer(inv, data)
 
     def fail(self, action: face.Fail) -> None:
         inv = self.invocations.by_index[action.inv]
-        self.invocations.answer(inv, calls.failed(inv.request, self.fields))
+        self.invocations.answer(inv, calls.errored(inv.request, self.fields))
 
     def tell_health(self, action: face.Readiness) -> None:
         self.health = action.good, action.stored
@@ -277,9 +278,9 @@
         """Those that waited for another's run end as it did."""
         for inv in repeats:
             if result is None:
-                self.invocations.answer(inv, calls.failed(inv.request, self.fields))
+                self.invocations.answer(inv, calls.errored(inv.request, self.fields))
             else:
-                self.invocations.answer(inv, calls.served(inv.request, self.fields, result))
+                self.invocations.answer(inv, calls.succeeded(inv.request, self.fields, result))
             outcome = face.Outcome.ERRORED if result is None else face.Outcome.SUCCEEDED
             self.inputs.append(face.Finished(inv.index, outcome, 0))
 
--- a/ringshift/wire/calls.py
+++ b/ringshift/wire/calls.py
@@ -11,7 +11,7 @@
 from ringshift.wire.news import Called, Checked, Door
 
 CALL, CHECK = "/call/", "/ping"
-SERVED, REFUSED, FAILED = 200, 429, 500
+SUCCEEDED, THROTTLED, ERRORED = 200, 429, 500
 MOST_KB = 2000.0
 Fields = Mapping[str, str]
 
@@ -71,24 +71,24 @@
     return {} if amount is None else {"X-Advice": f"{amount:.6f}"}
 
 
-def served(request: int, fields: Fields, result: bytes) -> bytes:
-    return fastcgi.reply(request, SERVED, fields, result)
+def succeeded(request: int, fields: Fields, result: bytes) -> bytes:
+    return fastcgi.reply(request, SUCCEEDED, fields, result)
 
 
-def refused(request: int, fields: Fields, pause: int, give_up: bool) -> bytes:
+def throttled(request: int, fields: Fields, pause: int, give_up: bool) -> bytes:
     """Promises that this try never ran."""
     more = dict(fields)
     if pause > 0:
         more["X-Wait-Ms"] = str(-(-pause // NS_PER_MS))
     if give_up:
         more["X-Terminal"] = "1"
-    return fastcgi.reply(request, REFUSED, more)
+    return fastcgi.reply(request, THROTTLED, more)
 
 
-def failed(request: int, fields: Fields, status: int = FAILED) -> bytes:
+def errored(request: int, fields: Fields, status: int = ERRORED) -> bytes:
     """Promises nothing, so it never has a status that does."""
     return fastcgi.reply(request, status, fields)
 
 
 def checked(request: int, fields: Fields, good: bool) -> bytes:
-    return fastcgi.reply(request, SERVED if good else 503, fields)
+    return fastcgi.reply(request, SUCCEEDED if good else 503, fields)
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -97,8 +97,8 @@
             self.fail(request, why)
 
     def fail(self, request: int, why: str) -> None:
-        counted.warn("request answered as failed", why)
-        self.send(request, calls.failed(request, {}, 400))
+        counted.warn("request answered as errored", why)
+        self.send(request, calls.errored(request, {}, 400))
 
     # The reader.
 
@@ -144,7 +144,7 @@
             except calls.Wrong as wrong:
                 self.fail(message.id, str(wrong))
         elif isinstance(message, fastcgi.Aborted):
-            # The specification wants its end told; as an answer that is neither served nor refused.
+            # The specification wants its end told; as an answer that is none of the three.
             self.decoder.close(message.id)
             self.write(fastcgi.end(message.id))
             self.post(CallerLeft(self, message.id))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -110,7 +110,7 @@
             sidecar.send(sidecar.call(request, **wrong))
             assert sidecar.answer(request).status == 400, why
         assert not room.agent.launches
-        assert "operation unknown" in room.line("request answered as failed")
+        assert "operation unknown" in room.line("request answered as errored")
         sidecar.send(sidecar.call(50))
         assert sidecar.answer(50).status == 200
         sidecar.send(sidecar.call(51, HTTP_X_JOB_ID=job(99), HTTP_X_UNKNOWN="1"))
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -38,7 +38,7 @@
     assert sidecar.answer(2).status == 400
     (called,) = heard
     assert isinstance(called, Called)
-    called.door.send(1, calls.served(1, {}, b"kept"))
+    called.door.send(1, calls.succeeded(1, {}, b"kept"))
     assert sidecar.answer(1).body == b"kept"
 
 
@@ -61,7 +61,7 @@
     door.idle_after = 0.05
     idle.until_end()
     assert len(door.connections) == 1
-    heard[0].door.send(1, calls.served(1, {}, b"done"))
+    heard[0].door.send(1, calls.succeeded(1, {}, b"done"))
     assert busy.answer(1).status == 200
     busy.until_end()
 
@@ -71,7 +71,7 @@
     sidecar = Sidecar(door.sock.getsockname())
     sidecar.send(sidecar.call(1) + sidecar.call(2))
     until(lambda: len(heard) == 2)
-    heard[0].door.send(1, calls.served(1, {}, b"unread"))
+    heard[0].door.send(1, calls.succeeded(1, {}, b"unread"))
     sidecar.sock.setsockopt(1, 13, b"\1\0\0\0\0\0\0\0")  # SO_LINGER of none: a reset, not an end
     sidecar.sock.close()
     until(lambda: not door.connections)
@@ -84,7 +84,7 @@
     sidecar.send(sidecar.call(1) + fastcgi.record(fastcgi.ABORT, 1) * 2)
     assert sidecar.answer(1).status == 0
     assert [type(news) for news in heard] == [Called, CallerLeft]
-    heard[0].door.send(1, calls.served(1, {}, b"too late"))
+    heard[0].door.send(1, calls.succeeded(1, {}, b"too late"))
     sidecar.send(sidecar.check(2))
     until(lambda: len(heard) == 3)
     heard[2].door.send(2, calls.checked(2, {}, True))
@@ -101,7 +101,7 @@
     closing = gevent.spawn(door.close, 5.0)
     until(lambda: len(heard) == 3)
     for news in heard:
-        news.door.send(1, calls.refused(1, {}, 0, False))
+        news.door.send(1, calls.throttled(1, {}, 0, False))
     assert [sidecar.answer(1).status for sidecar in waiting] == [429] * 3
     closing.join(10)
 
@@ -118,7 +118,7 @@
     sidecar.send(sidecar.call(2))
     until(lambda: len(heard) == 2)
     for request in (1, 2):
-        heard[0].door.send(request, calls.refused(request, {}, 0, False))
+        heard[0].door.send(request, calls.throttled(request, {}, 0, False))
         assert sidecar.answer(request).status == 429
     sidecar.until_end()
     closing.join(10)
