--- a/ringshift/wire/fastcgi.py
+++ b/ringshift/wire/fastcgi.py
@@ -125,7 +125,7 @@
         self.buffer = bytearray(BUFFER)
         self.view = memoryview(self.buffer)
         self.start = self.stop = 0
-        self.kind = self.request = self.content = self.padding = 0
+        self.kind = self.request = self.content = self.padding = self.skip = 0
         self.inside = False
         self.coming: dict[int, Request] = {}
         self.open: set[int] = set()
@@ -144,37 +144,26 @@
     def took(self, size: int) -> Iterator[Message]:
         self.stop += size
         while True:
+            skipped = min(self.skip, self.stop - self.start)
+            self.start, self.skip = self.start + skipped, self.skip - skipped
+            have = self.stop - self.start
             if not self.inside:
-                if self.stop - self.start < HEADER.size:
+                if have < HEADER.size:
                     return
-                version, self.kind, self.request, self.content, self.padding = HEADER.unpack_from(
-                    self.buffer, self.start
-                )
+                header = HEADER.unpack_from(self.buffer, self.start)
+                version, self.kind, self.request, self.content, self.padding = header
                 if version != VERSION:
                     raise NotFastCGI(f"version {version} where FastCGI has {VERSION}")
-                self.start += HEADER.size
                 self.inside = True
-            have = self.stop - self.start
-            whole = have >= self.content
+                self.start, have = self.start + HEADER.size, have - HEADER.size
             # A record longer than the buffer comes in parts; all others are taken whole.
-            if not whole and (self.content + HEADER.size < BUFFER or have == 0):
+            if have < self.content and (self.content + HEADER.size < BUFFER or not have):
                 return
             part = self.view[self.start : self.start + min(have, self.content)]
-            self.start += len(part)
-            self.content -= len(part)
-            ended = self.content == 0
-            yield from self.record(part, ended)
-            if not ended:
-                continue
-            self.content = 0
-            if self.stop - self.start < self.padding:
-                # The rest of the padding is skipped as an unknown record's content would be.
-                self.kind, self.content, self.padding = 0, self.padding, 0
-                if self.request == MANAGEMENT:
-                    self.request = -1
-                continue
-            self.start += self.padding
-            self.inside = False
+            self.start, self.content = self.start + len(part), self.content - len(part)
+            if not self.content:
+                self.inside, self.skip = False, self.padding
+            yield from self.record(part, not self.inside)
 
     def record(self, part: memoryview, ended: bool) -> Iterator[Message]:
         kind, number = self.kind, self.request
@@ -242,7 +231,7 @@
     @property
     def partial(self) -> bool:
         """A record has begun and not ended."""
-        return self.inside or self.stop > self.start
+        return self.inside or self.stop > self.start or self.skip > 0
 
     def close(self, number: int) -> None:
         self.open.discard(number)
