Servers keep records in one schema, with a command line to gather and check them

After a rush the operators have only free text on standard error to go by. A server now tells what it does and what becomes of its work in one typed, versioned schema: heartbeats with a second's counts by operation, phases, readiness, shedding begun and ended, log lines, gaps as gaps. Two carriers, JSON lines and a SQLite store bounded in bytes, each written by a thread of the system's own behind a queue that drops and counts when full. `ringshift records gather|check|show` takes them, text logs and stores in any state into one incident store; what is no record is refused by name. Clock, log set-up and bounds moved to runtime/, below what uses them. The alignment of clocks and the reading of single runs are begun.

--- a/ringshift/lifecycle/__init__.py
+++ b/ringshift/lifecycle/__init__.py
@@ -1,1 +1,1 @@
-"""From start to exit: configuration, phases, signals, log set-up, exit status."""
+"""From start to exit: configuration, phases, signals, exit status."""
--- a/ringshift/lifecycle/configuration.py
+++ b/ringshift/lifecycle/configuration.py
@@ -12,8 +12,8 @@
 import orjson
 
 from ringshift.interface import Below, Effect, Machine
-from ringshift.lifecycle.bounds import MIB, Bounds, bounds
 from ringshift.machine import Malformed, maybe, need, ns, read_machine
+from ringshift.runtime.bounds import MIB, Bounds, bounds
 
 Address = tuple[str, int]
 
--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -7,15 +7,17 @@
 from enum import Enum
 from random import Random
 from typing import Any
+from zlib import crc32
 
 import gevent
 from gevent.event import Event
 from loguru import logger
 
-from ringshift.lifecycle.clock import Clock
 from ringshift.lifecycle.configuration import Backend, reread
 from ringshift.machine import Malformed
 from ringshift.owner import Owner
+from ringshift.records.watch import Watch
+from ringshift.runtime.clock import Clock
 from ringshift.wire.agent import Agent
 from ringshift.wire.announce import Announcer
 from ringshift.wire.news import ToldToLeave
@@ -23,6 +25,7 @@
 
 BEFORE_KILL = 0.1  # seconds: by then everything is answered, and closing must not be cut off
 LATER = {"settings": "machine", "limits": "bounds"}  # what is made of them is in use
+TOGETHER = 3000.0  # milliseconds over which a fleet's configuration is replaced
 SPARE = 0.02  # what is left of that for the exit itself
 
 
@@ -68,14 +71,14 @@
 
 
 class Program:
-    def __init__(self, backend: Backend, replaced: Event) -> None:
-        self.replaced = replaced
+    def __init__(self, backend: Backend, replaced: Event, watch: Watch) -> None:
+        self.replaced, self.words = replaced, watch
         self.backend, self.phase, self.done = backend, Phase.STARTING, Event()
         self.clock, random = Clock(), Random(backend.seed)
-        self.announcer = Announcer(backend.announce, backend.name)
+        self.announcer = Announcer(backend.announce, backend.name, watch.mark)
         self.agent = Agent(backend.agent, random)
         self.owner = Owner(backend.machine, backend.bounds, backend.deep_checks, backend.seed, self.clock,
-                           self.agent, self.ready, self.close_idle)  # fmt: skip
+                           self.agent, self.ready, self.close_idle, watch)  # fmt: skip
 
     def run(self) -> int:
         """The exit status."""
@@ -104,6 +107,7 @@
             return
         old, (self.phase, effects) = self.phase, step
         logger.info("{}: {} -> {}", event.value, old.value, self.phase.value)
+        self.words.moved(old.value, self.phase.value, event.value)
         for effect in effects:
             getattr(self, effect)()
 
@@ -141,6 +145,8 @@
         self.announcer.move(new.announce)
         self.backend = replace(self.backend, agent=new.agent, announce=new.announce, stop=new.stop)
         logger.info("configuration read: agent {}:{}, announce {}:{}", *new.agent, *new.announce)
+        # A fleet's files are replaced within seconds, which ties clocks that nothing else does.
+        self.words.mark(f"configuration:{crc32(repr((new.machine, new.announce)).encode()):08x}", TOGETHER)
 
     def announce(self) -> None:
         self.announcer.start()
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -18,10 +18,11 @@
 
 from ringshift import interface as face
 from ringshift.control import Controller
-from ringshift.lifecycle.bounds import Bounds
-from ringshift.lifecycle.clock import Clock
-from ringshift.lifecycle.logs import counted
 from ringshift.machine import NS_PER_MS
+from ringshift.records.watch import ERRORED, GONE, SUCCEEDED, THROTTLED, Unwatched, Watch
+from ringshift.runtime.bounds import Bounds
+from ringshift.runtime.clock import Clock
+from ringshift.runtime.logs import counted
 from ringshift.store.invocations import Invocation, Invocations, Try
 from ringshift.store.results import Results
 from ringshift.wire import calls, news
@@ -49,11 +50,12 @@
 class Owner:
     def __init__(self, machine: face.Machine, bounds: Bounds, deep_checks: bool, seed: int, clock: Clock,
                  agent: Commands, ready: Callable[[bool], None],
-                 idle: Callable[[int], None]) -> None:  # fmt: skip
+                 idle: Callable[[int], None], watch: Watch | None = None) -> None:  # fmt: skip
         # Whom to turn away where the program itself holds too much is the module's to say.
         self.machine = replace(machine, in_hand=bounds.in_hand)
         self.deep_checks, self.seed, self.clock = deep_checks, seed, clock
         self.agent, self.ready, self.idle = agent, ready, idle
+        self.watch = watch or Unwatched()
         self.queue: Queue[News] = Queue(bounds.news)
         self.controller: Controller | None = None
         self.invocations, self.results = Invocations(), Results(machine.fresh, bounds.results)
@@ -72,7 +74,15 @@
         """For socket code: waits while the queue is full, which slows reading down."""
         self.queue.put(item)
 
+    def beat(self, due: int) -> None:
+        """In every phase, also where nothing comes: how late it is tells how long this process stood."""
+        now = self.clock.now()
+        self.watch.beat(now, now - due, self.controller)
+        self.timer(now + self.watch.every, self.beat, now + self.watch.every)
+
     def run(self) -> None:
+        if self.watch.every:
+            self.beat(self.clock.now())
         while True:
             self.step(self.wait())
 
@@ -111,7 +121,11 @@
             self.end_repeats(self.results.dropped(index), None)
             if inv is not None and inv.state in (Try.HELD, Try.LAUNCHED):
                 counted.warn("invocation forgotten without an answer", "errored")
-                self.invocations.answer(inv, calls.errored(inv.request, self.fields))
+                self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
+
+    def answer(self, inv: Invocation, data: bytes, how: int) -> None:
+        if self.invocations.answer(inv, data):
+            self.watch.answered(inv.operation, how)
 
     def timer(self, at: int, due: Callable[[Any], None], what: Any) -> None:
         heappush(self.timers, (at, next(self.order), due, what))
@@ -136,6 +150,7 @@
         inv = self.invocations.add(item.job, item.operation, item.body, item.door, item.request,
                                    item.item)  # fmt: skip
         unread = self.clock.since(item.came)
+        self.watch.arrived(item, unread)
         self.inputs.append(face.Arrived(
             inv=inv.index, operation=item.operation, customer=-1,
             patience=None if item.allow is None else max(item.allow - unread, 0),
@@ -165,6 +180,7 @@
     def on_caller_left(self, item: news.CallerLeft) -> None:
         inv = self.invocations.caller_left(item.door, item.request)
         if inv is not None:
+            self.watch.answered(inv.operation, GONE)
             self.inputs.append(face.CallerGone(inv.index))
 
     def on_greeted(self, item: news.Greeted) -> None:
@@ -173,6 +189,7 @@
             self.controller = Controller(replace(self.machine, cold=item.cold), self.seed)
             start = "cold" if item.cold else "warm"
             logger.info("agent greeted after {} ms, {} start", item.took // MS, start)
+            self.watch.greeted(item.cold, item.took)
             self.decide(now - item.took)  # it warms since its own start
             self.ready(self.health[0])
             if self.leaving_at:
@@ -190,6 +207,7 @@
         return str(self.mark)
 
     def on_sampled(self, item: news.Sampled) -> None:
+        self.watch.sampled(item.gauges)
         self.end_timer(item.ref, item.gauges)
         if item.ref.isdigit():
             self.confirmed = max(self.confirmed, int(item.ref))
@@ -214,12 +232,14 @@
             return
         inv.launched = False
         good = outcome is face.Outcome.SUCCEEDED
+        if outcome is not face.Outcome.MOOT:
+            self.watch.ran(inv.operation, item.took, outcome is not face.Outcome.ERRORED)
         self.end_repeats(self.results.ended(inv.index, self.clock.now(), item.result if good else None),
                          item.result if good else None)  # fmt: skip
         if good:
-            self.invocations.answer(inv, calls.succeeded(inv.request, self.fields, item.result))
+            self.answer(inv, calls.succeeded(inv.request, self.fields, item.result), SUCCEEDED)
         elif outcome is face.Outcome.ERRORED:
-            self.invocations.answer(inv, calls.errored(inv.request, self.fields))
+            self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
         self.inputs.append(face.Finished(inv.index, outcome, item.took))
 
     def on_command_refused(self, item: news.CommandRefused) -> None:
@@ -228,7 +248,7 @@
         if item.command == "launch" and inv is not None:
             # An id or body that the agent does not know is a bad client's: told to the module as an errored
             # run, enough of them turned readiness bad for all.
-            self.invocations.answer(inv, calls.errored(inv.request, self.fields))
+            self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
             self.on_run_ended(news.RunEnded(item.job, "gone", 0, b""))
 
     def on_told_to_leave(self, item: news.ToldToLeave) -> None:
@@ -239,6 +259,7 @@
     # What the module decided.
 
     def launch(self, inv: Invocation) -> None:
+        self.watch.launched(inv.operation)
         self.invocations.launch(inv, self.mark)
         self.agent.launch(inv.job, self.machine.operations[inv.operation].name, inv.body)
 
@@ -250,18 +271,19 @@
 
     def throttle(self, action: face.Throttle) -> None:
         inv = self.invocations.by_index[action.inv]
-        data = calls.throttled(inv.request, self.fields, action.pause, action.give_up)
+        data, how = calls.throttled(inv.request, self.fields, action.pause, action.give_up), THROTTLED
         if inv.state is not Try.HELD:
             # On sockets a throttled answer promises that this try never ran.
-            data = calls.errored(inv.request, self.fields)
-        self.invocations.answer(inv, data)
+            data, how = calls.errored(inv.request, self.fields), ERRORED
+        self.answer(inv, data, how)
 
     def fail(self, action: face.Fail) -> None:
         inv = self.invocations.by_index[action.inv]
-        self.invocations.answer(inv, calls.errored(inv.request, self.fields))
+        self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
 
     def tell_health(self, action: face.Readiness) -> None:
         self.health = action.good, action.stored
+        self.watch.ready(action.good)
         self.ready(action.good)
 
     def advertise(self, action: face.Advertise) -> None:
@@ -286,9 +308,9 @@
         """Those that waited for another's run end as it did."""
         for inv in repeats:
             if result is None:
-                self.invocations.answer(inv, calls.errored(inv.request, self.fields))
+                self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
             else:
-                self.invocations.answer(inv, calls.succeeded(inv.request, self.fields, result))
+                self.answer(inv, calls.succeeded(inv.request, self.fields, result), SUCCEEDED)
             outcome = face.Outcome.ERRORED if result is None else face.Outcome.SUCCEEDED
             self.inputs.append(face.Finished(inv.index, outcome, 0))
 
@@ -298,6 +320,7 @@
     def ask_gauges(self, name: int) -> None:
         ref = self.sample()
         self.sampled_for[ref] = name
+        self.watch.asked()
         self.timer(self.clock.now() + GAUGES_IN, self.give_gauges_up, ref)
 
     def give_gauges_up(self, ref: str) -> None:
--- /dev/null
+++ b/ringshift/records/schema.py
@@ -0,0 +1,171 @@
+"""The records' one schema. Written by orjson from these dataclasses, checked by msgspec (`reader.py`).
+
+A record is one JSON object: `ringshift` the schema's version, `server` and `run` who wrote it (a run is one
+process from start to exit), `seq` from 1 without a hole, `at` Unix nanoseconds by that server's wall clock,
+`up` nanoseconds since the run began by its monotonic clock, `kind`, and `body`, one of the types below. Two
+clocks, since only their difference shows a wall clock that stepped, and `up` a process that stood still.
+Dataclasses and not msgspec's own structures: the backend writes records without importing more than it did.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+VERSION = 1
+MOST_BYTES = 64 * 1024  # of one record: a longer one is no record of ours
+MOST_STAMPS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    version: str
+    listen: str
+    operations: tuple[str, ...]
+    cores: int
+    stop_ms: float
+    stamps: str = "machine"
+    """Whose clock the callers' stamps are of: `machine`, this server's own, or `sender`, the caller's."""
+    role: str = "server"
+    """`server`, or `observer` for who watches servers, as an announce service does."""
+
+
+@dataclass(frozen=True, slots=True)
+class Phase:
+    old: str
+    new: str
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Greeted:
+    cold: bool
+    took_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    good: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """One operation in one span; `ran_ms` is the sum over `ran` runs, `held` and `level` are at its end."""
+
+    operation: str
+    arrived: int = 0
+    succeeded: int = 0
+    throttled: int = 0
+    errored: int = 0
+    gone: int = 0
+    launched: int = 0
+    ran: int = 0
+    ran_ms: float = 0.0
+    failed_runs: int = 0
+    held: int = 0
+    level: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Stamp:
+    caller: int
+    least_ms: float
+    """The least difference of the own wall clock and the caller's stamp, over the span."""
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Second:
+    """The heartbeat: what was done since the one before, and what the module believes at its end."""
+
+    span_ms: float
+    counts: tuple[Counts, ...]
+    running: int = 0
+    limit: float = 0.0
+    door: float = 1.0
+    pressure: float = 0.0
+    slowness: float = 1.0
+    memory_kb: float = 0.0
+    again: int = 0
+    """Arrivals that repeat what the same caller sent in the seconds before."""
+    callers: int = 0
+    unread_ms: float = 0.0
+    """The mean time that arrivals lay unread."""
+    asked: int = 0
+    sampled: int = 0
+    """Gauges asked of the agent and answered."""
+    wanting: float = -1.0
+    lag_ms: float = 0.0
+    """The most that a beat came late: so long this process was kept from the core."""
+    stamps: tuple[Stamp, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Shedding:
+    operation: str
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """A log line; `count` tells how many there were of its kind since the last, 1 where it is not counted."""
+
+    level: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """Something that others see as well, under the same token, true times at most `spread_ms` apart."""
+
+    token: str
+    spread_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Saw:
+    """An observer's word on a server: `announced` (with what it told), `listed`, `lapsed`."""
+
+    server: str
+    what: str
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """The carrier was full, or the store made room: that many records from `first` on are not there."""
+
+    count: int
+    first: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    status: int
+    owed: int
+
+
+Body = Started | Phase | Greeted | Ready | Second | Shedding | Said | Mark | Saw | Dropped | Ended
+KINDS: dict[str, type] = {
+    "started": Started, "phase": Phase, "greeted": Greeted, "ready": Ready, "second": Second,
+    "shedding": Shedding, "said": Said, "mark": Mark, "saw": Saw, "dropped": Dropped, "ended": Ended,
+}  # fmt: skip
+NAMES: dict[type, str] = {kind: name for name, kind in KINDS.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    server: str
+    run: str
+    seq: int
+    at: int
+    up: int
+    body: Body
+
+    @property
+    def kind(self) -> str:
+        return NAMES[type(self.body)]
+
+    @property
+    def ref(self) -> str:
+        return f"{self.server}/{self.run}/{self.seq}"
--- /dev/null
+++ b/ringshift/settings/operators.py
@@ -0,0 +1,72 @@
+"""The operators' TOML file, read by msgspec into typed structures; errors name file, line and field."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from ringshift.machine import Malformed
+
+
+class RecordKeeping(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    lines: bool = False
+    """JSON lines on standard error."""
+    folder: str = ""
+    """Where the store of this server's records lies; empty where there is no lasting disk."""
+    most_mb: float = 64.0
+    """What the store may take; beyond it the oldest records go first."""
+    stamps: Literal["machine", "sender"] = "machine"
+    """Whose clock callers stamp requests with; `sender` lets their stamps tie the servers' clocks."""
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.most_mb <= 1_000_000:
+            raise ValueError("most_mb must lie from 1 to 1000000")
+
+
+class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    records: RecordKeeping = RecordKeeping()
+
+
+def read_operators(path: str) -> Operators:
+    """Raises Malformed with one line."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+        return msgspec.convert(tomllib.loads(text), Operators)
+    except OSError as wrong:
+        raise Malformed(f"{path}: {wrong.strerror}") from None
+    except UnicodeDecodeError:
+        raise Malformed(f"{path}: not UTF-8") from None
+    except tomllib.TOMLDecodeError as wrong:
+        # At the end of the file the parser names no line.
+        told = str(wrong).replace("at end of document", f"at line {len(text.splitlines()) + 1}, the end")
+        raise Malformed(f"{path}: {told}") from None
+    except msgspec.ValidationError as wrong:
+        raise Malformed(f"{path}: {where(text, str(wrong))}") from None
+
+
+def where(text: str, wrong: str) -> str:
+    """The line of the field that msgspec names by path, or by name where it is unknown."""
+    told, _, path = wrong.partition(" - at `$")
+    keys = re.findall(r"[A-Za-z_]\w*", path)
+    if not keys and not path or "unknown field" in told:
+        keys += re.findall(r"`(\w+)`", told)
+    if not keys:
+        keys = [word for word in re.findall(r"\w+", told) if word in RecordKeeping.__struct_fields__][:1]
+    elif len(keys) == 1:
+        keys += [word for word in re.findall(r"\w+", told) if word in RecordKeeping.__struct_fields__][:1]
+    field = ".".join(keys)
+    table = ""
+    for number, line in enumerate(text.splitlines(), 1):
+        if heading := re.match(r"\s*\[\s*([\w.]+)\s*\]", line):
+            table = heading[1]
+            if table == field:
+                return f"line {number}: {field}: {told}"
+        elif named := re.match(r"\s*([\w.]+)\s*=", line):
+            name = f"{table}.{named[1]}" if table else named[1]
+            if name == field:
+                return f"line {number}: {field}: {told}"
+    return f"{field}: {told}" if field else told
--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -14,9 +14,9 @@
 from gevent.event import Event
 from loguru import logger
 
-from ringshift.lifecycle.bounds import Budget
-from ringshift.lifecycle.logs import counted
 from ringshift.machine import Malformed, maybe, need, ns
+from ringshift.runtime.bounds import Budget
+from ringshift.runtime.logs import counted
 from ringshift.wire.lines import Lines, TooLong
 from ringshift.wire.news import CommandRefused, Exercised, Greeted, News, RunEnded, Sampled
 from ringshift.wire.outbox import Outbox
--- a/ringshift/wire/announce.py
+++ b/ringshift/wire/announce.py
@@ -2,20 +2,28 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import gevent
 from gevent import socket
 from gevent.event import Event
 
-from ringshift.lifecycle.logs import counted
+from ringshift.runtime.logs import counted
 
+SENT = 5.0  # milliseconds between sending and its record
 EVERY = 0.3  # seconds: with a quarter lost and a lapse after three, less than one lapse a day
 
 
+def report_token(name: str, port: int, changes: int, word: str) -> str:
+    """By which the one who sent a changed report and the one who heard it know the same event."""
+    return f"report {name} {port} {changes} {word}"
+
+
 class Announcer:
-    def __init__(self, address: tuple[str, int], name: str) -> None:
-        self.address, self.name, self.ready = address, name, True
+    def __init__(self, address: tuple[str, int], name: str,
+                 mark: Callable[[str, float], None] | None = None) -> None:  # fmt: skip
+        self.address, self.name, self.ready, self.mark = address, name, True, mark
         self.changed = Event()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)  # now, while descriptors are to be had
         self.reporting: gevent.Greenlet[..., Any] | None = None
@@ -40,9 +48,14 @@
             self.reporting.kill(block=False)
 
     def report(self) -> None:
+        told, changes = None, 0
         while True:
+            word = str(self.ready).lower()
             try:
-                self.sock.sendto(f"announce {self.name} {str(self.ready).lower()}".encode(), self.address)
+                self.sock.sendto(f"announce {self.name} {word}".encode(), self.address)
+                if word != told and self.mark is not None:
+                    told, changes = word, changes + 1
+                    self.mark(report_token(self.name, self.sock.getsockname()[1], changes, word), SENT)
             except OSError as wrong:
                 counted.warn("announce service can't be reached", str(wrong))
             self.changed.wait(EVERY)
--- a/ringshift/wire/fastcgi.py
+++ b/ringshift/wire/fastcgi.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from ringshift.lifecycle.bounds import Budget
+from ringshift.runtime.bounds import Budget
 
 VERSION, HEADER = 1, struct.Struct("!BBHHBx")
 BEGIN, ABORT, END, PARAMS, STDIN, STDOUT = 1, 2, 3, 4, 5, 6
--- a/ringshift/wire/outbox.py
+++ b/ringshift/wire/outbox.py
@@ -9,7 +9,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from ringshift.lifecycle.bounds import Budget
+from ringshift.runtime.bounds import Budget
 
 
 class Outbox:
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -15,8 +15,8 @@
 from gevent.event import Event
 from loguru import logger
 
-from ringshift.lifecycle.bounds import Bounds, Budget
-from ringshift.lifecycle.logs import counted
+from ringshift.runtime.bounds import Bounds, Budget
+from ringshift.runtime.logs import counted
 from ringshift.wire import calls, fastcgi
 from ringshift.wire.news import CallerLeft, News
 from ringshift.wire.outbox import Outbox
--- a/standins/room.py
+++ b/standins/room.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 import sys
 import tempfile
@@ -35,7 +36,8 @@
 class Room:
     def __init__(self, agent: Agent | None = None, /, stop_ms: float = 2000.0, sockets: int = 1024,
                  settings: dict[str, Any] = SETTINGS, command: tuple[str, ...] = ("-m", "ringshift"),
-                 listen: str = "127.0.0.1:0", echo: bool = False, **other: Any) -> None:  # fmt: skip
+                 listen: str = "127.0.0.1:0", echo: bool = False,
+                 environ: dict[str, str] | None = None, **other: Any) -> None:  # fmt: skip
         self.agent, self.announce = agent or Agent(), Announce()
         self.folder = tempfile.TemporaryDirectory()
         told = {"name": "n3", "listen": listen, "agent": self.agent.address,
@@ -48,7 +50,7 @@
         self.lines: list[str] = []
         self.echo = echo
         self.logged = Event()
-        environ = {**os.environ, "PROXY_CONFIG": str(self.path)}
+        environ = {**os.environ, "PROXY_CONFIG": str(self.path), **(environ or {})}
         self.process = subprocess.Popen(
             [sys.executable, *command], cwd=ROOT, env=environ, stderr=subprocess.PIPE
         )
@@ -95,8 +97,9 @@
                 event.clear()
 
     def address(self) -> tuple[str, int]:
-        host, _, port = self.line("listening on").rpartition(" ")[2].rpartition(":")
-        return host, int(port)
+        found = re.search(r"listening on ([0-9.]+):([0-9]+)", self.line("listening on"))
+        assert found is not None
+        return found[1], int(found[2])
 
     def sidecar(self) -> Sidecar:
         return Sidecar(self.address())
--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ringshift.lifecycle.bounds import Budget
+from ringshift.runtime.bounds import Budget
 from ringshift.wire import fastcgi
 from ringshift.wire.fastcgi import Aborted, Answer, Decoder, NotFastCGI, Request
 from ringshift.wire.lines import Lines, TooLong
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -16,11 +16,11 @@
 
 from ringshift import interface as face
 from ringshift.interface import Effect
-from ringshift.lifecycle import logs
-from ringshift.lifecycle.bounds import CONNECTION, IN_HAND, MIB, NEWS, OWN, Budget, bounds
-from ringshift.lifecycle.clock import Clock
 from ringshift.lifecycle.program import PHASES, Happening, Phase
 from ringshift.owner import GAUGES_IN, QUIET, Owner
+from ringshift.runtime import logs
+from ringshift.runtime.bounds import CONNECTION, IN_HAND, MIB, NEWS, OWN, Budget, bounds
+from ringshift.runtime.clock import Clock
 from ringshift.store.invocations import Invocations, Try
 from ringshift.store.results import ENTRY, Results
 from ringshift.wire import news
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -298,7 +298,7 @@
 def test_without_descriptors_it_goes_on_with_those_it_has() -> None:
     """The process's own limit may lie under the told one: accepting fails, and must neither spin nor end."""
     code = ("import resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)); "
-            "from ringshift.__main__ import run; sys.exit(run())")  # fmt: skip
+            "from ringshift.lifecycle.entry import run; sys.exit(run())")  # fmt: skip
     with Room(Agent(at_once), command=("-c", code)) as room:
         sidecars = []
         for request in range(1, 31):
@@ -451,7 +451,8 @@
 
 
 def test_a_sighup_in_the_first_moment_is_heeded_once_it_listens() -> None:
-    code = ("import os, signal, sys; from ringshift import __main__ as main; read = main.read_backend; "
+    code = ("import os, signal, sys; from ringshift.lifecycle import entry as main; "
+            "read = main.read_backend; "
             "main.read_backend = lambda: (read(), os.kill(os.getpid(), signal.SIGHUP))[0]; "
             "sys.exit(main.run())")  # fmt: skip
     with Room(Agent(at_once), command=("-c", code)) as room:
@@ -553,7 +554,7 @@
 
 
 def test_a_bug_in_the_owner_ends_the_program() -> None:
-    code = ("import sys, ringshift.owner as o; from ringshift.__main__ import run; "
+    code = ("import sys, ringshift.owner as o; from ringshift.lifecycle.entry import run; "
             "o.HEARD.pop(o.news.Called); sys.exit(run())")  # fmt: skip
     with Room(command=("-c", code)) as room:
         sidecar = room.serving()
@@ -563,7 +564,8 @@
 
 
 def test_a_bug_in_a_connection_ends_that_connection() -> None:
-    code = ("import sys, ringshift.wire.calls as c; from ringshift.__main__ import run; read = c.read\n"
+    code = ("import sys, ringshift.wire.calls as c; from ringshift.lifecycle.entry import run\n"
+            "read = c.read\n"
             "def odd(request, *rest): return read(request, *rest) if request.id == 1 else 1 // 0\n"
             "c.read = odd; sys.exit(run())")  # fmt: skip
     with Room(Agent(at_once), command=("-c", code)) as room:
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -11,7 +11,7 @@
 import gevent
 import pytest
 
-from ringshift.lifecycle.bounds import MIB, bounds
+from ringshift.runtime.bounds import MIB, bounds
 from ringshift.wire import calls, fastcgi, sidecars
 from ringshift.wire.news import Called, CallerLeft, News
 from standins.sidecar import Sidecar
