--- a/ringshift/findings/course.py
+++ b/ringshift/findings/course.py
@@ -114,8 +114,15 @@
             apart = (new.wall + new.first_up) - (old.wall_end + old.last_up)
             if apart < 0:
                 continue  # both at once: two machines of one name, whose clocks nothing joins
-            yield Tie(node_of(new), new.first_up, node_of(old), old.last_up, apart - UNSEEN, apart + UNSEEN,
-                      "one server's wall clock")  # fmt: skip
+            yield Tie(
+                node_of(new),
+                new.first_up,
+                node_of(old),
+                old.last_up,
+                apart - UNSEEN,
+                apart + UNSEEN,
+                "one server's wall clock",
+            )
 
 
 def trust_ties(digests: Sequence[Digest], within: int) -> Iterable[Tie]:
@@ -123,8 +130,15 @@
     for digest in digests[1:]:
         first = digests[0]
         ahead = first.wall + first.first_up - digest.wall - digest.first_up
-        yield Tie(node_of(first), first.first_up, node_of(digest), digest.first_up, ahead - within,
-                  ahead + within, "clocks held to be kept")  # fmt: skip
+        yield Tie(
+            node_of(first),
+            first.first_up,
+            node_of(digest),
+            digest.first_up,
+            ahead - within,
+            ahead + within,
+            "clocks held to be kept",
+        )
 
 
 def lay_out(digests: Sequence[Digest], reference: str = "", clocks_within: int | None = None) -> Course:
@@ -147,8 +161,14 @@
     for digest in digests:
         node = node_of(digest)
         placed = alignment.placed[node]
-        stint = Stint(digest, node, placed.time(digest.first_up), placed.time(digest.last_up), placed.error,
-                      placed.group)  # fmt: skip
+        stint = Stint(
+            digest,
+            node,
+            placed.time(digest.first_up),
+            placed.time(digest.last_up),
+            placed.error,
+            placed.group,
+        )
         everything.append(stint)
     main = min((s.group for s in everything), default=0)
     in_main = [s for s in everything if s.group == main]
@@ -170,10 +190,14 @@
         some.sort(key=lambda s: s.start)
     shown = [s for s in everything if s not in apart]
     course = Course(
-        alignment, dict(sorted(stints.items())), dict(sorted(observers.items())),
+        alignment,
+        dict(sorted(stints.items())),
+        dict(sorted(observers.items())),
         sorted(spells, key=lambda p: (p.start, p.server)),
-        min((s.start for s in shown), default=0), max((s.last for s in shown), default=0), apart=apart,
-    )  # fmt: skip
+        min((s.start for s in shown), default=0),
+        max((s.last for s in shown), default=0),
+        apart=apart,
+    )
     for some in stints.values():
         for stint in some:
             fill_minutes(course, stint)
@@ -197,6 +221,11 @@
 
 def added(one: Minute, other: Minute) -> Minute:
     return Minute(
-        one.arrived + other.arrived, one.succeeded + other.succeeded, one.throttled + other.throttled,
-        one.errored + other.errored, one.gone + other.gone, one.ran + other.ran, one.ran_ms + other.ran_ms,
-    )  # fmt: skip
+        one.arrived + other.arrived,
+        one.succeeded + other.succeeded,
+        one.throttled + other.throttled,
+        one.errored + other.errored,
+        one.gone + other.gone,
+        one.ran + other.ran,
+        one.ran_ms + other.ran_ms,
+    )
--- a/ringshift/findings/digest.py
+++ b/ringshift/findings/digest.py
@@ -25,7 +25,7 @@
     Second,
     Shedding,
     Started,
-)  # fmt: skip
+)
 
 MS, S, MINUTE = 10**6, 10**9, 60 * 10**9
 MOST_SPELLS = 2000
@@ -84,6 +84,8 @@
     """The same, as the last record tells it: apart from `wall` by drift and steps."""
     first_up: int = 0
     last_up: int = 0
+    last_beat: int = -1
+    """The `up` of its last heartbeat, -1 where there was none."""
     last_seq: int = 0
     first_seq: int = 0
     rate: float = 0.0
@@ -242,7 +244,7 @@
         self.digest.ended = body.status, body.owed, record.up, record.seq
 
     def on_second(self, record: Record, body: Second) -> None:
-        end = record.up
+        end = self.digest.last_beat = record.up
         span = (max(end - round(max(body.span_ms, 0.0) * MS), 0), end)
         if body.lag_ms * MS > STANDSTILL:
             lag = round(body.lag_ms * MS)
@@ -300,8 +302,15 @@
                 took, expected = took + one.ran_ms, expected + one.ran * usual[1] / usual[0]
                 runs += one.ran
         value = took / expected if expected > 0 else 1.0
-        sign = (Sign.NOTHING if runs < HANDFUL else Sign.OVER if value > SLOWER
-                else Sign.UNDER if value < EASED else Sign.BETWEEN)  # fmt: skip
+        sign = (
+            Sign.NOTHING
+            if runs < HANDFUL
+            else Sign.OVER
+            if value > SLOWER
+            else Sign.UNDER
+            if value < EASED
+            else Sign.BETWEEN
+        )
         self.slow.hear(sign, span, record.seq, value, 1.0, self.partial(Kind.SLOW))
         if self.slow.mood is Mood.CALM:
             for one in body.counts[:MOST_OPERATIONS]:
@@ -334,8 +343,15 @@
         ran = sum(one.ran for one in body.counts)
         failed = sum(one.failed_runs for one in body.counts)
         share = failed / ran if ran else 0.0
-        sign = (Sign.NOTHING if ran < HANDFUL else Sign.OVER if share > 0.3 and failed >= HANDFUL
-                else Sign.UNDER if share < 0.1 else Sign.BETWEEN)  # fmt: skip
+        sign = (
+            Sign.NOTHING
+            if ran < HANDFUL
+            else Sign.OVER
+            if share > 0.3 and failed >= HANDFUL
+            else Sign.UNDER
+            if share < 0.1
+            else Sign.BETWEEN
+        )
         self.erring.hear(sign, span, record.seq, share, 0.0, self.partial(Kind.ERRORS))
         return share
 
@@ -347,13 +363,27 @@
         again = body.again / arrived if arrived else 0.0
         usual, known = self.usual_rate, self.calm >= CALM_SECONDS
         bar = max(FULLER * usual, usual + 4 * sqrt(usual))
-        sign = (Sign.NOTHING if not known else Sign.OVER if fresh > bar and usual >= 3
-                else Sign.UNDER if fresh < FULL_EASED * usual + sqrt(usual) else Sign.BETWEEN)  # fmt: skip
+        sign = (
+            Sign.NOTHING
+            if not known
+            else Sign.OVER
+            if fresh > bar and usual >= 3
+            else Sign.UNDER
+            if fresh < FULL_EASED * usual + sqrt(usual)
+            else Sign.BETWEEN
+        )
         self.jump.hear(sign, span, record.seq, fresh, usual, self.partial(Kind.JUMP))
         bar = max(REPEATS, 2 * self.usual_again + 0.1)
         eased = max(REPEATS_EASED, 1.3 * self.usual_again)
-        sign = (Sign.NOTHING if arrived < 5 or not known else Sign.OVER if again > bar
-                else Sign.UNDER if again < eased else Sign.BETWEEN)  # fmt: skip
+        sign = (
+            Sign.NOTHING
+            if arrived < 5 or not known
+            else Sign.OVER
+            if again > bar
+            else Sign.UNDER
+            if again < eased
+            else Sign.BETWEEN
+        )
         self.storm.hear(sign, span, record.seq, again, self.usual_again, self.partial(Kind.STORM))
         serving = bool(self.digest.phases) and self.digest.phases[-1][1] == "serving"
         if serving and arrived and self.jump.mood is Mood.CALM:
@@ -380,8 +410,9 @@
 
     def finish(self) -> Digest:
         digest = self.digest
-        digest.stamps = [(caller, window, value, up)
-                         for (caller, window), (value, up) in sorted(self.best_stamp.items())]  # fmt: skip
+        digest.stamps = [
+            (caller, window, value, up) for (caller, window), (value, up) in sorted(self.best_stamp.items())
+        ]
         digest.spells.sort(key=lambda spell: spell.start)
         return digest
 
@@ -394,8 +425,15 @@
     ("announce service can't be reached", Kind.ANNOUNCE_LOST, True),
 ]
 HEARD: dict[type, Callable[[Digester, Record, Any], None]] = {
-    Started: Digester.on_started, Phase: Digester.on_phase, Greeted: Digester.on_greeted,
-    Ready: Digester.on_ready, Second: Digester.on_second, Shedding: Digester.on_shedding,
-    Said: Digester.on_said, Mark: Digester.on_mark, Saw: Digester.on_saw, Dropped: Digester.on_dropped,
+    Started: Digester.on_started,
+    Phase: Digester.on_phase,
+    Greeted: Digester.on_greeted,
+    Ready: Digester.on_ready,
+    Second: Digester.on_second,
+    Shedding: Digester.on_shedding,
+    Said: Digester.on_said,
+    Mark: Digester.on_mark,
+    Saw: Digester.on_saw,
+    Dropped: Digester.on_dropped,
     Ended: Digester.on_ended,
-}  # fmt: skip
+}
--- a/ringshift/findings/signs.py
+++ b/ringshift/findings/signs.py
@@ -73,8 +73,21 @@
     """Feeds one figure's signs to the table. `needs` signs in a row begin a spell at the first of them,
     `eases` in a row end it there."""
 
-    __slots__ = ("before", "count", "end", "evidence", "kind", "mood", "needs", "eases", "partial", "spell",
-                 "spells", "start", "values")  # fmt: skip
+    __slots__ = (
+        "before",
+        "count",
+        "end",
+        "evidence",
+        "kind",
+        "mood",
+        "needs",
+        "eases",
+        "partial",
+        "spell",
+        "spells",
+        "start",
+        "values",
+    )
 
     def __init__(self, kind: Kind, spells: list[Spell], needs: int = 2, eases: int = 3) -> None:
         self.kind, self.spells, self.needs, self.eases = kind, spells, needs, eases
@@ -82,8 +95,15 @@
         self.before, self.values, self.evidence = 0.0, list[float](), list[int]()
         self.spell: Spell | None = None
 
-    def hear(self, sign: Sign, span: tuple[int, int], seq: int, value: float, before: float,
-             partial: tuple[tuple[int, int], float, int] | None = None) -> None:  # fmt: skip
+    def hear(
+        self,
+        sign: Sign,
+        span: tuple[int, int],
+        seq: int,
+        value: float,
+        before: float,
+        partial: tuple[tuple[int, int], float, int] | None = None,
+    ) -> None:
         """`span` is the stretch of time the sign is of, `partial` the one before it, whose figure may show
         the trouble for a part of it."""
         step = TABLE.get((self.mood, sign))
@@ -94,8 +114,14 @@
         self.mood, effect = step
         getattr(self, effect)(span, seq, value, before, partial)
 
-    def suspect(self, span: tuple[int, int], seq: int, value: float, before: float,
-                partial: tuple[tuple[int, int], float, int] | None) -> None:  # fmt: skip
+    def suspect(
+        self,
+        span: tuple[int, int],
+        seq: int,
+        value: float,
+        before: float,
+        partial: tuple[tuple[int, int], float, int] | None,
+    ) -> None:
         self.start, self.count, self.before = span, 1, before
         self.values, self.evidence = [value], [seq]
         self.partial = partial
--- a/ringshift/lifecycle/recording.py
+++ b/ringshift/lifecycle/recording.py
@@ -30,17 +30,17 @@
     word, path = environ.get("RINGSHIFT_RECORDS", ""), environ.get("RINGSHIFT_SETTINGS", "")
     if word not in ("", "off", "lines"):
         raise Malformed(f"RINGSHIFT_RECORDS: expected off or lines, not {word!r}")
-    lines, folder, most_mb, stamps = word == "lines", "", 64.0, "machine"
+    lines, folder, most_mb = word == "lines", "", 64.0
     if path:
         from ringshift.settings.operators import read_operators
 
         told = read_operators(path).records
-        lines, folder, most_mb, stamps = told.lines or lines, told.folder, told.most_mb, told.stamps
+        lines, folder, most_mb = told.lines or lines, told.folder, told.most_mb
     if not (lines or folder):
         return Recording(Unwatched(), nothing)
     from ringshift.records.recorder import start
 
-    recorder = start(backend.name, lines, folder, round(most_mb * 1024 * 1024), stamps)
+    recorder = start(backend.name, lines, folder, round(most_mb * 1024 * 1024))
     machine = backend.machine
     recorder.started(
         listen="{}:{}".format(*backend.listen), operations=tuple(op.name for op in machine.operations),
--- a/ringshift/records/recorder.py
+++ b/ringshift/records/recorder.py
@@ -35,15 +35,15 @@
 
 
 class Recorder:
-    """Implements `Watch`. `stamps` says whose clock the callers' stamps are of (schema.Started)."""
+    """Implements `Watch`."""
 
     every = BEAT
 
-    def __init__(self, server: str, carriers: list[Carrier], stamps: str = "machine") -> None:
-        self.server, self.carriers, self.stamps = server, carriers, stamps
+    def __init__(self, server: str, carriers: list[Carrier]) -> None:
+        self.server, self.carriers = server, carriers
         self.run = os.urandom(6).hex()
         self.seq, self.born = 0, time.monotonic_ns()
-        self.tally = Tally((), False)
+        self.tally = Tally(())
 
     def write(self, body: Body) -> None:
         self.seq += 1
@@ -54,12 +54,12 @@
             carrier.put(self.run, self.seq, at, data)
 
     def started(self, listen: str, operations: tuple[str, ...], cores: int, stop_ms: float) -> None:
-        self.tally = Tally(operations, self.stamps == "sender")
-        self.write(Started(__version__, listen, operations, cores, stop_ms, self.stamps))
+        self.tally = Tally(operations)
+        self.write(Started(__version__, listen, operations, cores, stop_ms))
 
     def arrived(self, item: Called, unread: int) -> None:
         what = hash((item.caller, item.operation, item.item, item.body))
-        ahead = time.time_ns() - item.came
+        ahead = None if item.sent is None else time.time_ns() - item.sent
         self.tally.arrived(item.operation, what, item.caller, unread, ahead)
 
     def answered(self, operation: int, how: int) -> None:
@@ -114,14 +114,14 @@
             carrier.close(until - time.monotonic())
 
 
-def start(server: str, lines: bool, folder: str, most: int, stamps: str) -> Recorder:
+def start(server: str, lines: bool, folder: str, most: int) -> Recorder:
     """With `lines`, log lines become records as well, so that standard error holds one form only."""
     carriers: list[Carrier] = [Lines(2)] if lines else []
     if folder:
         from ringshift.store.ring import Ring
 
         carriers.append(Ring(folder, server, most))
-    recorder = Recorder(server, carriers, stamps)
+    recorder = Recorder(server, carriers)
     if lines:
         logger.remove()
     logger.add(recorder.said, level="INFO", format="{message}", backtrace=False, diagnose=False)
--- a/ringshift/records/schema.py
+++ b/ringshift/records/schema.py
@@ -23,8 +23,6 @@
     operations: tuple[str, ...]
     cores: int
     stop_ms: float
-    stamps: str = "machine"
-    """Whose clock the callers' stamps are of: `machine`, this server's own, or `sender`, the caller's."""
     role: str = "server"
     """`server`, or `observer` for who watches servers, as an announce service does."""
 
@@ -69,7 +67,7 @@
 class Stamp:
     caller: int
     least_ms: float
-    """The least difference of the own wall clock and the caller's stamp, over the span."""
+    """The least difference over the span of the own wall clock and the caller's, told as it sent."""
     count: int
 
 
--- a/ringshift/records/tally.py
+++ b/ringshift/records/tally.py
@@ -39,9 +39,8 @@
 
 
 class Tally:
-    def __init__(self, operations: Sequence[str], stamps: bool) -> None:
+    def __init__(self, operations: Sequence[str]) -> None:
         self.names, self.rows = tuple(operations), [Row() for _ in operations]
-        self.stamps = stamps
         self.began = self.lag = 0
         self.fresh, self.stale, self.renewed = set[int](), set[int](), 0
         self.clear()
@@ -50,10 +49,10 @@
         for row in self.rows:
             row.clear()
         self.again = self.unread = self.asked = self.sampled = self.lag = self.count = 0
-        self.callers: dict[int, tuple[int, int]] = {}
+        self.callers, self.stamps = set[int](), dict[int, tuple[int, int]]()
 
-    def arrived(self, operation: int, what: int, caller: int, unread: int, ahead: int) -> None:
-        """`what` is a hash of all that a repeat would send again; `ahead` the own clock less the stamp."""
+    def arrived(self, operation: int, what: int, caller: int, unread: int, ahead: int | None) -> None:
+        """`what` is a hash of all that a repeat would send again; `ahead` the own clock less the sender's."""
         self.rows[operation].arrived += 1
         self.count += 1
         self.unread += unread
@@ -61,11 +60,15 @@
             self.again += 1
         elif len(self.fresh) < REMEMBERED:
             self.fresh.add(what)
-        known = self.callers.get(caller)
+        if len(self.callers) < MOST_CALLERS:
+            self.callers.add(caller)
+        if ahead is None:
+            return
+        known = self.stamps.get(caller)
         if known is not None:
-            self.callers[caller] = min(known[0], ahead), known[1] + 1
-        elif len(self.callers) < MOST_CALLERS:
-            self.callers[caller] = ahead, 1
+            self.stamps[caller] = min(known[0], ahead), known[1] + 1
+        elif len(self.stamps) < MOST_CALLERS:
+            self.stamps[caller] = ahead, 1
 
     def beat(self, now: int, late: int) -> bool:
         """Four times a second, `late` by that much; whether a heartbeat is due."""
@@ -100,13 +103,13 @@
                    view.held[index] if view else 0, round(view.levels[index], 3) if view else 0.0)
             for index, (name, row) in enumerate(zip(self.names, self.rows, strict=True))
         )  # fmt: skip
-        most = sorted(self.callers.items(), key=lambda one: (-one[1][1], one[0]))[:MOST_STAMPS]
+        most = sorted(self.stamps.items(), key=lambda one: (-one[1][1], one[0]))[:MOST_STAMPS]
         stamps = tuple(Stamp(caller, round(least / MS, 3), count) for caller, (least, count) in most)
         told = Second(
             span_ms=round((now - self.began) / MS, 3), counts=counts, again=self.again,
             callers=len(self.callers), unread_ms=round(self.unread / max(self.count, 1) / MS, 3),
             asked=self.asked, sampled=self.sampled, lag_ms=round(self.lag / MS, 3),
-            stamps=stamps if self.stamps else (),
+            stamps=stamps,
         )  # fmt: skip
         if view is None:
             return told
--- /dev/null
+++ b/ringshift/report/analyse.py
@@ -0,0 +1,52 @@
+"""From an incident store to its findings. Digests are kept in the store, so that a second look is quick."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from ringshift.findings.cause import Cause, find
+from ringshift.findings.course import Course, lay_out
+from ringshift.findings.digest import Digest, Digester
+from ringshift.findings.judge import Judge, Verdict
+from ringshift.store.incident import Incident
+
+MAKING = 1  # of digests: raised whenever the same records would give another digest
+Steps = Callable[[Iterable[tuple[str, str, int]]], Iterable[tuple[str, str, int]]]
+
+
+@dataclass(slots=True)
+class Analysis:
+    course: Course
+    verdict: Verdict
+    cause: Cause
+
+
+def digest_run(store: Incident, server: str, run: str) -> Digest:
+    digester = Digester(server, run)
+    for record in store.records(server, run):
+        digester.hear(record)
+    return digester.finish()
+
+
+def digests(store: Incident, steps: Steps = lambda things: things) -> list[Digest]:
+    """One for each run, as it stands in the store or made anew."""
+    told = []
+    for server, run, count in steps([(server, run, count) for server, run, _, count in store.runs()]):
+        key = f"{MAKING}/{count}"
+        data = store.kept_digest(server, run, key)
+        if data is not None:
+            told.append(msgspec.msgpack.decode(data, type=Digest))
+            continue
+        digest = digest_run(store, server, run)
+        store.keep_digest(server, run, key, msgspec.msgpack.encode(digest))
+        told.append(digest)
+    return told
+
+
+def analyse(found: list[Digest], reference: str = "", clocks_within: int | None = None) -> Analysis:
+    course = lay_out(found, reference, clocks_within)
+    verdict = Judge(course).verdict()
+    return Analysis(course, verdict, find(verdict, course))
--- a/ringshift/settings/operators.py
+++ b/ringshift/settings/operators.py
@@ -5,7 +5,6 @@
 import re
 import tomllib
 from pathlib import Path
-from typing import Literal
 
 import msgspec
 
@@ -19,8 +18,6 @@
     """Where the store of this server's records lies; empty where there is no lasting disk."""
     most_mb: float = 64.0
     """What the store may take; beyond it the oldest records go first."""
-    stamps: Literal["machine", "sender"] = "machine"
-    """Whose clock callers stamp requests with; `sender` lets their stamps tie the servers' clocks."""
 
     def __post_init__(self) -> None:
         if not 1 <= self.most_mb <= 1_000_000:
--- a/ringshift/store/incident.py
+++ b/ringshift/store/incident.py
@@ -4,6 +4,7 @@
 
 import sqlite3
 from collections.abc import Iterable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -21,6 +22,9 @@
     path TEXT PRIMARY KEY, taken INTEGER NOT NULL, again INTEGER NOT NULL, refused INTEGER NOT NULL);
 CREATE TABLE IF NOT EXISTS refusals (
     path TEXT NOT NULL, place INTEGER NOT NULL, kind TEXT NOT NULL, why TEXT NOT NULL);
+CREATE TABLE IF NOT EXISTS digests (
+    server TEXT NOT NULL, run TEXT NOT NULL, making TEXT NOT NULL, data BLOB NOT NULL,
+    PRIMARY KEY (server, run));
 """
 MOST_REFUSALS = 200  # told one by one for each source; beyond that they are counted only
 
@@ -124,6 +128,16 @@
             if isinstance(one, Record):
                 yield one
 
+    def kept_digest(self, server: str, run: str, making: str) -> bytes | None:
+        """What was made of a run's records before, unless they or the making have changed since."""
+        sql = "SELECT data FROM digests WHERE server = ? AND run = ? AND making = ?"
+        return next((data for (data,) in self.guarded(sql, server, run, making)), None)
+
+    def keep_digest(self, server: str, run: str, making: str, data: bytes) -> None:
+        """Left out where the store can't be written: it can be made again."""
+        with suppress(sqlite3.Error):
+            self.db.execute("INSERT OR REPLACE INTO digests VALUES (?, ?, ?, ?)", (server, run, making, data))
+
     def sources(self) -> list[Source]:
         return [Source(*row) for row in self.guarded("SELECT * FROM sources ORDER BY path")]
 
--- a/ringshift/wire/calls.py
+++ b/ringshift/wire/calls.py
@@ -68,9 +68,15 @@
         kb=number(params, "HTTP_X_RAM_KB", 1e-9, MOST_KB),
         rank=number(params, "HTTP_X_PRECEDENCE", 0.0, 1.0),
         caller=int(number(params, "HTTP_X_SENDER", 0.0, 2.0**53)),
+        sent=sent(params) if "HTTP_X_SENT_TIME" in params else None,
     )
 
 
+def sent(params: Fields) -> int:
+    """Beyond the protocol: a sender may tell its own clock too. The door time is the machine's."""
+    return round(number(params, "HTTP_X_SENT_TIME", 0.0, 1e15) * NS_PER_MS)
+
+
 def advice(amount: float | None) -> dict[str, str]:
     return {} if amount is None else {"X-Advice": f"{amount:.6f}"}
 
--- a/ringshift/wire/news.py
+++ b/ringshift/wire/news.py
@@ -28,6 +28,8 @@
     kb: float
     rank: float
     caller: int
+    sent: int | None = None
+    """When it was sent by the sender's own clock, where that is told: ties clocks in the records."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -243,7 +243,7 @@
 
 
 def test_counting_is_bounded_whatever_traffic_invents() -> None:
-    tally = Tally(("look",), True)
+    tally = Tally(("look",))
     for index in range(3 * REMEMBERED):
         tally.arrived(0, index, index, 0, index)
     assert len(tally.fresh) == REMEMBERED and len(tally.callers) <= 256
@@ -255,7 +255,7 @@
 
 
 def test_shedding_is_told_once_where_it_begins_and_ends() -> None:
-    tally, told = Tally(("look", "order"), False), list[Shedding]()
+    tally, told = Tally(("look", "order")), list[Shedding]()
     for throttled in (0, 5, 1, 0, 0, 0, 0, 0):
         tally.rows[1].ends[THROTTLED] = throttled
         tally.rows[1].ends[SUCCEEDED] = 50
@@ -268,7 +268,7 @@
     controller.decide(S, [])
     before = [(line.run.total, line.run.count, line.run.at) for line in controller.lines]
     seen = peek(controller.lines[0].run, 9 * S)
-    Tally(("op",), False).cut(9 * S, controller)
+    Tally(("op",)).cut(9 * S, controller)
     assert before == [(line.run.total, line.run.count, line.run.at) for line in controller.lines]
     assert seen == controller.lines[0].run.mean(9 * S)
 
@@ -317,7 +317,6 @@
     ("[records]\nlines = 3\n", "line 2: records.lines"), ("[record]\n", "line 1: record"),
     ("[records]\n\nfolders = 'x'\n", "line 3: records.folders"), ("x = [\n", "line 2"),
     ("[records]\nmost_mb = 0.0\n", "line 2: records.most_mb"),
-    ("[records]\nstamps = 'both'\n", "line 2: records.stamps"),
 ])  # fmt: skip
 def test_wrong_settings_are_named_by_file_line_and_field(tmp_path: Path, text: str, told: str) -> None:
     path = tmp_path / "op.toml"
