--- a/ringshift/findings/cause.py
+++ b/ringshift/findings/cause.py
@@ -152,13 +152,7 @@
         else:
             told.append("traffic did not rise by half anywhere")
     if What.STORM not in there:
-        again = sum(state.again for states in course.states.values() for state in states.values())
-        arrived = sum(
-            row.arrived
-            for servers in course.minutes.values()
-            for rows in servers.values()
-            for row in rows.values()
-        )
+        again, arrived = course.again, sum(loss.arrived for loss in verdict.losses)
         if arrived:
             told.append(f"no retry storm: {again / arrived:.0%} of arrivals repeated one of the same caller")
     if not {What.VANISHED, What.CRASHED, What.DRAIN_CUT} & there:
--- a/ringshift/findings/course.py
+++ b/ringshift/findings/course.py
@@ -2,17 +2,31 @@
 
 from __future__ import annotations
 
+from array import array
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ringshift.alignment import Alignment, Ticking, Tie, align
-from ringshift.findings.digest import MINUTE, Digest, Minute, State
+from ringshift.findings.digest import (
+    AGAIN,
+    COUNTS,
+    LIMIT,
+    MOST_BUCKETS,
+    PRESSURE,
+    RUNNING,
+    SECONDS,
+    SERVER_FIGURES,
+    THROTTLED,
+    WIDTHS,
+    Digest,
+)  # fmt: skip
 from ringshift.findings.signs import Kind, Spell
 
 MS, S = 10**6, 10**9
 DELAY = 30 * MS  # the least delay that a caller's stamps have over a minute is under it
 UNSEEN = S // 2  # a wall clock may step that much between two runs of a server without anyone seeing it
+SHOWN = 6  # of a server and bucket: arrived, succeeded, throttled, then the mean limit, pressure, running
 MOST_TOKEN = 400  # runs that one token ties; a token of every run of a large fleet needs no more
 
 
@@ -61,14 +75,20 @@
     """In the order of their starts."""
     start: int
     end: int
-    minutes: dict[int, dict[str, dict[str, Minute]]] = field(default_factory=dict)
-    """minute of the clock -> server -> operation"""
-    states: dict[int, dict[str, State]] = field(default_factory=dict)
+    width: int = S
+    """Of a bucket of the series below; the first begins at `start`."""
+    buckets: int = 0
+    work: dict[str, array[float]] = field(default_factory=dict)
+    """operation -> `COUNTS` figures a bucket, of the whole fleet (digest.py has their order)"""
+    servers: dict[str, array[float]] = field(default_factory=dict)
+    """server -> `SHOWN` figures a bucket"""
+    again: float = 0.0
+    """Arrivals in all that repeated one of the same caller."""
     apart: list[Stint] = field(default_factory=list)
     """Runs tied to nothing whose own clock lies over a day from the others': they are on no common chart."""
 
-    def servers(self) -> list[str]:
-        return list(self.stints)
+    def bucket(self, at: int) -> int:
+        return min(max((at - self.start) // self.width, 0), self.buckets - 1)
 
 
 def node_of(digest: Digest) -> str:
@@ -198,34 +218,37 @@
         max((s.last for s in shown), default=0),
         apart=apart,
     )
-    for some in stints.values():
-        for stint in some:
-            fill_minutes(course, stint)
+    fill(course)
     return course
 
 
-def fill_minutes(course: Course, stint: Stint) -> None:
-    server = stint.digest.server
-    for minute, rows in stint.digest.minutes.items():
-        at = stint.time(minute * MINUTE + MINUTE // 2, course.alignment) // MINUTE
-        place = course.minutes.setdefault(at, {}).setdefault(server, {})
-        for operation, row in rows.items():
-            old = place.get(operation)
-            place[operation] = row if old is None else added(old, row)
-    for minute, state in stint.digest.states.items():
-        at = stint.time(minute * MINUTE + MINUTE // 2, course.alignment) // MINUTE
-        by_server = course.states.setdefault(at, {})
-        if server not in by_server or by_server[server].seconds < state.seconds:
-            by_server[server] = state
-
-
-def added(one: Minute, other: Minute) -> Minute:
-    return Minute(
-        one.arrived + other.arrived,
-        one.succeeded + other.succeeded,
-        one.throttled + other.throttled,
-        one.errored + other.errored,
-        one.gone + other.gone,
-        one.ran + other.ran,
-        one.ran_ms + other.ran_ms,
-    )
+def fill(course: Course) -> None:
+    """The runs' buckets into those of the course, which are as wide as the widest."""
+    stints = [stint for some in course.stints.values() for stint in some]
+    course.width = max((stint.digest.width for stint in stints), default=S)
+    while (course.end - course.start) // course.width >= MOST_BUCKETS and course.width < WIDTHS[-1]:
+        course.width = next(width for width in WIDTHS if width > course.width)
+    course.buckets = (course.end - course.start) // course.width + 1
+    if course.buckets > 4 * MOST_BUCKETS:
+        course.buckets = 0  # clocks years apart: no chart holds them
+        return
+    for stint in stints:
+        digest = stint.digest
+        mine = course.servers.setdefault(digest.server, array("f", bytes(4 * SHOWN * course.buckets)))
+        work = [
+            course.work.setdefault(name, array("d", bytes(8 * COUNTS * course.buckets)))
+            for name in digest.operations
+        ]
+        for index, figures in digest.buckets.items():
+            at = stint.time(index * digest.width + digest.width // 2, course.alignment)
+            place = course.bucket(at)
+            course.again += figures[AGAIN]
+            for operation, series in enumerate(work):
+                first = SERVER_FIGURES + operation * COUNTS
+                for offset, value in enumerate(figures[first : first + COUNTS]):
+                    series[place * COUNTS + offset] += value
+                    if offset <= THROTTLED:
+                        mine[place * SHOWN + offset] += value
+            for shown, figure in ((3, LIMIT), (4, PRESSURE), (5, RUNNING)):
+                mean = figures[figure] / max(figures[SECONDS], 1)
+                mine[place * SHOWN + shown] = max(mine[place * SHOWN + shown], mean)
--- a/ringshift/findings/digest.py
+++ b/ringshift/findings/digest.py
@@ -1,4 +1,4 @@
-"""One run's records as what matters of them: spells of trouble, minutes of service, what ties its clock.
+"""One run's records as what matters of them: spells of trouble, its service over time, what ties its clock.
 
 A digest takes records one by one, in the order of `seq`, keeps none, and its size is bounded whatever they
 hold. All times are the run's own `up`.
@@ -27,7 +27,7 @@
     Started,
 )
 
-MS, S, MINUTE = 10**6, 10**9, 60 * 10**9
+MS, S = 10**6, 10**9
 MOST_SPELLS = 2000
 MOST_MARKS = 2000
 MOST_OPERATIONS = 200
@@ -43,29 +43,13 @@
 FADE = 20.0  # heartbeats over which what is usual fades
 
 
-@dataclass(slots=True)
-class Minute:
-    """One minute of one operation, or of all of a server where the operation is not told."""
-
-    arrived: int = 0
-    succeeded: int = 0
-    throttled: int = 0
-    errored: int = 0
-    gone: int = 0
-    ran: int = 0
-    ran_ms: float = 0.0
-
-
-@dataclass(slots=True)
-class State:
-    """A server's own figures over one minute."""
-
-    seconds: int = 0
-    limit: float = 0.0
-    pressure: float = 0.0
-    running: float = 0.0
-    again: int = 0
-    lag_ms: float = 0.0
+# A bucket of a run's series: these figures of the server, then `COUNTS` of them for each of its operations.
+SECONDS, LIMIT, PRESSURE, RUNNING, AGAIN, LAG = range(6)
+SERVER_FIGURES = 6
+ARRIVED, SUCCEEDED, THROTTLED, ERRORED, GONE, RAN, RAN_MS = range(7)
+COUNTS = 7
+WIDTHS = (1 * S, 5 * S, 15 * S, 60 * S, 300 * S, 3600 * S, 24 * 3600 * S)
+MOST_BUCKETS = 1500  # a day of minutes; a longer run's buckets are put together to the next width
 
 
 @dataclass(slots=True)
@@ -92,8 +76,9 @@
     """Fresh arrivals a second, as they last were."""
     phases: list[tuple[int, str, int]] = field(default_factory=list)
     spells: list[Spell] = field(default_factory=list)
-    minutes: dict[int, dict[str, Minute]] = field(default_factory=dict)
-    states: dict[int, State] = field(default_factory=dict)
+    width: int = WIDTHS[0]
+    buckets: dict[int, list[float]] = field(default_factory=dict)
+    """`up` over the width -> figures, as laid out above."""
     marks: list[tuple[str, int, int]] = field(default_factory=list)
     """token, spread in nanoseconds, up"""
     words: list[tuple[bool, int, int]] = field(default_factory=list)
@@ -119,6 +104,7 @@
         self.watchers = (self.slow, self.hung, self.jump, self.storm, self.erring)
         self.usual: dict[str, list[float]] = {}
         self.calm, self.usual_rate, self.usual_again = 0, 0.0, 0.0
+        self.index: dict[str, int] = {}
         self.open: dict[tuple[Kind, str], Spell] = {}
         self.last: Record | None = None
         self.before: tuple[tuple[int, int], int, dict[Kind, float]] | None = None
@@ -187,7 +173,8 @@
     def on_started(self, record: Record, body: Started) -> None:
         digest = self.digest
         digest.role, digest.version = body.role, body.version
-        digest.operations = body.operations[:MOST_OPERATIONS]
+        for operation in body.operations:
+            self.place(operation[:200])
         if not digest.phases:
             digest.phases.append((record.up, "starting", record.seq))
 
@@ -262,28 +249,50 @@
         self.before = span, record.seq, figures
         self.take_stamps(record, body)
 
+    def place(self, operation: str) -> int:
+        """Of an operation among those of this run, which learns the ones that its start did not name."""
+        index = self.index.get(operation)
+        if index is None:
+            if len(self.index) >= MOST_OPERATIONS:
+                return -1
+            index = self.index[operation] = len(self.index)
+            self.digest.operations = tuple(self.index)
+        return index
+
     def count(self, record: Record, body: Second) -> None:
-        """Into the minutes of `up`; the course shifts them to the minutes of the clock by their middle."""
-        minute = record.up // MINUTE
-        rows = self.digest.minutes.setdefault(minute, {})
+        """Into the buckets of `up`; the course shifts them to the common time by their middles."""
+        digest = self.digest
+        bucket = digest.buckets.setdefault(record.up // digest.width, [0.0] * SERVER_FIGURES)
+        bucket[SECONDS] += 1
+        bucket[LIMIT] += body.limit
+        bucket[PRESSURE] += body.pressure
+        bucket[RUNNING] += body.running
+        bucket[AGAIN] += body.again
+        bucket[LAG] = max(bucket[LAG], body.lag_ms)
         for one in body.counts[:MOST_OPERATIONS]:
-            if not (one.arrived or one.succeeded or one.throttled or one.errored or one.gone or one.ran):
+            if (index := self.place(one.operation[:200])) < 0:
                 continue
-            row = rows.setdefault(one.operation[:200], Minute())
-            row.arrived += one.arrived
-            row.succeeded += one.succeeded
-            row.throttled += one.throttled
-            row.errored += one.errored
-            row.gone += one.gone
-            row.ran += one.ran
-            row.ran_ms += one.ran_ms
-        state = self.digest.states.setdefault(minute, State())
-        state.seconds += 1
-        state.limit += body.limit
-        state.pressure += body.pressure
-        state.running += body.running
-        state.again += body.again
-        state.lag_ms = max(state.lag_ms, body.lag_ms)
+            at = SERVER_FIGURES + index * COUNTS
+            if len(bucket) < at + COUNTS:
+                bucket.extend([0.0] * (at + COUNTS - len(bucket)))
+            figures = (one.arrived, one.succeeded, one.throttled, one.errored, one.gone, one.ran, one.ran_ms)
+            for offset, value in enumerate(figures):
+                bucket[at + offset] += value
+        if len(digest.buckets) > MOST_BUCKETS:
+            self.widen()
+
+    def widen(self) -> None:
+        digest = self.digest
+        old, digest.width = digest.width, next((w for w in WIDTHS if w > digest.width), digest.width)
+        folded: dict[int, list[float]] = {}
+        for index, bucket in digest.buckets.items():
+            into = folded.setdefault(index * old // digest.width, [0.0] * len(bucket))
+            into.extend([0.0] * (len(bucket) - len(into)))
+            lag = max(into[LAG], bucket[LAG])
+            for place, value in enumerate(bucket):
+                into[place] += value
+            into[LAG] = lag
+        digest.buckets = folded
 
     def partial(self, kind: Kind) -> tuple[tuple[int, int], float, int] | None:
         if self.before is None or kind not in self.before[2]:
--- a/ringshift/findings/judge.py
+++ b/ringshift/findings/judge.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ringshift.findings.course import Course, Placed, Stint, added
-from ringshift.findings.digest import Minute
+from ringshift.findings.course import Course, Placed, Stint
+from ringshift.findings.digest import ARRIVED, COUNTS, GONE, SUCCEEDED
 from ringshift.findings.signs import Kind
 
 MS, S = 10**6, 10**9
@@ -147,11 +147,23 @@
     """Service of one operation over the whole course."""
 
     operation: str
-    total: Minute
-    worst_minute: int
-    """Minute of the clock with the least share succeeded; -1 where there was none."""
+    arrived: int
+    succeeded: int
+    throttled: int
+    errored: int
+    gone: int
+    worst_at: int
+    """The begin of the bucket with the least share succeeded, of those with a hundredth of its work."""
     worst_share: float
 
+    @property
+    def answered(self) -> int:
+        return self.succeeded + self.throttled + self.errored + self.gone
+
+    @property
+    def lost_share(self) -> float:
+        return 1 - self.succeeded / self.answered if self.answered else 0.0
+
 
 @dataclass(slots=True)
 class Verdict:
@@ -612,21 +624,17 @@
 
 
 def losses(course: Course) -> list[Loss]:
-    total: dict[str, Minute] = {}
-    worst: dict[str, tuple[float, int]] = {}
-    for minute, servers in sorted(course.minutes.items()):
-        whole: dict[str, Minute] = {}
-        for rows in servers.values():
-            for operation, row in rows.items():
-                whole[operation] = added(whole[operation], row) if operation in whole else row
-        for operation, row in whole.items():
-            total[operation] = added(total[operation], row) if operation in total else row
-            answered = row.succeeded + row.throttled + row.errored + row.gone
-            if answered:
-                share = row.succeeded / answered
-                if operation not in worst or share < worst[operation][0]:
-                    worst[operation] = share, minute
-    return [
-        Loss(name, row, worst.get(name, (1.0, -1))[1], worst.get(name, (1.0, -1))[0])
-        for name, row in sorted(total.items())
-    ]
+    told = []
+    for operation, series in sorted(course.work.items()):
+        sums = [int(sum(series[offset::COUNTS])) for offset in range(COUNTS)]
+        worst, at = 1.0, course.start
+        for bucket in range(course.buckets):
+            figures = series[bucket * COUNTS : (bucket + 1) * COUNTS]
+            answered = sum(figures[SUCCEEDED : GONE + 1])
+            if answered * 100 >= max(sum(sums[SUCCEEDED : GONE + 1]), 1):
+                share = figures[SUCCEEDED] / answered
+                if share < worst:
+                    worst, at = share, course.start + bucket * course.width
+        arrived, succeeded, throttled, errored, gone = sums[ARRIVED : GONE + 1]
+        told.append(Loss(operation, arrived, succeeded, throttled, errored, gone, at, worst))
+    return told
--- a/ringshift/findings/telling.py
+++ b/ringshift/findings/telling.py
@@ -8,7 +8,7 @@
 
 from ringshift.findings.cause import Cause
 from ringshift.findings.course import Course
-from ringshift.findings.judge import Finding, Loss, Verdict, What
+from ringshift.findings.judge import Finding, Verdict, What
 
 S = 10**9
 
@@ -151,22 +151,16 @@
         told.append(f"It is itself the first thing out of the ordinary: {sentence(first)}.")
     else:
         told.append(f"It likely began at {clock(first.start)}: {sentence(first)}.")
-    hit = [loss for loss in verdict.losses if lost_share(loss) >= 0.005]
+    hit = [loss for loss in verdict.losses if loss.lost_share >= 0.005]
     if hit:
         rows = [
-            f"{loss.operation or 'all work'} {lost_share(loss):.1%}"
-            for loss in sorted(hit, key=lost_share)[::-1]
+            f"{loss.operation or 'all work'} {loss.lost_share:.1%}"
+            for loss in sorted(hit, key=lambda one: one.lost_share)[::-1]
         ]
         told.append(f"Service lost: {some(rows, 5)}.")
     return told
 
 
-def lost_share(loss: Loss) -> float:
-    row = loss.total
-    answered = row.succeeded + row.throttled + row.errored + row.gone
-    return 1 - row.succeeded / answered if answered else 0.0
-
-
 def plain(one: Finding) -> dict[str, Any]:
     return {
         "what": one.what.value,
@@ -203,13 +197,13 @@
         "losses": [
             {
                 "operation": loss.operation,
-                "arrived": loss.total.arrived,
-                "succeeded": loss.total.succeeded,
-                "throttled": loss.total.throttled,
-                "errored": loss.total.errored,
-                "gone": loss.total.gone,
-                "lost_share": round(lost_share(loss), 6),
-                "worst_minute": loss.worst_minute,
+                "arrived": loss.arrived,
+                "succeeded": loss.succeeded,
+                "throttled": loss.throttled,
+                "errored": loss.errored,
+                "gone": loss.gone,
+                "lost_share": round(loss.lost_share, 6),
+                "worst_at": loss.worst_at,
                 "worst_share": round(loss.worst_share, 6),
             }
             for loss in verdict.losses
