ringshift console shows a fleet live, or steps through an incident's store

A report tells the course once it is over; while it lasts, and to see one moment of it, a person needs a screen.

--- a/ringshift/cli/main.py
+++ b/ringshift/cli/main.py
@@ -13,6 +13,7 @@
 # command -> where it lives, what the list of commands says of it
 COMMANDS = {
     "records": ("ringshift.cli.records:records", "Gather, check and show what servers recorded."),
+    "console": ("ringshift.cli.console:console", "Follow servers live, or step through a store."),
     "report": ("ringshift.cli.report:report", "Tell an incident's course as one HTML page."),
 }
 
--- /dev/null
+++ b/ringshift/console/__init__.py
@@ -0,0 +1,1 @@
+"""A terminal console on textual: many servers live, or a store stepped through."""
--- a/ringshift/findings/course.py
+++ b/ringshift/findings/course.py
@@ -11,10 +11,10 @@
 from ringshift.findings.digest import (
     AGAIN,
     COUNTS,
+    ERRORED,
     LIMIT,
     MOST_BUCKETS,
     PRESSURE,
-    RUNNING,
     SECONDS,
     SERVER_FIGURES,
     THROTTLED,
@@ -26,7 +26,7 @@
 MS, S = 10**6, 10**9
 DELAY = 30 * MS  # the least delay that a caller's stamps have over a minute is under it
 UNSEEN = S // 2  # a wall clock may step that much between two runs of a server without anyone seeing it
-SHOWN = 6  # of a server and bucket: arrived, succeeded, throttled, then the mean limit, pressure, running
+SHOWN = 6  # of a server and bucket: arrived, succeeded, throttled, the mean limit and pressure, errored
 MOST_TOKEN = 400  # runs that one token ties; a token of every run of a large fleet needs no more
 
 
@@ -249,6 +249,8 @@
                     series[place * COUNTS + offset] += value
                     if offset <= THROTTLED:
                         mine[place * SHOWN + offset] += value
-            for shown, figure in ((3, LIMIT), (4, PRESSURE), (5, RUNNING)):
+                    elif offset == ERRORED:
+                        mine[place * SHOWN + 5] += value
+            for shown, figure in ((3, LIMIT), (4, PRESSURE)):
                 mean = figures[figure] / max(figures[SECONDS], 1)
                 mine[place * SHOWN + shown] = max(mine[place * SHOWN + shown], mean)
--- a/ringshift/store/incident.py
+++ b/ringshift/store/incident.py
@@ -38,6 +38,16 @@
     refused: int
 
 
+def is_incident(path: Path) -> bool:
+    """Told by the number that SQLite files carry at byte 68 for whose they are."""
+    try:
+        with path.open("rb") as file:
+            head = file.read(72)
+    except OSError:
+        return False
+    return head.startswith(b"SQLite format 3") and head[68:72] == APPLICATION.to_bytes(4, "big")
+
+
 class Incident:
     """Raises Malformed where the file is none, in one line that names it."""
 
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -93,8 +93,7 @@
         yield from writer.write(start, Phase("starting", "waiting", "listens"))
         cold = again and any(one.what == "cold" and one.until == start for one in mine)
         yield from writer.write(start + 0.01, Greeted(cold, 0.0))
-        if cold:
-            yield from writer.write(start + 0.01, Ready(False))
+        yield from writer.write(start + 0.01, Ready(not cold))
         yield from writer.write(start + 0.01, Phase("waiting", "serving", "greeted"))
         yield from writer.write(start + 0.02, Mark(f"report {name} {run}", 5.0))
         shedding, at, warm = False, start, not cold
