--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
-# build: an environment with all that is needed; test, lint: as .ci/run does; run: one backend with its stand-ins.
+# build: an environment with all that is needed; test, lint: as .ci/run does; run: one backend with its stand-ins;
+# incident: a staged incident on loopback and its report.
 PYTHON = .venv/bin/python
 
-.PHONY: build test lint run
+.PHONY: build test lint run incident
 
 build: .venv/built
 
-.venv/built: requirements.txt requirements-dev.txt
+.venv/built: requirements.txt requirements-tools.txt requirements-dev.txt
 	test -x $(PYTHON) || python3 -m venv .venv
 	$(PYTHON) -m pip -q install -r requirements-dev.txt
 	touch $@
@@ -19,3 +20,9 @@
 
 run: build
 	$(PYTHON) -m standins
+
+incident: build
+	rm -rf build/incident build/incident.db && mkdir -p build
+	$(PYTHON) -m standins.stage --kinds hung+kill --seed 7 build/incident >build/truth.log
+	$(PYTHON) -m ringshift records gather build/incident -o build/incident.db
+	$(PYTHON) -m ringshift report build/incident.db -o build/incident.html
--- a/benchmarks/recording.py
+++ b/benchmarks/recording.py
@@ -1,8 +1,8 @@
 """`python -m benchmarks.recording`: what records cost a backend, off and on interleaved in one run.
 
-In each round three backends serve the same calls one after the other, in an order drawn anew: without records,
-with lines, with lines and a store. Told: CPU an invocation by the kernel's account, resident memory at its
-peak, and modules loaded. `--short` is one round of 2,000 calls.
+In each round three backends serve the same calls one after the other, in an order drawn anew: without
+records, with lines, with lines and a store. Told: CPU an invocation by the kernel's account, resident memory
+at its peak, and modules loaded. `--short` is one round of 2,000 calls.
 """
 
 from __future__ import annotations
@@ -66,7 +66,7 @@
 
 
 def imports() -> dict[str, tuple[int, float]]:
-    """Modules loaded and MB at the peak at the backend's start, of this program and of the one before growth."""
+    """Modules loaded and MB at the peak once a backend is imported: before there were records, and now."""
     code = (
         "import sys, resource, {}; print(len(sys.modules), "
         "resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024)"
--- a/ringshift/cli/records.py
+++ b/ringshift/cli/records.py
@@ -45,11 +45,14 @@
     Example: ringshift records gather n1.log n2.log /var/lib/ringshift/records -o incident.db
     """
     from ringshift.records.gather import read_source
+    from ringshift.report.analyse import digests
     from ringshift.store.incident import Incident
 
     found = named(paths)
     store = Incident(output, create=True)
     told = [store.take(str(path), read_source(path)) for path in steps(found, "gathering")]
+    # Here and not at the first report: a person who opens a report waits for it, who gathers has time.
+    digests(store, lambda things: steps(list(things), "reading"))
     kinds = Counter(kind for _, _, kind, _ in store.refusals())
     if as_json:
         rows = [{"path": s.path, "taken": s.taken, "again": s.again, "refused": s.refused} for s in told]
--- a/ringshift/console/app.py
+++ b/ringshift/console/app.py
@@ -110,7 +110,7 @@
             table.add_column(name, width=width, key=name)
         if self.poll is not None:
             self.set_interval(0.5, self.follow)
-            self.set_interval(3.0, self.judge)
+            self.set_interval(3.0, self.judge_now)
             self.follow()
         else:
             self.at = self.board.span()[0]
@@ -125,10 +125,14 @@
         self.board.hear(self.poll(), self.at)
         self.refresh_board()
 
+    def judge_now(self) -> None:
+        assert isinstance(self.board, LiveBoard)
+        self.judge(self.board.snapshot())
+
     @work(thread=True, exclusive=True)
-    def judge(self) -> None:
+    def judge(self, taken: list[bytes]) -> None:
         assert isinstance(self.board, LiveBoard)
-        self.board.judge()
+        self.board.judge(taken)
 
     # Through time.
 
--- a/ringshift/console/board.py
+++ b/ringshift/console/board.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+import msgspec
+
 from ringshift.findings.course import SHOWN, Course, Stint
 from ringshift.findings.digest import Digest, Digester
 from ringshift.findings.judge import Finding
@@ -250,14 +252,16 @@
             )
         self.latest[name] = row
 
-    def judge(self) -> None:
-        """Some milliseconds a server: called off the screen's thread, on copies that nobody writes to."""
-        if self.changed:
-            self.changed = False
-            self.analysis = analyse(self.digests())
+    def snapshot(self) -> list[bytes]:
+        """What `judge` works on, taken between two hearings; nothing where nothing was heard since."""
+        changed, self.changed = self.changed, False
+        return [msgspec.msgpack.encode(one.finish()) for one in self.digesters.values()] if changed else []
 
-    def digests(self) -> list[Digest]:
-        return [one.finish() for one in list(self.digesters.values())]
+    def judge(self, taken: list[bytes]) -> None:
+        """Some milliseconds a server, so it is called off the screen's thread: on copies that nobody
+        writes to."""
+        if taken:
+            self.analysis = analyse([msgspec.msgpack.decode(data, type=Digest) for data in taken])
 
     def span(self) -> tuple[int, int, int]:
         if self.analysis is None:
--- a/ringshift/records/recorder.py
+++ b/ringshift/records/recorder.py
@@ -103,9 +103,10 @@
         self.write(Mark(token, spread_ms))
 
     def said(self, message: Any) -> None:
-        """The sink of loguru."""
+        """The sink of loguru: the text alone, and the trace where there is one."""
         told = message.record
-        self.write(Said(told["level"].name.lower(), str(told["message"])[:MOST_TEXT]))
+        text = str(message).rstrip() if told["exception"] is not None else str(told["message"])
+        self.write(Said(told["level"].name.lower(), text[:MOST_TEXT]))
 
     def end(self, status: int, owed: int) -> None:
         self.write(Ended(status, owed))
--- a/ringshift/report/analyse.py
+++ b/ringshift/report/analyse.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from zlib import crc32
 
 import msgspec
 
@@ -31,6 +32,21 @@
     return digester.finish()
 
 
+def packed(digest: Digest) -> bytes:
+    data = msgspec.msgpack.encode(digest)
+    return crc32(data).to_bytes(4, "big") + data
+
+
+def unpacked(data: bytes) -> Digest | None:
+    """None where the store was changed since: it is made again."""
+    if crc32(data[4:]).to_bytes(4, "big") != data[:4]:
+        return None
+    try:
+        return msgspec.msgpack.decode(data[4:], type=Digest)
+    except msgspec.DecodeError:
+        return None
+
+
 def digests(store: Incident, steps: Steps = lambda things: things) -> list[Digest]:
     """One for each run, as it stands in the store or made anew."""
     told = []
@@ -38,10 +54,12 @@
         key = f"{MAKING}/{count}"
         data = store.kept_digest(server, run, key)
         if data is not None:
-            told.append(msgspec.msgpack.decode(data, type=Digest))
-            continue
+            kept = unpacked(data)
+            if kept is not None:
+                told.append(kept)
+                continue
         digest = digest_run(store, server, run)
-        store.keep_digest(server, run, key, msgspec.msgpack.encode(digest))
+        store.keep_digest(server, run, key, packed(digest))
         told.append(digest)
     return told
 
--- a/ringshift/store/incident.py
+++ b/ringshift/store/incident.py
@@ -128,12 +128,14 @@
         """server, run, its first time by its own clock, how many records."""
         sql = ("SELECT server, run, min(at), count(*) FROM records GROUP BY server, run "
                "ORDER BY server, min(at)")  # fmt: skip
-        return [(server, run, at, count) for server, run, at, count in self.guarded(sql)]
+        return [
+            (server, run, at, count) for server, run, at, count in self.guarded(sql, (str, str, int, int))
+        ]
 
     def records(self, server: str, run: str) -> Iterator[Record]:
         """Of one run, in the order they were written."""
         sql = "SELECT data FROM records WHERE server = ? AND run = ? ORDER BY seq"
-        for (data,) in self.guarded(sql, server, run):
+        for (data,) in self.guarded(sql, (bytes,), server, run):
             one = read(data)
             if isinstance(one, Record):
                 yield one
@@ -141,7 +143,7 @@
     def kept_digest(self, server: str, run: str, making: str) -> bytes | None:
         """What was made of a run's records before, unless they or the making have changed since."""
         sql = "SELECT data FROM digests WHERE server = ? AND run = ? AND making = ?"
-        return next((data for (data,) in self.guarded(sql, server, run, making)), None)
+        return next((data for (data,) in self.guarded(sql, (bytes,), server, run, making)), None)
 
     def keep_digest(self, server: str, run: str, making: str, data: bytes) -> None:
         """Left out where the store can't be written: it can be made again."""
@@ -149,15 +151,23 @@
             self.db.execute("INSERT OR REPLACE INTO digests VALUES (?, ?, ?, ?)", (server, run, making, data))
 
     def sources(self) -> list[Source]:
-        return [Source(*row) for row in self.guarded("SELECT * FROM sources ORDER BY path")]
+        return [
+            Source(*row) for row in self.guarded("SELECT * FROM sources ORDER BY path", (str, int, int, int))
+        ]
 
     def refusals(self) -> list[tuple[str, int, str, str]]:
         sql = "SELECT path, place, kind, why FROM refusals ORDER BY path, place"
-        return [(path, place, kind, why) for path, place, kind, why in self.guarded(sql)]
+        return [
+            (path, place, kind, why) for path, place, kind, why in self.guarded(sql, (str, int, str, str))
+        ]
 
-    def guarded(self, sql: str, *values: object) -> Iterator[tuple[Any, ...]]:
-        """A store cut short ends with the line that says so, not with a trace."""
+    def guarded(self, sql: str, types: tuple[type, ...], *values: object) -> Iterator[tuple[Any, ...]]:
+        """A store cut short or changed ends with the line that says so, not with a trace; its rows may then
+        hold anything in any place."""
         try:
-            yield from self.db.execute(sql, values)
-        except sqlite3.Error as wrong:
+            for row in self.db.execute(sql, values):
+                if not all(isinstance(value, kind) for value, kind in zip(row, types, strict=True)):
+                    raise Malformed(f"{self.path}: a row that is none; gather it anew")
+                yield row
+        except (sqlite3.Error, UnicodeDecodeError, OverflowError) as wrong:
             raise Malformed(f"{self.path}: {wrong}; gather it anew") from None
--- a/ringshift/store/ring.py
+++ b/ringshift/store/ring.py
@@ -64,8 +64,10 @@
         over = len(self.kept_back) - self.most
         if over > 0:
             run, last, at, data = self.kept_back[over]
-            first = self.kept_back[0][1]
-            gap = orjson.loads(data) | {"kind": "dropped", "body": Dropped(over + 1, first, "not written")}
+            oldest = orjson.loads(self.kept_back[0][3])
+            first = oldest["body"]["first"] if oldest["kind"] == "dropped" else oldest["seq"]
+            gap = orjson.loads(data) | {"kind": "dropped"}
+            gap["body"] = Dropped(last - first + 1, first, "not written")
             self.kept_back[: over + 1] = [(run, last, at, orjson.dumps(gap))]
             self.lost += over + 1
         try:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -138,7 +138,8 @@
         log.close()
     live.hear(follower.poll(), NOON)
     heard = sum(one.digest.records for one in live.digesters.values())
-    live.judge()
+    live.judge(live.snapshot())
+    assert live.snapshot() == []
     assert heard == len(records)
     assert [one.text.split(" ")[0] for one in live.findings(0)][:2] == ["the", "n2"]
     rows = {row.server: row for row in live.rows(NOON + S)}
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -344,5 +344,7 @@
         assert err.count("\n") == 1 and "Traceback" not in err
     sqlite3.connect(store).executescript("PRAGMA user_version=9")
     assert command(["records", "show", store]) == 2 and "version 9" in capfd.readouterr().err
-    assert command(["records", "gather", "--help"]) == 0 and "Example:" in capfd.readouterr().out
+    for words in ([], ["records"], *(["records", name] for name in ("gather", "check", "show")), ["report"],
+                  ["console"]):  # fmt: skip
+        assert command([*words, "--help"]) == 0 and "Example: ringshift" in capfd.readouterr().out
     gc.collect()
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -7,13 +7,16 @@
 from dataclasses import replace
 from html.parser import HTMLParser
 from pathlib import Path
+from random import Random
 
 import pytest
 
 from ringshift.cli.main import command
+from ringshift.findings.judge import What
+from ringshift.records.gather import read_source
 from ringshift.records.reader import Refusal, write
 from ringshift.records.schema import Record
-from ringshift.report.analyse import digests
+from ringshift.report.analyse import analyse, digests
 from ringshift.store.incident import Incident
 from standins.scripted import NOON, S, Script, Trouble
 
@@ -115,6 +118,47 @@
     assert "over a day from the others" in page.read_text()
 
 
+def test_text_logs_of_before_the_records_tell_what_they_can(tmp_path: Path) -> None:
+    def line(server: str, second: float, text: str) -> str:
+        return f"2026-12-01T10:{int(second) // 60:02}:{second % 60:06.3f} INFO {server} {text}\n"
+
+    log = tmp_path / "both.log"
+    log.write_text("".join([
+        line("n1", 0, "listening on 127.0.0.1:1"), line("n1", 0.1, "listens: starting -> waiting"),
+        line("n1", 0.2, "agent greeted after 1 ms, cold start"),
+        line("n1", 0.2, "greeted: waiting -> serving"),
+        line("n2", 0.2, "listening on 127.0.0.1:2"), line("n1", 5, "warm after 5000 ms"),
+        line("n2", 1, "greeted: waiting -> serving"), line("n1", 20, "overload: line full"),
+        line("n1", 31, "overload: line open"), line("n2", 40, "told to leave: serving -> leaving"),
+        line("n2", 41, "ended: closing -> closed"), line("n1", 60, "overload: line full"),
+    ]))  # fmt: skip
+    store = Incident(tmp_path / "i.db", create=True)
+    store.take("text", read_source(log))
+    found = analyse(digests(store), clocks_within=S).verdict
+    assert [(one.what, one.servers) for one in found.findings] == [
+        (What.COLD, ["n1"]),
+        (What.SHEDDING, ["n1"]),
+        (What.DRAINED, ["n2"]),
+        (What.SHEDDING, ["n1"]),
+    ]
+    assert found.findings[1].end is not None and found.findings[1].end - found.findings[1].start == 11 * S
+    assert command(["report", str(tmp_path / "i.db"), "-o", str(tmp_path / "i.html")]) == 0
+
+
+def test_an_incident_store_cut_or_changed_at_any_byte_is_told_or_refused(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    whole = Path(store_of(tmp_path / "i.db", [*Script(2, servers=2, seconds=15).everything()])).read_bytes()
+    chance, cut = Random(3), tmp_path / "cut.db"
+    for index in range(60):
+        data = bytearray(whole)
+        if index % 2:
+            data[chance.randrange(len(data))] ^= 1 << chance.randrange(8)
+        cut.write_bytes(data if index % 2 else data[: chance.randrange(len(data))])
+        assert command(["report", str(cut), "--json"]) in (0, 2)
+        assert "Traceback" not in capfd.readouterr().err
+
+
 def test_wrong_input_is_one_line(tmp_path: Path, capfd: pytest.CaptureFixture[str]) -> None:
     empty = tmp_path / "empty.db"
     Incident(empty, create=True).close()
