--- a/ringshift/alignment.py
+++ b/ringshift/alignment.py
@@ -22,7 +22,7 @@
 MOST_DRIFT = 1e-3
 FIRM = 0.002  # seconds: no tie is taken for surer than that
 OUTLIER = 3.0  # standard deviations beyond which a tie's pull stays the same
-SWEEPS, STILL = 300, 1e-5  # passes over all runs, and the seconds of movement at which they end
+SWEEPS, STILL = 100, 1e-4  # passes over all runs, and the seconds of movement at which they end
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,14 +158,15 @@
         return order
 
     def solve(self, order: Sequence[str]) -> None:
-        """The first one stays: gauge and reference. Others follow from what their bonds ask, in turn."""
+        """Each follows from what its bonds ask, in turn. None is held: a single one that is, among hundreds
+        that agree with each other, would draw them to itself by a three hundredth a sweep. Who is right is
+        settled afterwards, for all at once."""
         known = {order[0]}
-        for sweep in range(SWEEPS):
-            moved = 0.0
-            for node in order[1:]:
-                moved = max(moved, self.follow(node, known if sweep == 0 else None))
-                known.add(node)
-            if moved < STILL:
+        for node in order[1:]:
+            self.follow(node, known)
+            known.add(node)
+        for _ in range(SWEEPS):
+            if max((self.follow(node, None) for node in order), default=0.0) < STILL:
                 return
 
     def follow(self, node: str, known: set[str] | None) -> float:
@@ -228,12 +229,16 @@
     for index, group in enumerate(groups):
         fit.solve(group)
         errors = fit.errors(group[0])
-        shift = 0.0 if group[0] == reference else -median(fit.off[node] for node in group)
-        # The rate of the first was held at none; without a reference the clocks' median is the better guess.
-        turn = 0.0 if group[0] == reference else median(fit.rate[node] for node in group)
+        # All are turned and shifted as one, so that the reference is right, or else the median clock.
+        if group[0] == reference:
+            right, turn = fit.off[reference], fit.rate[reference]
+        else:
+            right = median(fit.off[node] for node in group)
+            turn = median(fit.rate[node] for node in group)
+        centre = runs[group[0]].wall + fit.middle(group[0])
         for node in group:
-            rate = fit.rate[node] - turn
-            off = fit.off[node] + shift
+            away = (runs[node].wall + fit.middle(node) - centre) / S
+            rate, off = fit.rate[node] - turn, fit.off[node] - right - turn * away
             origin = runs[node].wall + round(off * S) - round(rate * fit.middle(node))
             placed[node] = Placed(origin, rate, round(errors.get(node, 0.0) * S), index, -round(off * S))
     return Alignment(placed, groups, fit.outvoted)
--- a/ringshift/findings/digest.py
+++ b/ringshift/findings/digest.py
@@ -30,6 +30,7 @@
 MS, S = 10**6, 10**9
 MOST_SPELLS = 2000
 MOST_MARKS = 2000
+MOST_STAMPED = 240  # windows by caller that tie a run's clock
 MOST_OPERATIONS = 200
 STANDSTILL = 400 * MS  # a beat that late is told as a pause; a busy core holds one up for some tens of ms
 SILENT = 2500 * MS  # two and a half heartbeats without a record, and none missing
@@ -108,6 +109,7 @@
         self.open: dict[tuple[Kind, str], Spell] = {}
         self.last: Record | None = None
         self.before: tuple[tuple[int, int], int, dict[Kind, float]] | None = None
+        self.stamp_window = 60 * S
         self.best_stamp: dict[tuple[int, int], tuple[int, int]] = {}
 
     def hear(self, record: Record) -> None:
@@ -408,14 +410,22 @@
     def take_stamps(self, record: Record, body: Second) -> None:
         """The least difference of a window is the one with the least delay in it."""
         for one in body.stamps:
-            key = one.caller, record.up // (60 * S)
+            key = one.caller, record.up // self.stamp_window
             # By the caller's clock it was `at - least` when it was `up` here.
             value = record.at - record.up - round(one.least_ms * MS)
-            if key not in self.best_stamp and len(self.best_stamp) >= MOST_MARKS:
-                continue
             best = self.best_stamp.get(key)
             if best is None or value > best[0]:
                 self.best_stamp[key] = value, record.up
+        while len(self.best_stamp) > MOST_STAMPED:
+            # Of a long run fewer and wider windows: its clock drifts no faster for it.
+            self.stamp_window *= 2
+            folded: dict[tuple[int, int], tuple[int, int]] = {}
+            for (caller, window), seen in self.best_stamp.items():
+                into = caller, window // 2
+                folded[into] = max(folded.get(into, seen), seen)
+            if len(folded) == len(self.best_stamp):
+                folded = dict(list(folded.items())[:MOST_STAMPED])  # that many callers: the first ones do
+            self.best_stamp = folded
 
     def finish(self) -> Digest:
         digest = self.digest
--- a/ringshift/findings/judge.py
+++ b/ringshift/findings/judge.py
@@ -181,8 +181,12 @@
         self.course = course
         self.findings: list[Finding] = []
         self.moved: list[Finding] = []
-        self.echoes = [one for one in course.spells if self.echo(one)]
-        self.spells = [one for one in course.spells if one not in self.echoes]
+        self.by_server: dict[str, list[Placed]] = defaultdict(list)
+        for one in course.spells:
+            self.by_server[one.server].append(one)
+        self.echoes, self.spells = list[Placed](), list[Placed]()
+        for one in course.spells:
+            (self.echoes if self.echo(one) else self.spells).append(one)
 
     def verdict(self) -> Verdict:
         for server, stints in self.course.stints.items():
@@ -199,8 +203,8 @@
         return Verdict(self.findings, losses(self.course), self.echoes, self.moved)
 
     def echo(self, one: Placed) -> bool:
-        for other in self.course.spells:
-            if other.server != one.server or other.kind not in ECHOES.get(one.kind, ()):
+        for other in self.by_server[one.server]:
+            if other.kind not in ECHOES.get(one.kind, ()):
                 continue
             end = other.end if other.end is not None else self.course.end
             if other.start - ECHO_BEFORE <= one.start <= end + ECHO_AFTER:
