--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,5 @@
 incident: build
 	rm -rf build/incident build/incident.db && mkdir -p build
 	$(PYTHON) -m standins.stage --kinds hung+kill --seed 7 build/incident >build/truth.log
-	$(PYTHON) -m ringshift records gather build/incident -o build/incident.db
+	$(PYTHON) -m ringshift records gather build/incident/*.log -o build/incident.db
 	$(PYTHON) -m ringshift report build/incident.db -o build/incident.html
