Endings are judged from one value; figures of the report have commands that repeat them

Read once more as its next keeper: four endings repeated one long signature, a method and a sentence of the schema were dead, the gap's end was set twice, and two figures in results.md came from no command.

--- a/benchmarks/incidents.py
+++ b/benchmarks/incidents.py
@@ -56,6 +56,12 @@
     done = subprocess.run(command, capture_output=True, text=True, timeout=120)
     if done.returncode:
         raise RuntimeError(f"{kinds} {seed}: {done.stderr[-2000:]}")
+    return judged(folder)
+
+
+def judged(folder: Path) -> Score:
+    """What this text tells of an incident that was staged, now or before."""
+    (folder / "incident.db").unlink(missing_ok=True)
     told = report(folder)
     (folder / "told.json").write_bytes(orjson.dumps(told, option=orjson.OPT_INDENT_2))
     return check(orjson.loads((folder / "truth.json").read_bytes()), told)
@@ -68,7 +74,12 @@
     parser.add_argument("--beside", type=int, default=4, help="how many at once")
     parser.add_argument("--short", action="store_true", help="four incidents")
     parser.add_argument("--keep", type=Path, help="keep logs, truth and findings in this folder")
+    parser.add_argument("--again", type=Path, help="stage nothing; judge what --keep kept in this folder")
     told = parser.parse_args()
+    if told.again:
+        folders = sorted(one for one in told.again.iterdir() if one.is_dir())
+        table([(folder.name, 0, judged(folder)) for folder in folders])
+        return 0
     root = told.keep or Path(tempfile.mkdtemp())
     todo = plan(4 if told.short else told.count, told.seed)
     scores: list[tuple[str, int, Score]] = []
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from ringshift.console.board import LiveBoard
 from ringshift.findings.digest import Digest, Digester
 from ringshift.records.gather import read_source
 from ringshift.records.reader import write
@@ -110,8 +111,29 @@
         beats = servers * seconds
         print(f"gathering takes {taken:.0f} records a second, digesting {read:.0f}; all of these servers ")
         print(f"hold {beats / 1e6:.1f} million heartbeats, {beats * (1 / taken + 1 / read) / 60:.0f} min")
+    live(servers, 30.0 if told.short else 120.0)
     return 0
 
 
+def live(servers: int, seconds: float) -> None:
+    """What following such a fleet costs the console."""
+    script = Script(4, servers=servers, seconds=seconds, callers=1)
+    records = sorted(script.everything(), key=lambda one: getattr(one, "up_true", 0))
+    board, marks = LiveBoard(), [time.perf_counter()]
+    board.hear(records, 0)
+    marks.append(time.perf_counter())
+    board.rows(S)
+    marks.append(time.perf_counter())
+    taken = board.snapshot()
+    marks.append(time.perf_counter())
+    board.judge(taken)
+    marks.append(time.perf_counter())
+    heard, rows, copied, judged = (1000 * (b - a) for a, b in zip(marks, marks[1:], strict=False))
+    print(
+        f"live: {len(records)} records, {1000 * heard / len(records):.0f} us each; all rows {rows:.0f} ms, "
+    )
+    print(f"a copy {copied:.0f} ms, findings {judged:.0f} ms")
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/ringshift/findings/judge.py
+++ b/ringshift/findings/judge.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from ringshift.findings.course import Course, Placed, Stint
 from ringshift.findings.digest import ARRIVED, COUNTS, GONE, SUCCEEDED
@@ -142,6 +143,17 @@
 ECHO_BEFORE, ECHO_AFTER = 1500 * MS, 3 * S
 
 
+class Ending(NamedTuple):
+    """A run that is over: its successor under the name, when an observer last heard of it, and when and by
+    which record it was told to leave."""
+
+    server: str
+    stint: Stint
+    follower: Stint | None
+    heard: int | None
+    leaving: tuple[int, int] | None
+
+
 @dataclass(frozen=True, slots=True)
 class Loss:
     """Service of one operation over the whole course."""
@@ -300,7 +312,7 @@
         what = ENDINGS[close, leaving is not None, after]
         if what is None:
             return None
-        return ENDED[what](self, server, stint, follower, heard, leaving)
+        return ENDED[what](self, Ending(server, stint, follower, heard, leaving))
 
     def last_heard(self, server: str, stint: Stint, follower: Stint | None) -> int | None:
         """When an observer last heard of it before its next run."""
@@ -319,15 +331,9 @@
                         latest = at
         return latest
 
-    def end_gone(
-        self,
-        server: str,
-        stint: Stint,
-        follower: Stint | None,
-        heard: int | None,
-        leaving: tuple[int, int] | None,
-    ) -> Finding:
+    def end_gone(self, over: Ending) -> Finding:
         """Between its last word and the heartbeat that did not come; an observer may know better."""
+        server, stint, follower, heard, leaving = over
         digest, alignment = stint.digest, self.course.alignment
         low = stint.last
         if digest.last_beat >= 0:
@@ -350,14 +356,8 @@
             last_heard_s=(high - low) / S,
         )
 
-    def end_missing(
-        self,
-        server: str,
-        stint: Stint,
-        follower: Stint | None,
-        heard: int | None,
-        leaving: tuple[int, int] | None,
-    ) -> Finding:
+    def end_missing(self, over: Ending) -> Finding:
+        server, stint, follower, heard, _ = over
         until = follower.start if follower is not None else heard
         found = self.add(
             What.RECORDS_MISSING,
@@ -371,14 +371,8 @@
         )
         return found
 
-    def end_drained(
-        self,
-        server: str,
-        stint: Stint,
-        follower: Stint | None,
-        heard: int | None,
-        leaving: tuple[int, int] | None,
-    ) -> Finding:
+    def end_drained(self, over: Ending) -> Finding:
+        server, stint, _, _, leaving = over
         digest = stint.digest
         assert digest.ended is not None
         _, owed, up, seq = digest.ended
@@ -397,14 +391,8 @@
             took_s=(end - start) / S,
         )
 
-    def end_crashed(
-        self,
-        server: str,
-        stint: Stint,
-        follower: Stint | None,
-        heard: int | None,
-        leaving: tuple[int, int] | None,
-    ) -> Finding:
+    def end_crashed(self, over: Ending) -> Finding:
+        server, stint, _, _, _ = over
         digest = stint.digest
         assert digest.ended is not None
         status, owed, up, seq = digest.ended
@@ -555,8 +543,7 @@
 
     def tell_gap(self, some: Sequence[Placed]) -> None:
         for one in some:
-            found = self.told(What.GAP, [one], records=one.spell.after)
-            found.end = one.end
+            self.told(What.GAP, [one], records=one.spell.after)
 
     def judge_clocks(self) -> None:
         course = self.course
@@ -602,7 +589,7 @@
                     )
 
 
-End = Callable[[Judge, str, Stint, Stint | None, int | None, tuple[int, int] | None], Finding]
+End = Callable[[Judge, Ending], Finding]
 ENDED: dict[What, End] = {
     What.VANISHED: Judge.end_gone,
     What.DRAIN_CUT: Judge.end_gone,
--- a/ringshift/records/recorder.py
+++ b/ringshift/records/recorder.py
@@ -24,7 +24,6 @@
     Started,
 )  # fmt: skip
 from ringshift.records.tally import BEAT, Tally
-from ringshift.records.watch import GONE
 
 if TYPE_CHECKING:
     from ringshift.control import Controller
@@ -65,9 +64,6 @@
     def answered(self, operation: int, how: int) -> None:
         self.tally.rows[operation].ends[how] += 1
 
-    def gone(self, operation: int) -> None:
-        self.answered(operation, GONE)
-
     def launched(self, operation: int) -> None:
         self.tally.rows[operation].launched += 1
 
--- a/ringshift/records/schema.py
+++ b/ringshift/records/schema.py
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Said:
-    """A log line; `count` tells how many there were of its kind since the last, 1 where it is not counted."""
+    """A log line; kinds that traffic can repeat are counted before they get here."""
 
     level: str
     text: str
