A guard test runs the backend as run does and fails on fork, spawn, Unix or IPv6 sockets

Change: standins/guard puts a sitecustomize on PYTHONPATH that hooks Python's audit events (PEP 578) and refuses each such call with ENOSYS and a line 'guard: refused ...', and reads threads, children and the program run from /proc. tests/test_guard.py runs the line run of deploy/balancer.toml through /bin/sh with this interpreter, serves 30 calls and a deep check from the stand-ins, takes a SIGHUP, and checks between two reports of the announce service that no thread ran more than 0.8 of the stretch, that run ended by exec, that no child lives, and that no call was refused; then SIGTERM ends it with 0. The guard's own cases plant a fork, a program, posix_spawn, exec, a Unix socket, a socket pair, an IPv6 and a raw socket, and a spinning thread, and each must be seen. Room takes a shell line in place of a command.

--- a/standins/room.py
+++ b/standins/room.py
@@ -37,7 +37,9 @@
     def __init__(self, agent: Agent | None = None, /, stop_ms: float = 2000.0, sockets: int = 1024,
                  settings: dict[str, Any] = SETTINGS, command: tuple[str, ...] = ("-m", "ringshift"),
                  listen: str = "127.0.0.1:0", echo: bool = False,
-                 environ: dict[str, str] | None = None, **other: Any) -> None:  # fmt: skip
+                 environ: dict[str, str] | None = None, shell: str | None = None,
+                 **other: Any) -> None:  # fmt: skip
+        """`shell`: a line for /bin/sh in place of `command`, started from the root as `run` is started."""
         self.agent, self.announce = agent or Agent(), Announce()
         self.folder = tempfile.TemporaryDirectory()
         told = {"name": "n3", "listen": listen, "agent": self.agent.address,
@@ -51,9 +53,8 @@
         self.echo = echo
         self.logged = Event()
         environ = {**os.environ, "PROXY_CONFIG": str(self.path), **(environ or {})}
-        self.process = subprocess.Popen(
-            [sys.executable, *command], cwd=ROOT, env=environ, stderr=subprocess.PIPE
-        )
+        argv = ["/bin/sh", "-c", shell] if shell is not None else [sys.executable, *command]
+        self.process = subprocess.Popen(argv, cwd=ROOT, env=environ, stderr=subprocess.PIPE)
         self.reading = gevent.spawn(self.read)
 
     def __enter__(self) -> Room:
--- /dev/null
+++ b/tests/test_guard.py
@@ -0,0 +1,110 @@
+"""The backend as `run` starts it does only what the full-size bench allows: one process, IPv4, threads wait.
+
+The guard in `standins/guard` fails and names each refused call; the checks of the guard itself come first, so
+that a guard that sees nothing can't pass for a backend that does nothing wrong.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+import tomllib
+
+import pytest
+
+from standins import guard
+from standins.agent import Agent
+from standins.room import ROOT, SETTINGS, Room
+
+PLANTED = {
+    "fork": "import os; os.fork()",
+    "program": "import subprocess; subprocess.run(['true'])",
+    "spawn": "import os; os.posix_spawn('/bin/true', ['true'], {})",
+    "exec": "import os; os.execv('/bin/true', ['true'])",
+    "unix socket": "import socket; socket.socket(socket.AF_UNIX)",
+    "socket pair": "import socket; socket.socketpair()",
+    "ipv6 socket": "import socket; socket.socket(socket.AF_INET6)",
+    "raw socket": "import socket; socket.socket(socket.AF_INET, socket.SOCK_RAW)",
+}
+
+
+def guarded() -> dict[str, str]:
+    return {**os.environ, "PYTHONPATH": os.pathsep.join([str(guard.SITE), str(ROOT)])}
+
+
+@pytest.mark.parametrize("planted", PLANTED)
+def test_the_guard_refuses_and_names_each_planted_call(planted: str) -> None:
+    done = subprocess.run([sys.executable, "-c", PLANTED[planted]], env=guarded(), capture_output=True,
+                          timeout=60, cwd=ROOT)  # fmt: skip
+    assert b"guard: refused" in done.stderr
+    assert done.returncode != 0
+
+
+def test_the_guard_lets_ipv4_sockets_and_threads_be() -> None:
+    plain = "import socket, threading\nsocket.socket().close()\n"
+    plain += "socket.socket(type=socket.SOCK_DGRAM).close()\n"
+    plain += "t = threading.Thread(target=print); t.start(); t.join()"
+    done = subprocess.run([sys.executable, "-c", plain], env=guarded(), capture_output=True, timeout=60)
+    assert (done.returncode, done.stderr) == (0, b"")
+
+
+def test_a_thread_that_does_not_wait_is_seen() -> None:
+    spin = "import threading, sys\nthreading.Thread(target=lambda: [0 for _ in iter(int, 1)]).start()\n"
+    spin += "sys.stdout.write('spinning\\n'); sys.stdout.flush()\nsys.stdin.read()"
+    pipes = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE}
+    with subprocess.Popen([sys.executable, "-c", spin], **pipes) as child:  # type: ignore[call-overload]
+        try:
+            assert child.stdout is not None and child.stdout.readline() == b"spinning\n"
+            before, start = guard.threads(child.pid), time.monotonic()
+            while not guard.busy(before, guard.threads(child.pid), time.monotonic() - start):
+                # Each reading is a wait on the spinning thread itself, which makes the stretch grow.
+                assert time.monotonic() - start < 30
+        finally:
+            child.kill()
+
+
+def run_line() -> str:
+    """`run` of the deploy file, with this test's interpreter in place of the one that `build` makes."""
+    line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert ".venv/bin/python" in line
+    return str(line).replace(".venv/bin/python", sys.executable)
+
+
+def served(answer: tuple[float, str, bytes] | None = None) -> tuple[float, str, bytes]:
+    return answer or (0.0, "good", b"made")
+
+
+def test_the_backend_as_run_starts_it_needs_nothing_that_the_bench_refuses() -> None:
+    extra = {**SETTINGS["extra"], "real_checks": True}
+    with Room(Agent(lambda job, kind, body: served()), shell=run_line(), environ=guarded(),
+              settings={**SETTINGS, "extra": extra}) as room:  # fmt: skip
+        try:
+            serve_and_leave(room)
+        finally:
+            # First, as a refused call may have ended the program before anything else could be seen.
+            assert [line for line in room.lines if "guard:" in line] == []
+
+
+def serve_and_leave(room: Room) -> None:
+    sidecar = room.serving()
+    pid = room.process.pid
+    assert os.path.basename(guard.program(pid)).startswith("python"), "run did not end by exec"
+    for request in range(1, 31):
+        sidecar.send(sidecar.call(request, ("look", "order")[request % 2], b"%d" % request))
+    checks = room.sidecar()  # a health check ends its connection after the answer
+    checks.send(checks.check(1, deep=True))
+    ends = [sidecar.answer(request).status for request in range(1, 31)]
+    assert set(ends) <= {200, 429} and ends.count(200) >= 10  # the module may throttle a burst
+    assert checks.answer(1).status == 200
+    room.replace()  # a SIGHUP in service reads the configuration anew
+    room.line("configuration read")
+    before, start = guard.threads(pid), time.monotonic()
+    seen = len(room.announce.reports)
+    room.wait(room.announce.reported, lambda: len(room.announce.reports) >= seen + 2)
+    assert not guard.busy(before, guard.threads(pid), time.monotonic() - start)
+    assert guard.children(pid) == []
+    room.process.send_signal(signal.SIGTERM)
+    assert room.ended() == 0
