benchmarks.soak: resident memory of two backends over half an hour, records off and on

Change: benchmarks/soak.py serves two backends (started as run starts them) with callers that churn connections, both operations and new job ids, reads VmRSS and descriptors every 10 s and fits the slope over the second half; standins/census, on PYTHONPATH, writes on SIGUSR2 what the containers held by the program's objects hold, summed by Class.attribute.

--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,161 @@
+"""`python -m benchmarks.soak`: resident memory of backends serving for half an hour, records off and on.
+
+Two backends side by side, each as `run` starts it, one without records and one with records as lines, are
+served by the same kind of traffic: callers of many names that come and go with new connections, both
+operations, bodies of any size, job ids never seen before, some callers gone before their answer, work of the
+agent that takes from nothing to a second. Every ten seconds resident memory and descriptors of each are read
+from /proc; the slope is fitted by least squares over the second half, after warm-up. At the end each backend
+writes what its largest structures hold (`standins/census`). `--short` serves one minute.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import signal
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+
+import gevent
+
+from standins.agent import Agent
+from standins.caller import Link
+from standins.census import SITE
+from standins.room import ROOT, SETTINGS, Room
+
+WAYS = {"off": {}, "lines": {"RINGSHIFT_RECORDS": "lines"}}
+EVERY = 10.0  # seconds between two readings
+SENDERS = 100  # callers told to each backend, each of which sends from time to time
+
+
+def resident(pid: int) -> tuple[float, int]:
+    """MB resident and descriptors open, now."""
+    status = Path(f"/proc/{pid}/status").read_text().splitlines()
+    rss = next(int(line.split()[1]) for line in status if line.startswith("VmRSS"))
+    return rss / 1024, len(os.listdir(f"/proc/{pid}/fd"))
+
+
+class Quiet(Room):
+    """Keeps the lines of phases and few others: a half hour of records would fill the measurer instead."""
+
+    def read(self) -> None:
+        assert self.process.stderr is not None
+        self.records = 0
+        for line in self.process.stderr:
+            if line.startswith(b"{"):
+                self.records += 1
+                if b"listening on" not in line and b" -> " not in line:
+                    continue
+            self.lines = [*self.lines[-200:], line.decode().rstrip()]
+            self.logged.set()
+
+
+def callers(
+    address: tuple[str, int], random: Random, rate: float, until: float, tally: dict[str, int]
+) -> None:
+    """An open loop of `rate` calls a second; every few dozen calls a caller leaves and a new one links."""
+    link, made = Link(address), 0
+    while time.monotonic() < until:
+        gevent.sleep(random.expovariate(rate))
+        made += 1
+        if made % random.choice([20, 50, 200]) == 0 or link.broken:
+            link.sock.close()
+            link = Link(address)
+        allow = random.choice([300, 1500, 3000])
+        fields = {"HTTP_X_SENDER": str(random.randrange(SENDERS)), "HTTP_X_ALLOW_MS": str(allow)}
+        patience = 0.05 if random.random() < 0.02 else 4.0  # a few callers are gone before the answer
+        gevent.spawn(ask, link, random, patience, fields, tally)
+
+
+def ask(link: Link, random: Random, patience: float, fields: dict[str, str], tally: dict[str, int]) -> None:
+    answer = link.ask(random.choice(["look", "order"]), random.randbytes(random.choice([50, 500, 4000])),
+                      random.getrandbits(64), patience, **fields)  # fmt: skip
+    key = "none" if answer is None else str(answer.status)
+    tally[key] = tally.get(key, 0) + 1
+
+
+def work(random: Random) -> Agent:
+    return Agent(lambda job, kind, body: (random.choice([0.0, 0.01, 0.1, 1.0]), "good", body[:100]))
+
+
+def slope(readings: list[tuple[float, float]]) -> float:
+    """MB an hour over the second half, by least squares."""
+    half = readings[len(readings) // 2 :]
+    if len(half) < 2:
+        return 0.0
+    return float(statistics.linear_regression([t for t, _ in half], [m for _, m in half]).slope) * 3600
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--minutes", type=float, default=30.0)
+    parser.add_argument("--rate", type=float, default=150.0, help="calls a second to each backend")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--short", action="store_true")
+    told = parser.parse_args()
+    minutes = 1.0 if told.short else told.minutes
+    random = Random(told.seed)
+    folder = Path(tempfile.mkdtemp())
+    rooms: dict[str, Quiet] = {}
+    readings: dict[str, list[tuple[float, float]]] = {way: [] for way in WAYS}
+    tallies: dict[str, dict[str, int]] = {way: {} for way in WAYS}
+    run = f"exec {sys.executable} -m ringshift"
+    for way, environ in WAYS.items():
+        census = {
+            "PYTHONPATH": os.pathsep.join([str(SITE), str(ROOT)]),
+            "RINGSHIFT_CENSUS": str(folder / way),
+        }
+        settings = {**SETTINGS, "extra": {**SETTINGS["extra"], "upstreams": SENDERS}}
+        rooms[way] = Quiet(work(Random(random.getrandbits(32))), shell=run, settings=settings,
+                           environ={**environ, **census})  # fmt: skip
+    start = time.monotonic()
+    until = start + minutes * 60
+    for way, room in rooms.items():
+        room.serving()
+        for _ in range(4):
+            gevent.spawn(callers, room.address(), Random(random.getrandbits(32)), told.rate / 4, until,
+                         tallies[way])  # fmt: skip
+    while time.monotonic() < until:
+        gevent.sleep(EVERY)
+        at = time.monotonic() - start
+        line = []
+        for way, room in rooms.items():
+            mb, fds = resident(room.process.pid)
+            readings[way].append((at, mb))
+            line.append(f"{way} {mb:.1f} MB {fds} fds {sum(tallies[way].values())} answered")
+        print(f"{at / 60:5.1f} min: " + ", ".join(line), flush=True)
+    print(f"\n{minutes:.0f} minutes, {told.rate:.0f} calls a second to each, seed {told.seed}\n")
+    print(
+        "| records | MB at 1 min | MB at the end | peak | slope over the second half, MB an hour | answers |"
+    )
+    print("| --- | --- | --- | --- | --- | --- |")
+    for way in rooms:
+        seen = readings[way]
+        first = next((m for t, m in seen if t >= 60), seen[0][1])
+        ends = ", ".join(f"{k} {v}" for k, v in sorted(tallies[way].items()))
+        print(f"| {way} | {first:.1f} | {seen[-1][1]:.1f} | {max(m for _, m in seen):.1f} | "
+              f"{slope(seen):+.2f} | {ends} |")  # fmt: skip
+    for way, room in rooms.items():
+        room.process.send_signal(signal.SIGUSR2)
+        path = folder / way
+        with gevent.Timeout(60):
+            while not (path.exists() and path.stat().st_size > 0):
+                gevent.sleep(0.2)  # the census writes a file and says nothing
+        held = json.loads(path.read_text())
+        print(f"\n{way}: {held['rss_kb'] / 1024:.1f} MB, {held['objects']} objects; held at the end:")
+        print("| held by | holders | entries in all | most in one |\n| --- | --- | --- | --- |")
+        for entry in held["largest"]:
+            print(f"| `{entry['held_by']}` | {entry['holders']} | {entry['length']} | {entry['most']} |")
+        room.process.send_signal(signal.SIGTERM)
+        room.ended(30)
+        room.__exit__()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/census/site/sitecustomize.py
@@ -0,0 +1,62 @@
+"""Loaded by PYTHONPATH into a backend under measurement: on SIGUSR2 it writes what its structures hold.
+
+The file named by RINGSHIFT_CENSUS gets one JSON object: resident memory now, the program's objects by type,
+and what the containers (dict, list, set, deque, bytearray) held by its objects hold, summed by the attribute
+that holds them. Signal and file are the measurement's, not the backend's, which has neither.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import signal
+import sys
+from collections import Counter, deque
+from types import FrameType
+from typing import Any
+
+SIZED = (dict, list, set, deque, bytearray)
+MOST = 15
+
+
+def attributes(owner: object) -> list[tuple[str, object]]:
+    found = list(getattr(owner, "__dict__", {}).items())
+    for kind in type(owner).__mro__:
+        slots = kind.__dict__.get("__slots__", ())
+        found += [(name, getattr(owner, name, None)) for name in (slots,) if isinstance(slots, str)]
+        found += [(name, getattr(owner, name, None)) for name in slots if not isinstance(slots, str)]
+    return found
+
+
+def census(*_: Any) -> None:
+    """Each container that an object of the program holds, summed by `Class.attribute` over all of them."""
+    objects = gc.get_objects()
+    kinds = Counter(type(o).__qualname__ for o in objects if type(o).__module__.startswith("ringshift"))
+    held: dict[str, list[int]] = {}
+    for owner in objects:
+        if not type(owner).__module__.startswith("ringshift") or isinstance(owner, type):
+            continue
+        for name, value in attributes(owner):
+            if isinstance(value, SIZED):
+                entry = held.setdefault(f"{type(owner).__qualname__}.{name}", [0, 0, 0])
+                entry[0] += 1
+                entry[1] += len(value)
+                entry[2] = max(entry[2], len(value))
+    largest = sorted(held.items(), key=lambda item: item[1][1], reverse=True)[:MOST]
+    with open(f"/proc/{os.getpid()}/status") as status:
+        rss = next(int(line.split()[1]) for line in status if line.startswith("VmRSS"))
+    told = {"rss_kb": rss, "objects": len(objects), "kinds": kinds.most_common(MOST),
+            "largest": [{"held_by": name, "holders": n, "length": total, "most": most}
+                        for name, (n, total, most) in largest]}  # fmt: skip
+    with open(os.environ["RINGSHIFT_CENSUS"], "w") as out:
+        json.dump(told, out)
+
+
+def installed(number: int, frame: FrameType | None) -> None:
+    census()
+
+
+if os.environ.get("RINGSHIFT_CENSUS"):
+    signal.signal(signal.SIGUSR2, installed)
+    sys.modules.setdefault("ringshift_census", sys.modules[__name__])
