--- a/tests/fleet/test_lease.py
+++ b/tests/fleet/test_lease.py
@@ -14,6 +14,7 @@
     RELEASED,
     SEEKING,
     TABLE,
+    Effect,
     Heard,
     Lease,
     LeaseTerms,
@@ -25,7 +26,7 @@
 TERMS = LeaseTerms(ttl=10 * S, margin=500 * MS, drift_ppm=10_000)  # acting time 9.4 s
 
 
-def kinds(effects: list) -> list[str]:
+def kinds(effects: list[Effect]) -> list[str]:
     return [effect.kind for effect in effects if effect.kind != "record"]
 
 
@@ -130,7 +131,7 @@
         ({"margin": -1}, "margin"),
     ],
 )
-def test_terms_that_leave_no_time_to_act_are_refused_by_name(terms: dict, field: str) -> None:
+def test_terms_that_leave_no_time_to_act_are_refused_by_name(terms: dict[str, int], field: str) -> None:
     with pytest.raises(LeaseTermsError, match=f"^{field}:"):
         LeaseTerms(**terms)
 
@@ -152,7 +153,9 @@
 
 @settings(derandomize=True, max_examples=400, deadline=None)
 @given(FACTS)
-def test_no_act_outlives_the_send_time_of_an_answer_plus_the_acting_time(facts: list) -> None:
+def test_no_act_outlives_the_send_time_of_an_answer_plus_the_acting_time(
+    facts: list[tuple[News, int, int, float]],
+) -> None:
     """Whatever comes in whatever order: each act ends by the rule, and acting never survives a late tick."""
     lease, now, sent_times = Lease(TERMS), 0, [0]
     for news, step, back, chance in facts:
