--- /dev/null
+++ b/standins/keeper/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from standins.keeper.server import main
+
+sys.exit(main())
