--- a/ringshift/cli/main.py
+++ b/ringshift/cli/main.py
@@ -15,6 +15,7 @@
     "records": ("ringshift.cli.records:records", "Gather, check and show what servers recorded."),
     "console": ("ringshift.cli.console:console", "Follow servers live, or step through a store."),
     "report": ("ringshift.cli.report:report", "Tell an incident's course as one HTML page."),
+    "lease": ("ringshift.cli.lease:lease", "Hold a fleet task's lease, tell who holds it, release it."),
 }
 
 
--- a/ringshift/settings/operators.py
+++ b/ringshift/settings/operators.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ringshift.fleet.lease import MS, LeaseTerms, LeaseTermsError, S
 from ringshift.machine import Malformed
 
 
@@ -24,8 +25,40 @@
             raise ValueError("most_mb must lie from 1 to 1000000")
 
 
+class Leases(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Leases of fleet-wide tasks at an etcd v3 keeper (docs/leases.md); off where no table names them."""
+
+    keepers: list[str] = []
+    """HOST:PORT of the keeper's members, its JSON gateway."""
+    ttl_s: int = 10
+    """The lease's time to live, whole seconds as etcd grants them."""
+    margin_ms: int = 500
+    """Taken off each deadline beside the drift: time for a step under way to end."""
+    drift_ppm: int = 10_000
+    """How much faster the keeper's clock may run than a holder's, in millionths."""
+    answer_within_ms: int = 2_000
+    """A call to the keeper unanswered this long is given up."""
+
+    def __post_init__(self) -> None:
+        for address in self.keepers:
+            host, _, port = address.rpartition(":")
+            if not host or not port.isdigit() or not 0 < int(port) < 65536:
+                raise ValueError(f"keepers: {address!r} is not HOST:PORT")
+        self.terms()  # refused here, by field, rather than when the first lease is sought
+
+    def terms(self) -> LeaseTerms:
+        names = {"ttl": "ttl_s", "margin": "margin_ms", "answer_within": "answer_within_ms"}
+        try:
+            return LeaseTerms(ttl=self.ttl_s * S, margin=self.margin_ms * MS, drift_ppm=self.drift_ppm,
+                              answer_within=self.answer_within_ms * MS)  # fmt: skip
+        except LeaseTermsError as wrong:
+            field, _, told = str(wrong).partition(": ")
+            raise ValueError(f"{names.get(field, field)}: {told}") from None
+
+
 class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     records: RecordKeeping = RecordKeeping()
+    leases: Leases | None = None
 
 
 def read_operators(path: str) -> Operators:
@@ -51,11 +84,14 @@
     keys = re.findall(r"[A-Za-z_]\w*", path)
     if not keys and not path or "unknown field" in told:
         keys += re.findall(r"`(\w+)`", told)
+    fields = {"records": RecordKeeping.__struct_fields__, "leases": Leases.__struct_fields__}
     if not keys:
         keys = [word for word in re.findall(r"\w+", told) if word in RecordKeeping.__struct_fields__][:1]
     elif len(keys) == 1:
-        keys += [word for word in re.findall(r"\w+", told) if word in RecordKeeping.__struct_fields__][:1]
+        keys += [word for word in re.findall(r"\w+", told) if word in fields.get(keys[0], ())][:1]
     field = ".".join(keys)
+    if keys and told.startswith(f"{keys[-1]}: "):
+        told = told[len(keys[-1]) + 2 :]  # the check named its field itself
     table = ""
     for number, line in enumerate(text.splitlines(), 1):
         if heading := re.match(r"\s*\[\s*([\w.]+)\s*\]", line):
--- /dev/null
+++ b/ringshift/wire/keeper.py
@@ -0,0 +1,111 @@
+"""The keeper's client: a lease's effects as etcd v3 calls through etcd3gw, their answers as facts.
+
+Blocking calls with a timeout, for a process of its own or a thread of its own: never on the backend's hub
+(etcd3gw speaks HTTP through requests, whose sockets are not gevent's). Each answer is stamped with the time
+its request was sent on the holder's own clock, as the lease's rule needs (ringshift/fleet/lease.py).
+Several keeper addresses are tried in turn; a call that fails or times out is UNANSWERED, never LOST: only
+the keeper's own word (keep-alive TTL 0, the key gone or at another create revision) is LOST.
+"""
+
+from __future__ import annotations
+
+import base64
+import threading
+from collections.abc import Callable
+from queue import Queue
+from typing import Any
+
+from ringshift.fleet.lease import Heard, News
+
+
+def b64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+class KeeperLink:
+    """`addresses`: HOST:PORT of etcd members; `clock`: the holder's own, in ns; `timeout_s`: of one call."""
+
+    def __init__(self, addresses: list[str], clock: Callable[[], int], timeout_s: float) -> None:
+        from etcd3gw.client import Etcd3Client  # the fleet extra: only where instances may talk
+
+        if not addresses:
+            raise ValueError("keepers: no address")
+        self.clock, self.timeout_s, self.turn = clock, timeout_s, 0
+        self.clients = []
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            self.clients.append(Etcd3Client(host=host, port=int(port), api_path="/v3/", timeout=timeout_s))
+
+    def call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """One call to the member in turn; on failure the next is in turn. Raises OSError-like on failure."""
+        client = self.clients[self.turn % len(self.clients)]
+        try:
+            answer = client.post(client.get_url(path), json=body)
+        except Exception:
+            self.turn += 1
+            raise
+        if not isinstance(answer, dict):
+            raise ValueError(f"keeper at {path}: {answer!r}")
+        return answer
+
+    def seek(self, key: bytes, value: bytes, ttl_s: int) -> Heard:
+        """A lease, then the key created under it only if its create revision is 0."""
+        sent = self.clock()
+        try:
+            lease = int(self.call("/lease/grant", {"TTL": ttl_s})["ID"])
+            answer = self.call("/kv/txn", {
+                "compare": [{"key": b64(key), "result": "EQUAL", "target": "CREATE", "create_revision": "0"}],
+                "success": [{"request_put": {"key": b64(key), "value": b64(value), "lease": str(lease)}}],
+                "failure": [{"request_range": {"key": b64(key)}}],
+            })  # fmt: skip
+        except Exception:
+            return Heard(News.UNANSWERED, self.clock(), sent)
+        revision = int(answer["header"]["revision"])
+        if answer.get("succeeded"):
+            return Heard(News.GRANTED, self.clock(), sent, lease=lease, token=revision)
+        self.quietly("/kv/lease/revoke", {"ID": lease})  # ours was not needed: let it go now, not at its end
+        return Heard(News.TAKEN, self.clock(), sent, revision=revision)
+
+    def renew(self, lease: int, key: bytes, token: int) -> Heard:
+        """Keep-alive, then a read of the key: RENEWED only if the lease lives and the key is ours still."""
+        sent = self.clock()
+        try:
+            kept = self.call("/lease/keepalive", {"ID": str(lease)})
+            ttl = int(kept.get("result", kept).get("TTL", 0))
+            found = self.call("/kv/range", {"key": b64(key)}).get("kvs", [])
+        except Exception:
+            return Heard(News.UNANSWERED, self.clock(), sent)
+        ours = bool(found) and int(found[0]["create_revision"]) == token
+        ours = ours and int(found[0].get("lease", 0)) == lease
+        return Heard(News.RENEWED if ttl > 0 and ours else News.LOST, self.clock(), sent, lease, token)
+
+    def revoke(self, lease: int) -> bool:
+        return self.quietly("/kv/lease/revoke", {"ID": str(lease)})
+
+    def quietly(self, path: str, body: dict[str, Any]) -> bool:
+        try:
+            self.call(path, body)
+            return True
+        except Exception:
+            return False
+
+    def watch(self, key: bytes, revision: int, heard: Queue[Heard]) -> threading.Thread:
+        """A thread that puts FREED in `heard` once the key is deleted at or after `revision`, then ends."""
+
+        def follow() -> None:
+            client = self.clients[self.turn % len(self.clients)]
+            try:
+                events, cancel = client.watch(key, start_revision=revision)
+                try:
+                    for event in events:
+                        if event.get("type") == "DELETE":
+                            heard.put(Heard(News.FREED, self.clock()))
+                            return
+                finally:
+                    cancel()
+            except Exception:
+                return  # the holder looks again after its wait; a watch is a shortcut, not a promise
+
+        thread = threading.Thread(target=follow, name="keeper-watch", daemon=True)
+        thread.start()
+        return thread
