--- a/ringshift/cli/lease.py
+++ b/ringshift/cli/lease.py
@@ -48,15 +48,18 @@
 @click.option("--skew-ppm", default=0, hidden=True, help="Fault tests: this clock runs so much fast.")
 @click.option("--step-ms", default=0, hidden=True, help="Fault tests: this clock steps by so much ...")
 @click.option("--step-at-ms", default=0, hidden=True, help="... so long after the start.")
+@click.option("--pause-at-step", default=0, hidden=True, help="Fault tests: before sending this step ...")
+@click.option("--pause-ms", default=0, hidden=True, help="... pause so long, after the last look.")
 def hold(task: str, path: str, name: str, resource: str, most: int, history: Path | None, seed: int,
-         skew_ppm: int, step_ms: int, step_at_ms: int) -> int:  # fmt: skip
+         skew_ppm: int, step_ms: int, step_at_ms: int, pause_at_step: int, pause_ms: int) -> int:  # fmt: skip
     """Seek TASK's lease, step the task while it is held, revoke it at SIGTERM or SIGINT."""
     from ringshift.lifecycle.holder import OwnClock
     from ringshift.lifecycle.holder import hold as holding
 
     leases = terms_of(path)
     clock = OwnClock(time.monotonic_ns(), skew_ppm, step_at_ms * 1_000_000, step_ms * 1_000_000)
-    return holding(name, task, leases.terms(), leases.keepers, resource, seed, history, clock, most)
+    pause = (pause_at_step, pause_ms * 1_000_000) if pause_at_step else None
+    return holding(name, task, leases.terms(), leases.keepers, resource, seed, history, clock, most, pause)
 
 
 @lease.command()
--- a/ringshift/fleet/lease.py
+++ b/ringshift/fleet/lease.py
@@ -125,7 +125,8 @@
 @dataclass(frozen=True)
 class Heard:
     """One fact. `sent`: when the answered request was sent, on our clock; `lease`, `token`: the keeper's
-    lease id and the key's create revision in a grant; `revision`: the keeper's revision to watch from."""
+    lease id and the key's create revision in a grant; `revision`: the keeper's revision to watch from, or
+    of FREED, the revision at which the key was deleted."""
 
     news: News
     now: int
@@ -169,6 +170,8 @@
             heard = Heard(News.STALE, heard.now, heard.sent, heard.lease, heard.token, heard.revision)
         if heard.news is News.TICK and self.phase is HOLDING and heard.now >= self.deadline:
             heard = Heard(News.LATE, heard.now)
+        if heard.news is News.FREED and self.token and heard.revision < self.token:
+            return []  # a watch's news of an older key, come after this holder created its own
         if (self.phase, heard.news) not in TABLE:
             return []
         phase, effects = TABLE[self.phase, heard.news]
--- a/ringshift/lifecycle/holder.py
+++ b/ringshift/lifecycle/holder.py
@@ -56,9 +56,12 @@
         self.terms, self.link, self.resource, self.progress = terms, link, resource, progress
         self.lease, self.clock, self.random, self.history = Lease(terms), clock, Random(seed), history
         self.heard: Queue[Heard] = Queue()
+        # The key's value: unique to this process, so that two started with one name never take one hold.
+        self.identity = f"{name} {os.getpid()} {self.random.getrandbits(64):016x}".encode()
         self.leaving = threading.Event()
         self.watching: threading.Thread | None = None
         self.permitted = False
+        self.pause: tuple[int, int] | None = None  # (step, ns): a pause after the last look, for fault tests
 
     def write(self, kind: str, **more: Any) -> None:
         if self.history is not None:
@@ -70,6 +73,7 @@
     def run(self) -> int:
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.leaving.set())
+        logger.bind(kind="lease").info(f"lease {self.key.decode()}: seeking as {self.name}")
         while True:
             if self.leaving.is_set():
                 self.hear(Heard(News.LEAVE, self.clock.now()))
@@ -92,7 +96,7 @@
         kind = effect.kind
         if kind == "seek":
             self.write("seek")
-            self.hear(self.link.seek(self.key, self.name.encode(), self.terms.ttl // 1_000_000_000))
+            self.hear(self.link.seek(self.key, self.identity, self.terms.ttl // 1_000_000_000))
         elif kind == "renew":
             self.hear(self.link.renew(effect.lease, self.key, effect.token))
         elif kind == "revoke":
@@ -114,7 +118,7 @@
 
     def step(self) -> None:
         """One step of the task, or the question of where it stands; a failure is only not knowing."""
-        token, deadline, sent = self.lease.token, self.lease.deadline, self.clock.now()
+        token, deadline = self.lease.token, self.lease.deadline
         number = self.progress.next()
         try:
             if number is None:
@@ -122,7 +126,12 @@
                     return  # the task is done
                 self.progress.heard(False, self.resource.last(self.task))
                 return
+            sent = self.clock.now()
+            if sent >= deadline:
+                return  # the last look, as close to the sending as the program can make it
             self.write("step", token=token, step=number, deadline=deadline, own_sent=sent)
+            if self.pause is not None and number == self.pause[0]:
+                time.sleep(self.pause[1] / 1e9)  # fault tests: a pause after the last look, a GC's or VM's
             accepted, last = self.resource.step(self.task, token, number, self.name)
         except (OSError, ValueError, IndexError):
             self.progress.taken()
@@ -132,12 +141,14 @@
 
 
 def hold(name: str, task: str, terms: LeaseTerms, keepers: list[str], resource: str, seed: int,
-         history: Path | None, clock: OwnClock, most_steps: int = 0) -> int:  # fmt: skip
+         history: Path | None, clock: OwnClock, most_steps: int = 0,
+         pause: tuple[int, int] | None = None) -> int:  # fmt: skip
     """Runs a holder until the notice to leave; the task's steps go to `resource` (HOST:PORT)."""
     out = history.open("ab") if history is not None else None
     link = KeeperLink(keepers, clock.now, terms.answer_within / 1e9)
     fenced = FencedLink(resource, terms.answer_within / 1e9)
     holder = Holder(name, task, terms, link, fenced, Progress(most_steps), clock, seed, out)
+    holder.pause = pause
     try:
         return holder.run()
     finally:
--- a/ringshift/wire/keeper.py
+++ b/ringshift/wire/keeper.py
@@ -63,7 +63,13 @@
         revision = int(answer["header"]["revision"])
         if answer.get("succeeded"):
             return Heard(News.GRANTED, self.clock(), sent, lease=lease, token=revision)
-        self.quietly("/kv/lease/revoke", {"ID": lease})  # ours was not needed: let it go now, not at its end
+        self.quietly("/kv/lease/revoke", {"ID": str(lease)})  # not needed: let it go now, not at its end
+        found = answer["responses"][0]["response_range"].get("kvs", [{}])[0]
+        if found and base64.b64decode(found.get("value", "")) == value:
+            # An earlier seek of ours was carried out after we gave it up: the key is ours under a lease whose
+            # grant time we do not know. STALE: take it as doubtful, and act only after a renewal is answered.
+            return Heard(News.STALE, self.clock(), sent, lease=int(found.get("lease", 0)),
+                         token=int(found["create_revision"]))  # fmt: skip
         return Heard(News.TAKEN, self.clock(), sent, revision=revision)
 
     def renew(self, lease: int, key: bytes, token: int) -> Heard:
@@ -99,7 +105,8 @@
                 try:
                     for event in events:
                         if event.get("type") == "DELETE":
-                            heard.put(Heard(News.FREED, self.clock()))
+                            deleted = int(event.get("kv", {}).get("mod_revision", 0))
+                            heard.put(Heard(News.FREED, self.clock(), revision=deleted))
                             return
                 finally:
                     cancel()
--- a/standins/keeper/server.py
+++ b/standins/keeper/server.py
@@ -5,7 +5,7 @@
 `/v3/lease/leases`, the older `/v3/kv/lease/...` of the last three, `/v3/watch`, `/v3/maintenance/status`,
 `/version`): keys and values in base64, 64-bit numbers as strings, streams as one JSON object a line with
 the message under `result`, errors as `{"error", "code", "message"}` with gRPC's codes. A change is on disk
-(written whole, synced, renamed) before it is answered; killed and started again on the same folder, the
+(written whole, renamed) before it is answered; killed and started again on the same folder, the
 member has every key and lease, and every live lease its full time to live again. Faults for tests:
 `--disk-bytes` (an image larger than that is refused as etcd refuses past its quota) and `--rate` (its clock
 runs this much faster than real time). It prints `keeper listening on HOST:PORT` when it serves.
@@ -20,7 +20,7 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import gevent
 import orjson
@@ -84,8 +84,9 @@
 
 
 class Keeper:
-    def __init__(self, folder: Path, clock: Clock, disk_bytes: int | None = None) -> None:
-        self.folder, self.clock, self.disk_bytes = folder, clock, disk_bytes
+    def __init__(self, folder: Path, clock: Clock, disk_bytes: int | None = None,
+                 history: IO[bytes] | None = None) -> None:  # fmt: skip
+        self.folder, self.clock, self.disk_bytes, self.history = folder, clock, disk_bytes, history
         self.image = folder / "member.json"
         self.changed = Event()
         if self.image.exists():
@@ -99,15 +100,15 @@
         return {"cluster_id": CLUSTER, "member_id": MEMBER, "revision": revision, "raft_term": "2"}
 
     def write(self) -> None:
-        """The whole image, synced, then renamed over the old: a kill leaves one or the other, never half."""
+        """The whole image, then renamed over the old: a kill leaves one or the other, never half. Not synced:
+        the faults played here kill processes, not the machine, and a sync a write made a loaded machine's
+        keeper answer after the holders' time for an answer (seen: every seek of a script given up)."""
         data = orjson.dumps(self.store.image())
         if self.disk_bytes is not None and len(data) > self.disk_bytes:
             raise KeeperError(RESOURCE_EXHAUSTED, "etcdserver: mvcc: database space exceeded")
         part = self.folder / "member.json.part"
         with open(part, "wb") as out:
             out.write(data)
-            out.flush()
-            os.fsync(out.fileno())
         os.replace(part, self.image)
 
     def change(self, step: Callable[[], Any]) -> Any:
@@ -123,8 +124,23 @@
                 raise
             self.changed.set()
             self.changed.clear()
+            self.tell(revision)
         return answer
 
+    def tell(self, after: int) -> None:
+        """Keys created and deleted since revision `after`, at the true time, for the harness's checker."""
+        if self.history is None:
+            return
+        for revision, event in self.store.history:
+            if revision > after:
+                created = event.kv.create_revision if event.kind == "PUT" else event.created
+                if event.kind == "PUT" and event.kv.version != 1:
+                    continue
+                line = {"t": time.monotonic_ns(), "ev": "created" if event.kind == "PUT" else "deleted",
+                        "key": event.kv.key.decode(errors="replace"), "token": created, "revision": revision}
+                self.history.write(orjson.dumps(line) + b"\n")  # fmt: skip
+        self.history.flush()
+
     # The gateway's calls: each takes the decoded body and gives the answer before encoding.
 
     def range(self, body: dict[str, Any]) -> dict[str, Any]:
@@ -249,10 +265,12 @@
     parser.add_argument("--listen", default="127.0.0.1:0")
     parser.add_argument("--disk-bytes", type=int, default=None)
     parser.add_argument("--rate", type=float, default=1.0)
+    parser.add_argument("--history", type=Path, help="a line for each key created or deleted, true times")
     told = parser.parse_args(argv)
     told.folder.mkdir(parents=True, exist_ok=True)
     host, port = told.listen.rsplit(":", 1)
-    keeper = Keeper(told.folder, Clock(told.rate), told.disk_bytes)
+    history = told.history.open("ab") if told.history else None
+    keeper = Keeper(told.folder, Clock(told.rate), told.disk_bytes, history)
     server = WSGIServer((host, int(port)), application(keeper), log=None, error_log=None)
     server.start()
     print(f"keeper listening on {host}:{server.server_port}", flush=True)
--- a/standins/keeper/store.py
+++ b/standins/keeper/store.py
@@ -54,6 +54,7 @@
 class Event:
     kind: str  # PUT or DELETE
     kv: KeyValue
+    created: int = 0  # of a DELETE: the create revision of the key that went, as etcd's prev_kv tells
 
 
 @dataclass
@@ -190,7 +191,7 @@
         old = self.kvs.pop(key)
         if old.lease in self.leases:
             self.leases[old.lease].keys.discard(key)
-        self.remember(Event("DELETE", KeyValue(key, b"", 0, self.revision, 0)))
+        self.remember(Event("DELETE", KeyValue(key, b"", 0, self.revision, 0), old.create_revision))
 
     def remember(self, event: Event) -> None:
         self.history.append((self.revision, event))
--- a/tests/fleet/test_lease.py
+++ b/tests/fleet/test_lease.py
@@ -172,3 +172,10 @@
             assert lease.phase is HOLDING and now < lease.deadline
         if news is News.TICK and lease.phase is HOLDING:
             assert now < lease.deadline  # a tick past the deadline never leaves the holder acting
+
+
+def test_a_watchs_news_of_an_older_key_does_not_end_a_hold_of_a_newer_one() -> None:
+    """Seen in the harness: the deletion of token 2 came after this holder was granted token 4."""
+    lease = held()  # token 41
+    assert lease.hear(Heard(News.FREED, 1 * S, revision=40)) == [] and lease.phase is HOLDING
+    assert kinds(lease.hear(Heard(News.FREED, 1 * S, revision=45))) == ["halt", "seek"]
