--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -74,9 +74,17 @@
 
 
 def ask(link: Link, random: Random, patience: float, fields: dict[str, str], tally: dict[str, int]) -> None:
+    """Tallies each call by its end: a status, or why there was none: `unsent` (no free request id on the
+    link, or it was broken already), `left` (the caller closed its link with the call in flight: gone, and
+    owed nothing), `gone` (a caller of 50 ms' patience gave up first), `late` (a patient caller, 4 s and
+    half a second, heard nothing: the one that would be a loss)."""
+    unsent = not link.free or link.broken
     answer = link.ask(random.choice(["look", "order"]), random.randbytes(random.choice(BODIES)),
                       random.getrandbits(64), patience, **fields)  # fmt: skip
-    key = "none" if answer is None else str(answer.status)
+    if answer is not None:
+        key = str(answer.status)
+    else:
+        key = "unsent" if unsent else "left" if link.broken else "gone" if patience < 1 else "late"
     tally[key] = tally.get(key, 0) + 1
 
 
