--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -122,6 +122,17 @@
         settings = {**SETTINGS, "extra": {**SETTINGS["extra"], "upstreams": SENDERS}}
         rooms[way] = Quiet(work(Random(random.getrandbits(32))), shell=run, settings=settings,
                            environ={**environ, **census})  # fmt: skip
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that the backends end with it, below
+    try:
+        return measure(rooms, readings, tallies, folder, minutes, told, random)
+    finally:
+        for room in rooms.values():
+            room.__exit__()  # kills a backend still running; a second call after a clean end does nothing
+
+
+def measure(rooms: dict[str, Quiet], readings: dict[str, list[tuple[float, float]]],
+            tallies: dict[str, dict[str, int]], folder: Path, minutes: float, told: argparse.Namespace,
+            random: Random) -> int:  # fmt: skip
     start = time.monotonic()
     until = start + minutes * 60
     for way, room in rooms.items():
@@ -163,7 +174,6 @@
                 print(f"| `{entry['held_by']}` | {entry['holders']} | {entry['length']} | {entry['most']} |")
         room.process.send_signal(signal.SIGTERM)
         room.ended(30)
-        room.__exit__()
     return 0
 
 
