A test that the backend as run starts it opens no connection to a keeper

The backend is started by the deploy file's run line with an operators' file whose [leases] table names a keeper behind a counting proxy; it serves, leaves, and the proxy saw no connection, while one probe of the test's own is counted, so the count is not blind.

--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 from etcd3gw.client import Etcd3Client
@@ -159,3 +160,52 @@
     with pytest.raises(KeeperError, match="compacted"):
         again.events(b"k", b"", 1)
     assert again.events(b"k", b"", again.revision + 1) == []
+
+
+def test_the_backend_as_run_starts_it_opens_no_connection_to_a_keeper(tmp_path: Path) -> None:
+    """Leases stay off on the platform: even an operators' file that names a keeper brings no connection."""
+    import tomllib
+
+    import gevent
+    import gevent.event
+    import gevent.socket
+
+    from standins.agent import Agent
+    from standins.fleet.proxy import Proxy
+    from standins.room import Room
+
+    member = Member(tmp_path / "member")
+    proxy = Proxy(("127.0.0.1", member.port))
+    address = proxy.start()
+    seen: list[object] = []
+    serve = proxy.serve
+
+    linked = gevent.event.Event()
+
+    def counted(sock: Any, peer: object) -> None:
+        seen.append(peer)
+        linked.set()
+        serve(sock, peer)
+
+    proxy.server.set_handle(counted)
+    settings = tmp_path / "operators.toml"
+    settings.write_text(f'[leases]\nkeepers = ["{address}"]\nttl_s = 10\n')
+    line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    try:
+        with Room(Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=line.replace(
+                ".venv/bin/python", sys.executable), environ={"RINGSHIFT_SETTINGS": str(settings)}) as room:
+            sidecar = room.serving()
+            for request in range(1, 6):
+                sidecar.send(sidecar.call(request, "look", b"%d" % request))
+            assert [sidecar.answer(request).status for request in range(1, 6)].count(200) >= 1
+            room.process.send_signal(signal.SIGTERM)
+            assert room.ended() == 0
+        assert seen == []
+        # And the count is not blind: a connection of our own is seen (gevent's: the proxy is in this hub).
+        probe = gevent.socket.create_connection(("127.0.0.1", int(address.rsplit(":", 1)[1])))
+        assert linked.wait(10)
+        probe.close()
+        assert len(seen) == 1
+    finally:
+        proxy.stop()
+        member.stop()
