--- a/ringshift/wire/keeper.py
+++ b/ringshift/wire/keeper.py
@@ -18,7 +18,6 @@
 
 from ringshift.fleet.lease import Heard, News
 
-
 MOST_LINE = 1 << 20  # bytes of one line of a watch; more is not from a keeper
 
 
--- a/standins/fleet/planted.py
+++ b/standins/fleet/planted.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from ringshift.fleet.lease import DOUBTFUL, HOLDING, Heard, Lease, LeaseTerms
@@ -49,6 +50,20 @@
     Store.from_image = classmethod(emptied)  # type: ignore[assignment, method-assign]
 
 
+@contextmanager
+def planted(bug: str) -> Iterator[None]:
+    """The bug in this process, for as long as the context lasts: for the models."""
+    before = [(kind, name, kind.__dict__[name]) for kind, name in CHANGED]
+    BUGS[bug]()
+    try:
+        yield
+    finally:
+        for kind, name, was in before:
+            setattr(kind, name, was)
+
+
+CHANGED: list[tuple[type, str]] = [(Lease, "extend"), (Lease, "acting"), (Lease, "halt"),
+                                   (LeaseTerms, "acting_time"), (Store, "from_image")]  # fmt: skip
 BUGS: dict[str, Callable[[], None]] = {
     bug.__name__: bug for bug in (answer_deadline, no_drift, act_doubtful, restart_expires)
 }
