Fleet-wide budgets: divider, shares, their keeper calls, control's bound, first harness

A whole (calls under way, a rate, retries) divided among the live backends, divided anew as they come and go, never more than the whole.

Off in run: nothing is imported unless the operators' file has [[budgets]]. `ringshift budget status`, ShareChange records, a chart of shares in the report.

Found on the way: a script with one_name could not be replayed (False is no TOML); a request cut in its middle made the keeper stand-in raise; gathered LeaseChange records had no handler in the digest.

--- /dev/null
+++ b/ringshift/cli/budget.py
@@ -0,0 +1,85 @@
+"""`ringshift budget`: how fleet-wide budgets are divided now, as the keeper has it."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+import click
+
+from ringshift.machine import Malformed
+
+
+@click.group()
+def budget() -> None:
+    """Tell how fleet-wide budgets are divided among the backends.
+
+    Example: ringshift budget status --settings fleet.toml
+    """
+
+
+@budget.command()
+@click.argument("names", nargs=-1)
+@click.option("--settings", "path", required=True, type=click.Path(dir_okay=False, exists=True),
+              help="The operators' TOML with [leases] and [[budgets]].")  # fmt: skip
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def status(names: tuple[str, ...], path: str, as_json: bool) -> None:
+    """Each budget's whole, who divides it, and every backend's want, use and grant.
+
+    Example: ringshift budget status database --settings fleet.toml --json
+    """
+    from ringshift.settings.operators import read_operators
+
+    operators = read_operators(path)
+    if operators.leases is None or not operators.budgets:
+        raise Malformed(f"{path}: no [[budgets]] with [leases]: budgets are off")
+    known = {one.name: one for one in operators.budgets}
+    for name in names:
+        if name not in known:
+            raise click.UsageError(f"no budget {name!r} in {path}; there are: {', '.join(known)}")
+    from ringshift.wire.shares import BudgetLink
+
+    leases = operators.leases
+    link = BudgetLink(leases.keepers, time.monotonic_ns, leases.answer_within_ms / 1000)
+    told = []
+    for name in names or known:
+        try:
+            told.append(look(link, name, known[name].budget()))
+        except Exception as wrong:  # whatever a client raises
+            raise click.ClickException(f"{name}: the keeper did not answer: {wrong}") from None
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    for one in told:
+        show(one)
+
+
+def look(link: Any, name: str, terms: Any) -> dict[str, Any]:
+    held = link.read(name)
+    rows = held.ledger.rows if held.ledger else {}
+    asks = {ask.backend: ask for ask in held.asks}
+    backends = []
+    for backend in sorted({*rows, *asks}):
+        ask, grant = asks.get(backend), rows.get(backend)
+        backends.append({
+            "backend": backend, "want": ask.want if ask else 0.0, "use": ask.use if ask else 0.0,
+            "share": terms.safe + (grant.extra if grant else 0.0), "held": grant.held if grant else 0.0,
+            "goes_by_round": ask.round if ask else 0,
+            # The keeper has no backend's clock: a grant ends so long after its ask was sent, at the latest.
+            "ends_within_ms": (terms.life - terms.margin) / 1e6 if grant and grant.extra else 0.0,
+        })  # fmt: skip
+    counted = terms.safe * terms.most + sum(grant.held for grant in rows.values())
+    whole, number = (held.ledger.whole, held.ledger.round) if held.ledger else (terms.whole, 0)
+    return {"budget": name, "unit": terms.unit.value, "whole": whole, "round": number, "counted": counted,
+            "most": terms.most, "safe": terms.safe, "backends": backends}  # fmt: skip
+
+
+def show(one: dict[str, Any]) -> None:
+    state = f"round {one['round']}" if one["round"] else "not divided yet: every backend has its safe share"
+    click.echo(f"{one['budget']}: whole {one['whole']:g} {one['unit']}, counted in use at most "
+               f"{one['counted']:g} (safe shares of {one['most']} included), {state}")  # fmt: skip
+    for row in one["backends"]:
+        click.echo(f"  {row['backend']}: share {row['share']:g}, wants {row['want']:g}, uses {row['use']:g}"
+                   + (f", may still be using {row['held']:g} beyond the safe share"
+                      if row["held"] > row["share"] - one["safe"] else ""))  # fmt: skip
--- a/ringshift/cli/main.py
+++ b/ringshift/cli/main.py
@@ -16,6 +16,7 @@
     "console": ("ringshift.cli.console:console", "Follow servers live, or step through a store."),
     "report": ("ringshift.cli.report:report", "Tell an incident's course as one HTML page."),
     "lease": ("ringshift.cli.lease:lease", "Hold a fleet task's lease, tell who holds it, release it."),
+    "budget": ("ringshift.cli.budget:budget", "Tell how fleet-wide budgets are divided."),
 }
 
 
--- a/ringshift/control.py
+++ b/ringshift/control.py
@@ -44,6 +44,7 @@
 KEPT = 16  # callers a core whose unused connections are taken to fit in the table
 HEARD = 8  # calls, or runs in a warm-up window, too few to judge by
 PROBE = 0.1  # of what arrives is still run while most runs err, to see when that ends
+BURST = 0.1  # seconds of a rate's share that may begin at once
 RETURN = (1 * S, 3 * S)  # after this long, by chance, a server that saw its dependency fail tries again
 
 
@@ -112,6 +113,24 @@
         return (self.sum(now) + self.prior) / (self.count + 1)
 
 
+class Ration:
+    """A share of a fleet-wide budget: a bound on what is in use, or tokens for what begins."""
+
+    def __init__(self, news: face.Granted) -> None:
+        self.news, self.tokens, self.at = news, 1.0, 0
+
+    def amount(self, now: int) -> float:
+        return self.news.amount if now < self.news.until else self.news.safe
+
+    def take(self, now: int) -> bool:
+        rate = self.amount(now)
+        gained, self.at = rate * (now - self.at) / S, now
+        # One token can always be saved up, or a share under one a burst would never let anything begin.
+        self.tokens = min(self.tokens + gained, max(rate * BURST, 1.0)) if rate > 0 else 0.0
+        self.tokens -= (taken := self.tokens >= 1.0)
+        return taken
+
+
 class Line:
     """The held invocations of one operation, oldest first, their work in mean runs, and what runs took."""
 
@@ -155,6 +174,8 @@
         self.leaving_at = self.kill_at = self.lost_until = self.call_after = self.calls_out = self.ages = 0
         self.calls_lost, self.runs_lost, self.wanted = (Fading(RECENT) for _ in range(3))
         self.shown, self.advertised, self.full, self.slowed = (True, False, False), -1.0, False, 1.0
+        self.rations = dict[tuple[face.Unit, int], Ration]()
+        self.tries = dict[tuple[face.Unit, int], int]()  # wished for since the last look
 
     def decide(self, now: int, inputs: Iterable[face.Input]) -> list[face.Action]:
         self.now, self.out, self.forgotten = now, list[face.Action](), list[int]()
@@ -299,9 +320,37 @@
         cold = (1 - machine.cold_speed) * max(1 - warmed, 0) if machine.cold else 0.0
         return (1 + (machine.fall_multiple - 1) * (1 - cold)) * machine.cores
 
+    def on_granted(self, news: face.Granted) -> None:
+        ration = self.rations.setdefault((news.unit, news.operation), Ration(news))
+        ration.news = news
+
+    def bound(self) -> float:
+        """The calls that may be under way here by the fleet's budget; none without one."""
+        ration = self.rations.get((face.Unit.CALLS, -1))
+        return ration.amount(self.now) if ration else float(HOUR)
+
+    def rationed(self, unit: face.Unit, operation: int = -1) -> bool:
+        """Whether a budget's share forbids one more; without a budget nothing does."""
+        if (ration := self.rations.get((unit, operation))) is None:
+            return False
+        self.tries[unit, operation] = self.tries.get((unit, operation), 0) + 1
+        return not ration.take(self.now)
+
+    def demand(self, unit: face.Unit, operation: int = -1) -> tuple[float, float]:
+        """In use, and wished for beside it: of calls how many, of rates those since the last look."""
+        if unit is not face.Unit.CALLS:
+            return 0.0, float(self.tries.pop((unit, operation), 0))
+        if self.machine.dependency.kind is Below.SHARED:
+            return float(self.calls_out + len(self.lingering)), float(len(self.at_call))
+        return float(sum(self.count[s] for s in BEGUN)), float(self.count[HELD])
+
     def may_run(self) -> bool:
-        """Those at calls come back when they like: all together stay under what the cores survive."""
-        room = max(floor(ROOM * self.crowd()), self.machine.cores) - sum(self.count[s] for s in BEGUN)
+        """Those at calls come back when they like: all together stay under what the cores survive. Where no
+        call is told of, each run is one at what the fleet shares."""
+        begun = sum(self.count[s] for s in BEGUN)
+        if self.machine.dependency.kind is not Below.SHARED and begun + 1 > self.bound():
+            return False
+        room = max(floor(ROOM * self.crowd()), self.machine.cores) - begun
         return room > 0 and self.on_cores() + 0.5 < self.limit
 
     def on_arrived(self, news: face.Arrived) -> None:
@@ -321,7 +370,8 @@
             self.step_to(inv, News.TURN)
         elif now >= inv.due - BEAT or (not line.op.late_share and now + self.latest(inv) > inv.goal):
             self.step_to(inv, News.LATE)
-        elif self.worth_rank(inv, news) < self.level(line) or inv.kb * self.machine.run_factor > self.room:
+        elif (self.worth_rank(inv, news) < self.level(line) or inv.kb * self.machine.run_factor > self.room
+              or self.rationed(face.Unit.RATE, news.operation)):  # last: it takes a token
             self.step_to(inv, News.TURN)
         else:
             if news.customer >= 0:
@@ -374,6 +424,8 @@
         if inv := self.invs.get(news.inv):
             self.call_over(inv, lingers=news.outcome is Outcome.TIMED_OUT)
             step = CALL_NEWS.get(news.outcome, News.UNSURE)
+            if step is News.UNRUN and self.rationed(face.Unit.RETRIES):
+                step = News.UNSURE  # it would be tried again beyond the fleet's share of that
             spared = step is not News.CALLED and inv.line.op.degraded_share > 0
             self.step_to(inv, News.SPARED if spared else step)
 
@@ -511,7 +563,7 @@
         """How long one more call may take. A share of one or more bounds the calls in hand; under one, a
         fading sum of their time does, which never shows less than 1/e of what the window holds."""
         below, held = self.machine.dependency, self.calls_out + len(self.lingering)
-        if held + 1 > self.call_cap or self.now < self.call_after:
+        if held + 1 > min(self.call_cap, self.bound()) or self.now < self.call_after:
             return 0
         if below.kind is not Below.SHARED or below.share >= 1:
             return HOUR
@@ -546,4 +598,5 @@
 
 HANDLERS: dict[type, Callable[..., None]] = dict.fromkeys(PLAIN_NEWS, Controller.on_plain) | {
     face.Arrived: Controller.on_arrived, face.CallEnded: Controller.on_call_ended,
-    face.Leaving: Controller.on_leaving, face.TimerFired: Controller.on_timer}  # fmt: skip
+    face.Leaving: Controller.on_leaving, face.TimerFired: Controller.on_timer,
+    face.Granted: Controller.on_granted}  # fmt: skip
--- a/ringshift/findings/digest.py
+++ b/ringshift/findings/digest.py
@@ -16,6 +16,7 @@
     Dropped,
     Ended,
     Greeted,
+    LeaseChange,
     Mark,
     Phase,
     Ready,
@@ -23,6 +24,7 @@
     Said,
     Saw,
     Second,
+    ShareChange,
     Shedding,
     Started,
 )
@@ -88,6 +90,10 @@
     """server, what, detail, up, seq"""
     stamps: list[tuple[int, int, int, int]] = field(default_factory=list)
     """caller, window, how far `up` 0 lies past the caller's clock's 0 at least, up"""
+    shares: list[tuple[str, float, int]] = field(default_factory=list)
+    """Of fleet-wide budgets: budget, what may be used from then on, up"""
+    holds: list[tuple[str, str, int]] = field(default_factory=list)
+    """Of fleet tasks' leases: task, the state gone to, up"""
     ended: tuple[int, int, int, int] | None = None
     """status, owed, up, seq"""
     errors: list[tuple[int, str, int]] = field(default_factory=list)
@@ -226,6 +232,14 @@
             row = body.server[:200], body.what[:50], body.detail[:200], record.up, record.seq
             self.digest.saw.append(row)
 
+    def on_share(self, record: Record, body: ShareChange) -> None:
+        if len(self.digest.shares) < 50 * MOST_MARKS:
+            self.digest.shares.append((body.budget[:200], body.new, record.up))
+
+    def on_lease(self, record: Record, body: LeaseChange) -> None:
+        if len(self.digest.holds) < MOST_MARKS:
+            self.digest.holds.append((body.task[:200], body.new[:50], record.up))
+
     def on_dropped(self, record: Record, body: Dropped) -> None:
         pass  # told by check_order, as the gap that it stands in
 
@@ -455,4 +469,6 @@
     Saw: Digester.on_saw,
     Dropped: Digester.on_dropped,
     Ended: Digester.on_ended,
+    ShareChange: Digester.on_share,
+    LeaseChange: Digester.on_lease,
 }
--- a/ringshift/interface.py
+++ b/ringshift/interface.py
@@ -57,6 +57,14 @@
     NEXT_TIER = "next tier"
 
 
+class Unit(Enum):
+    """What a fleet-wide budget counts (ringshift/fleet/budget.py)."""
+
+    CALLS = "calls"
+    RATE = "rate"
+    RETRIES = "retries"
+
+
 # Read at start.
 
 
@@ -209,7 +217,19 @@
     gauges: Sequence[float | None]
 
 
-Input = Arrived | Finished | CallerGone | CallWanted | CallEnded | Leaving | TimerFired
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """This server's share of a fleet-wide budget (ringshift/fleet/share.py): `amount` for what begins before
+    `until`, `safe` from then on. `operation`: a rate's, -1 for the others."""
+
+    unit: Unit
+    amount: float
+    until: int
+    safe: float
+    operation: int = -1
+
+
+Input = Arrived | Finished | CallerGone | CallWanted | CallEnded | Leaving | TimerFired | Granted
 
 
 # Effects.
--- a/ringshift/lifecycle/entry.py
+++ b/ringshift/lifecycle/entry.py
@@ -2,18 +2,37 @@
 
 from __future__ import annotations
 
+import os
 import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 import gevent
 from gevent.event import Event
 from loguru import logger
 
-from ringshift.lifecycle.configuration import read_backend
+from ringshift.lifecycle.configuration import Backend, read_backend
 from ringshift.lifecycle.program import Program
 from ringshift.lifecycle.recording import begin
 from ringshift.machine import Malformed
 from ringshift.runtime import logs
 
+if TYPE_CHECKING:
+    from ringshift.lifecycle.sharing import Shares
+    from ringshift.records.schema import Body
+
+
+def sharing(backend: Backend, clock: Callable[[], int], tell: Callable[[Body], None] | None) -> Shares | None:
+    """Shares of fleet-wide budgets, where the operators' file names any; nothing more is imported without."""
+    path = os.environ.get("RINGSHIFT_SETTINGS", "")
+    if not path or "[[budgets]]" not in Path(path).read_text(encoding="utf-8"):
+        return None
+    from ringshift.lifecycle.sharing import shares
+
+    operations = {op.name: index for index, op in enumerate(backend.machine.operations)}
+    return shares(path, backend.name, backend.seed, clock, operations, tell)
+
 
 def run() -> int:
     logs.set_up("-")
@@ -28,9 +47,17 @@
         logger.error("{}", wrong)
         return 2
     program = Program(backend, replaced, recording.watch)
+    shares = None
     status = 1
     try:
+        shares = sharing(backend, program.clock.now, recording.tell)
+        program.owner.shared = shares
         status = program.run()
+    except Malformed as wrong:
+        logger.error("{}", wrong)
+        return 2
     finally:
+        if shares is not None:
+            shares.leave()
         recording.end(status, program.owner.invocations.owed)
     return status
--- a/ringshift/lifecycle/recording.py
+++ b/ringshift/lifecycle/recording.py
@@ -9,15 +9,21 @@
 import os
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from ringshift.lifecycle.configuration import Backend
 from ringshift.machine import Malformed
 from ringshift.records.watch import Unwatched, Watch
 
+if TYPE_CHECKING:
+    from ringshift.records.schema import Body
+
 
 @dataclass(frozen=True, slots=True)
 class Recording:
     watch: Watch
+    tell: Callable[[Body], None] | None
+    """Writes a record, where there are records."""
     end: Callable[[int, int], None]
     """Told the exit status and how many answers are still owed."""
 
@@ -37,7 +43,7 @@
         told = read_operators(path).records
         lines, folder, most_mb = told.lines or lines, told.folder, told.most_mb
     if not (lines or folder):
-        return Recording(Unwatched(), nothing)
+        return Recording(Unwatched(), None, nothing)
     from ringshift.records.recorder import start
 
     recorder = start(backend.name, lines, folder, round(most_mb * 1024 * 1024))
@@ -46,4 +52,4 @@
         listen="{}:{}".format(*backend.listen), operations=tuple(op.name for op in machine.operations),
         cores=machine.cores, stop_ms=backend.stop / 1e6,
     )  # fmt: skip
-    return Recording(recorder, recorder.end)
+    return Recording(recorder, recorder.write, recorder.end)
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -32,6 +32,7 @@
 GAUGES_IN = 20 * MS  # a timer waits this long for its gauges; after that they are told as not known
 CHECK_IN = 1000 * MS  # a deep check whose work does not come back fails
 MOST_CHECKS = 64
+SHARES_EVERY = 20 * MS  # between two looks at the fleet-wide budgets' shares, where there are any
 QUIET = 300 * MS  # leaving early is safe when nothing has come for this long after the grace
 
 OUTCOMES = {"good": face.Outcome.SUCCEEDED, "bad": face.Outcome.ERRORED,
@@ -47,6 +48,13 @@
     def exercise(self, ref: str) -> None: ...
 
 
+class Shared(Protocol):
+    """Shares of fleet-wide budgets, where the installation has them (ringshift/lifecycle/sharing.py)."""
+
+    def granted(self, now: int, controller: Controller) -> list[face.Granted]: ...
+    def leaving(self) -> None: ...
+
+
 class Owner:
     def __init__(self, machine: face.Machine, bounds: Bounds, deep_checks: bool, seed: int, clock: Clock,
                  agent: Commands, ready: Callable[[bool], None],
@@ -56,6 +64,7 @@
         self.deep_checks, self.seed, self.clock = deep_checks, seed, clock
         self.agent, self.ready, self.idle = agent, ready, idle
         self.watch = watch or Unwatched()
+        self.shared: Shared | None = None
         self.queue: Queue[News] = Queue(bounds.news)
         self.controller: Controller | None = None
         self.invocations, self.results = Invocations(), Results(machine.fresh, bounds.results)
@@ -191,6 +200,8 @@
             logger.info("agent greeted after {} ms, {} start", item.took // MS, start)
             self.watch.greeted(item.cold, item.took)
             self.decide(now - item.took)  # it warms since its own start
+            if self.shared is not None:
+                self.look_at_shares(now)
             self.ready(self.health[0])
             if self.leaving_at:
                 self.inputs.append(face.Leaving(self.leaving_at + self.left - now))
@@ -201,6 +212,11 @@
             for ref in self.checks:
                 self.agent.exercise(ref)  # lost with the link it would answer bad after a second
 
+    def look_at_shares(self, now: int) -> None:
+        assert self.shared is not None and self.controller is not None
+        self.inputs += self.shared.granted(self.clock.now(), self.controller)
+        self.timer(now + SHARES_EVERY, self.look_at_shares, now + SHARES_EVERY)
+
     def sample(self) -> str:
         self.mark = next(self.refs)
         self.agent.sample(str(self.mark))
@@ -253,6 +269,8 @@
 
     def on_told_to_leave(self, item: news.ToldToLeave) -> None:
         self.leaving_at, self.left = self.clock.now(), item.left
+        if self.shared is not None:
+            self.shared.leaving()
         if self.controller is not None:
             self.inputs.append(face.Leaving(item.left))
 
--- a/ringshift/records/schema.py
+++ b/ringshift/records/schema.py
@@ -157,13 +157,27 @@
     """What is left until the holder's own deadline."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShareChange:
+    """This server's share of a fleet-wide budget changed (ringshift/fleet/share.py)."""
+
+    budget: str
+    old: float
+    new: float
+    why: str
+    round: int = 0
+    left_ms: float = 0.0
+    """Until the grant ends here, 0 for the safe share."""
+
+
 Body = (
     Started | Phase | Greeted | Ready | Second | Shedding | Said | Mark | Saw | Dropped | Ended | LeaseChange
+    | ShareChange
 )
 KINDS: dict[str, type] = {
     "started": Started, "phase": Phase, "greeted": Greeted, "ready": Ready, "second": Second,
     "shedding": Shedding, "said": Said, "mark": Mark, "saw": Saw, "dropped": Dropped, "ended": Ended,
-    "lease": LeaseChange,
+    "lease": LeaseChange, "share": ShareChange,
 }  # fmt: skip
 NAMES: dict[type, str] = {kind: name for name, kind in KINDS.items()}
 
--- a/ringshift/report/analyse.py
+++ b/ringshift/report/analyse.py
@@ -14,7 +14,7 @@
 from ringshift.findings.judge import Judge, Verdict
 from ringshift.store.incident import Incident
 
-MAKING = 1  # of digests: raised whenever the same records would give another digest
+MAKING = 2  # of digests: raised whenever the same records would give another digest
 Steps = Callable[[Iterable[tuple[str, str, int]]], Iterable[tuple[str, str, int]]]
 
 
--- a/ringshift/report/charts.py
+++ b/ringshift/report/charts.py
@@ -351,3 +351,44 @@
         figure.legend(handles, labels, loc="lower center", ncols=6, frameon=False, fontsize=8)
     figure.subplots_adjust(left=0.1, right=0.99, top=0.98, bottom=0.2 if few else 0.1, hspace=0.15)
     return draw(figure, "Limit and pressure of each server")
+
+
+def shares(course: Course, cause: Cause) -> str:
+    """What each server might use of each fleet-wide budget, in steps; with many servers the sum alone."""
+    told: dict[str, dict[str, list[tuple[int, float]]]] = {}
+    for server, stints in course.stints.items():
+        for stint in stints:
+            for budget, amount, up in stint.digest.shares:
+                rows = told.setdefault(budget, {}).setdefault(server, [])
+                rows.append((stint.time(up, course.alignment), amount))
+            for rows in (by[server] for by in told.values() if server in by):
+                rows.append((stint.last, 0.0))  # an ended run uses nothing
+    if not told:
+        return ""
+    names = sorted(told)[:MOST_OPERATIONS]
+    height = 0.6 + 1.6 * len(names)
+    figure = Figure(figsize=(9, height))
+    for place, name in enumerate(names):
+        axis = axes(figure, course, len(names), 1, place + 1)
+        changes = sorted((at, server, amount) for server, rows in told[name].items() for at, amount in rows)
+        now: dict[str, float] = {}
+        total = list[tuple[int, float]]()
+        for at, server, amount in changes:
+            now[server] = amount
+            total.append((at, sum(now.values())))
+        if len(told[name]) <= 12:
+            for server, rows in told[name].items():
+                axis.step([moment(at) for at, _ in rows], [amount for _, amount in rows], where="post",
+                          linewidth=0.9, label=server[:20])  # fmt: skip
+        axis.step([moment(at) for at, _ in total], [amount for _, amount in total], where="post", color=INK,
+                  linewidth=1.4, label="all together")  # fmt: skip
+        axis.set_ylabel(name[:16], fontsize=8)
+        axis.yaxis.set_major_locator(MaxNLocator(4))
+        axis.set_ylim(bottom=0)
+        mark_cause(axis, cause)
+        if place < len(names) - 1:
+            axis.set_xticklabels([])
+    handles, labels = figure.axes[0].get_legend_handles_labels()
+    figure.legend(handles, labels, loc="lower center", ncols=6, frameon=False, fontsize=8)
+    figure.subplots_adjust(left=0.1, right=0.99, top=1 - 0.08 / height, bottom=0.62 / height, hspace=0.25)
+    return draw(figure, "Shares of fleet-wide budgets")
--- a/ringshift/report/page.py
+++ b/ringshift/report/page.py
@@ -97,6 +97,7 @@
         "lanes": charts.lanes(course, verdict, cause) if course.stints else "",
         "service": charts.service(course, verdict, cause),
         "believed": charts.believed(course, verdict, cause),
+        "shares": charts.shares(course, cause),
     }
     clocks = clock_rows(course)
     return environment.get_template("incident.html").render(
--- a/ringshift/settings/operators.py
+++ b/ringshift/settings/operators.py
@@ -5,12 +5,17 @@
 import re
 import tomllib
 from pathlib import Path
+from typing import Literal
 
 import msgspec
 
+from ringshift.fleet.budget import Budget, BudgetError
 from ringshift.fleet.lease import MS, LeaseTerms, LeaseTermsError, S
+from ringshift.interface import Unit
 from ringshift.machine import Malformed
 
+NAME = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
 
 class RecordKeeping(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     lines: bool = False
@@ -62,9 +67,62 @@
             raise ValueError(f"{names.get(field, field)}: {told}") from None
 
 
+class FleetBudget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One fleet-wide budget (docs/budgets.md), divided under a lease of the keepers in `[leases]`."""
+
+    name: str
+    unit: Literal["calls", "rate", "retries"]
+    whole: float
+    """Calls under way at once, or invocations or repeated attempts a second, over the whole fleet."""
+    most: int
+    """The largest fleet that is ever alive at once: the safe shares of that many are set aside."""
+    safe: float = 0.0
+    """What a backend may use while it has no grant."""
+    operation: str = ""
+    """Whose invocations a rate counts."""
+    weight: float = 1.0
+    """This backend's in the division."""
+    life_ms: int = 8_000
+    """A grant's, from the ask's sending."""
+    refresh_ms: int = 1_000
+    margin_ms: int = 250
+    """Taken off each grant: time for what was begun to arrive at the dependency."""
+    longest_ms: int = 2_000
+    """How long one call may last; 0 for rate and retries."""
+    drift_ppm: int = 10_000
+    """How much faster the divider's clock may run than a backend's, in millionths."""
+
+    def __post_init__(self) -> None:
+        if not NAME.fullmatch(self.name):
+            raise ValueError(f"name: {self.name!r} is not 1 to 64 letters, digits, - or _")
+        if (self.unit == "rate") != bool(self.operation):
+            raise ValueError("operation: named for a rate, and for a rate only")
+        self.budget()  # refused here, by field, rather than when the first share is asked for
+
+    def budget(self) -> Budget:
+        longest = self.longest_ms if self.unit == "calls" else 0
+        try:
+            return Budget(self.name, Unit(self.unit), self.whole, self.most, self.safe, self.weight,
+                          self.operation, self.life_ms * MS, self.refresh_ms * MS, self.margin_ms * MS,
+                          longest * MS, self.drift_ppm)  # fmt: skip
+        except BudgetError as wrong:
+            field, _, told = str(wrong).partition(": ")
+            names = {"margin": "margin_ms", "refresh": "refresh_ms"}
+            raise ValueError(f"{names.get(field, field)}: {told}") from None
+
+
 class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     records: RecordKeeping = RecordKeeping()
     leases: Leases | None = None
+    budgets: list[FleetBudget] = []
+
+    def __post_init__(self) -> None:
+        if self.budgets and (self.leases is None or not self.leases.keepers):
+            raise ValueError("budgets: no [leases] table with keepers, under whose lease they are divided")
+        names = [budget.name for budget in self.budgets]
+        for place, name in enumerate(names):
+            if name in names[:place]:
+                raise ValueError(f"budgets: two of the name {name!r}")
 
 
 def read_operators(path: str) -> Operators:
@@ -88,9 +146,11 @@
     """The line of the field that msgspec names by path, or by name where it is unknown."""
     told, _, path = wrong.partition(" - at `$")
     keys = re.findall(r"[A-Za-z_]\w*", path)
+    index = re.search(r"\[(\d+)\]", path)
     if not keys and not path or "unknown field" in told:
         keys += re.findall(r"`(\w+)`", told)
-    fields = {"records": RecordKeeping.__struct_fields__, "leases": Leases.__struct_fields__}
+    fields = {"records": RecordKeeping.__struct_fields__, "leases": Leases.__struct_fields__,
+              "budgets": FleetBudget.__struct_fields__}  # fmt: skip
     if not keys:
         keys = [word for word in re.findall(r"\w+", told) if word in RecordKeeping.__struct_fields__][:1]
     elif len(keys) == 1:
@@ -98,14 +158,17 @@
     field = ".".join(keys)
     if keys and told.startswith(f"{keys[-1]}: "):
         told = told[len(keys[-1]) + 2 :]  # the check named its field itself
-    table = ""
+    table, number_of, place = "", dict[str, int](), 0
     for number, line in enumerate(text.splitlines(), 1):
-        if heading := re.match(r"\s*\[\s*([\w.]+)\s*\]", line):
+        if heading := re.match(r"\s*\[{1,2}\s*([\w.]+)\s*\]", line):
             table = heading[1]
-            if table == field:
-                return f"line {number}: {field}: {told}"
-        elif named := re.match(r"\s*([\w.]+)\s*=", line):
-            name = f"{table}.{named[1]}" if table else named[1]
-            if name == field:
-                return f"line {number}: {field}: {told}"
+            place = number_of[table] = number_of.get(table, -1) + 1
+            if index is not None and place != int(index[1]):
+                table = ""  # another of the same array
+            found = table == field or (index is not None and len(keys) == 1 and table == keys[0])
+        else:
+            named = re.match(r"\s*([\w.]+)\s*=", line)
+            found = bool(named) and (f"{table}.{named[1]}" if table else named[1]) == field  # type: ignore[index]
+        if found:
+            return f"line {number}: {field}: {told}"
     return f"{field}: {told}" if field else told
--- a/standins/fleet/harness.py
+++ b/standins/fleet/harness.py
@@ -22,7 +22,7 @@
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, Self
 
 import gevent
 import orjson
@@ -68,14 +68,16 @@
     faults: list[Fault] = field(default_factory=list)
 
     def write(self, path: Path) -> None:
-        lines = [f"{name} = {value!r}".replace("'", '"') for name, value in asdict(self).items()
+        # JSON's words for numbers, texts, truth and lists are TOML's too.
+        lines = [f"{name} = {orjson.dumps(value).decode()}" for name, value in asdict(self).items()
                  if name != "faults"]  # fmt: skip
         for fault in self.faults:
-            lines += ["", "[[faults]]", *(f"{k} = {v!r}".replace("'", '"') for k, v in asdict(fault).items())]
+            row = [f"{name} = {orjson.dumps(value).decode()}" for name, value in asdict(fault).items()]
+            lines += ["", "[[faults]]", *row]
         path.write_text("\n".join(lines) + "\n")
 
     @classmethod
-    def read(cls, path: Path) -> Script:
+    def read(cls, path: Path) -> Self:
         told = tomllib.loads(path.read_text())
         faults = [Fault(**fault) for fault in told.pop("faults", [])]
         return cls(**told, faults=faults)
@@ -143,6 +145,7 @@
         self.resource_port = 0
         self.holders: list[subprocess.Popen[bytes] | None] = []
         self.ready: dict[int, Event] = {}
+        self.holding = -1
         self.died: set[int] = set()  # holders that were started to die by themselves, once
 
     def program(self, what: str) -> list[str]:
@@ -162,6 +165,8 @@
         self.keeper = subprocess.Popen(argv, cwd=ROOT, stdout=subprocess.PIPE)
         assert self.keeper.stdout is not None
         line = self.keeper.stdout.readline().decode()
+        if not line and (self.ending or self.keeper.poll() is not None):
+            return  # killed while it started, by the script's next fault or its end
         if not line.startswith("keeper listening on "):
             raise RuntimeError(f"the keeper did not start: {line!r}")
         self.keeper_port = int(line.rsplit(":", 1)[1])
@@ -187,19 +192,24 @@
         if script.die and script.die[0] == number and number not in self.died:
             self.died.add(number)
             argv += ["--die-at-step", str(script.die[1])]
+        return self.started(number, argv)
+
+    def started(self, number: int, argv: list[str]) -> subprocess.Popen[bytes]:
         process = subprocess.Popen(argv, cwd=ROOT, stderr=subprocess.PIPE)
         self.ready[number] = Event()
-        gevent.spawn(self.copy, process, self.folder / f"h{number}.log", self.ready[number])
+        gevent.spawn(self.copy, process, number, self.ready[number])
         return process
 
-    def copy(self, process: subprocess.Popen[bytes], path: Path, ready: Event) -> None:
+    def copy(self, process: subprocess.Popen[bytes], number: int, ready: Event) -> None:
         """A holder's standard error into its log; `ready` once it says that it seeks."""
         assert process.stderr is not None
-        with path.open("ab") as log:
+        with (self.folder / f"h{number}.log").open("ab") as log:
             for line in process.stderr:
                 log.write(line)
                 if b"seeking as" in line:
                     ready.set()
+                if b"-> HOLDING" in line:
+                    self.holding = number  # the last that was heard to hold
         ready.set()  # it ended: nobody waits for it any more
 
     def play(self) -> None:
@@ -227,13 +237,19 @@
     def inflict(self, fault: Fault) -> None:
         held, holder = self.resource.last_token, self.resource.last_holder
         target = fault.target
-        if target == -2:
-            if not holder:
-                return  # nobody holds yet: the fault has no target
-            target = int(holder[1:])
+        if target == -2 and (target := self.aimed()) < 0:
+            return  # nobody holds yet: the fault has no target
         hit = held if holder == f"h{target}" or fault.kind == "kill_all" else 0
         line = {"t": time.monotonic_ns(), "kind": fault.kind, "target": target, "token": hit}
         self.faults_log.write(orjson.dumps(line) + b"\n")
+        self.carry_out(fault, target)
+
+    def aimed(self) -> int:
+        """Whoever holds now, -1 where nobody is known to."""
+        holder = self.resource.last_holder
+        return int(holder[1:]) if holder else -1
+
+    def carry_out(self, fault: Fault, target: int) -> None:
         lasting = fault.lasting_ms / 1000
         if fault.kind == "kill_all":
             for number in range(len(self.holders)):
--- a/standins/fleet/planted.py
+++ b/standins/fleet/planted.py
@@ -11,7 +11,9 @@
 from contextlib import contextmanager
 from typing import Any
 
+from ringshift.fleet.budget import Budget, Divider, Ledger, Row, S
 from ringshift.fleet.lease import DOUBTFUL, HOLDING, Heard, Lease, LeaseTerms
+from ringshift.fleet.share import Share
 from standins.keeper.store import Store
 
 
@@ -50,6 +52,33 @@
     Store.from_image = classmethod(emptied)  # type: ignore[assignment, method-assign]
 
 
+def early_regrant() -> None:
+    """What was granted is granted again before it was handed back or has ended."""
+    Row.held = lambda self: self.extra  # type: ignore[method-assign]
+
+
+def no_fall() -> None:
+    """A backend that lost contact goes on with its last grant."""
+    Share.end_of = lambda self, n: self.now + 3600 * S  # type: ignore[method-assign]
+
+
+def drift_ignored() -> None:
+    """The divider counts a grant's end without the bound on the clocks' drift."""
+    Budget.counted = property(lambda self: self.life)  # type: ignore[assignment, method-assign]
+
+
+def no_waiting() -> None:
+    """A new divider neither takes the ledger back nor waits: it begins as if nothing were granted."""
+
+    def begin_anew(self: Divider, asks: object, ledger: Ledger | None) -> None:
+        self.rows.clear()
+        self.round = ledger.round if ledger else 0
+        self.until = 0
+
+    Divider.take_back = begin_anew  # type: ignore[method-assign]
+    Divider.wait = begin_anew  # type: ignore[method-assign]
+
+
 @contextmanager
 def planted(bug: str) -> Iterator[None]:
     """The bug in this process, for as long as the context lasts: for the models."""
@@ -63,9 +92,12 @@
 
 
 CHANGED: list[tuple[type, str]] = [(Lease, "extend"), (Lease, "acting"), (Lease, "halt"),
-                                   (LeaseTerms, "acting_time"), (Store, "from_image")]  # fmt: skip
+                                   (LeaseTerms, "acting_time"), (Store, "from_image"), (Row, "held"),
+                                   (Share, "end_of"), (Budget, "counted"), (Divider, "take_back"),
+                                   (Divider, "wait")]  # fmt: skip
 BUGS: dict[str, Callable[[], None]] = {
-    bug.__name__: bug for bug in (answer_deadline, no_drift, act_doubtful, restart_expires)
+    bug.__name__: bug for bug in (answer_deadline, no_drift, act_doubtful, restart_expires,
+                              early_regrant, no_fall, drift_ignored, no_waiting)
 }
 
 
--- a/standins/keeper/server.py
+++ b/standins/keeper/server.py
@@ -250,7 +250,7 @@
             start("400 Bad Request" if error.code != RESOURCE_EXHAUSTED else "500 Internal Server Error",
                   [("Content-Type", "application/json")])  # fmt: skip
             return iter([orjson.dumps({"error": str(error), "code": error.code, "message": str(error)})])
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, OSError) as error:  # OSError: a request cut in its middle
             start("400 Bad Request", [("Content-Type", "application/json")])
             told = f"bad request at {path}: {error!r}"
             return iter([orjson.dumps({"error": told, "code": 3, "message": told})])
