--- a/ringshift/cli/lease.py
+++ b/ringshift/cli/lease.py
@@ -137,16 +137,19 @@
 @lease.command()
 @click.argument("task")
 @SETTINGS
-def release(task: str, path: str) -> None:
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def release(task: str, path: str, as_json: bool) -> None:
     """Revoke the lease that holds TASK now, whoever holds it: its holder halts at its next renewal."""
     told = look(task, path)
-    if told["holder"] is None:
-        click.echo(f"{task}: held by nobody; nothing to release")
-        return
-    link = keeper(path)
-    if not link.revoke(int(told["lease"])):
+    held = told["holder"] is not None
+    if held and not keeper(path).revoke(int(told["lease"])):
         raise click.ClickException(f"{task}: the keeper did not answer; the lease may still be held")
-    click.echo(f"{task}: released the lease of {told['holder']} (token {told['token']})")
+    if as_json:
+        click.echo(json.dumps(told | {"released": held}))
+    elif held:
+        click.echo(f"{task}: released the lease of {told['holder']} (token {told['token']})")
+    else:
+        click.echo(f"{task}: held by nobody; nothing to release")
 
 
 def keeper(path: str) -> KeeperLink:
--- a/ringshift/cli/report.py
+++ b/ringshift/cli/report.py
@@ -28,6 +28,7 @@
 
     Example: ringshift report incident.db -o incident.html
     """
+    from ringshift.findings.fleet import tell
     from ringshift.findings.telling import as_plain, headline
     from ringshift.report.analyse import analyse, digests
     from ringshift.store.incident import Incident
@@ -46,7 +47,13 @@
     within = None if clocks_within is None else round(clocks_within * 1e9)
     analysis = analyse(found, reference, within)
     if as_json:
-        print(json.dumps(as_plain(analysis.verdict, analysis.cause, analysis.course)))
+        plain = as_plain(analysis.verdict, analysis.cause, analysis.course)
+        between = [
+            {"what": one.what.value, "subject": one.subject, "start": one.start, "end": one.end,
+             "servers": one.servers, "text": one.text}
+            for one in tell(analysis.course).told
+        ]  # fmt: skip
+        print(json.dumps(plain | {"between": between}))
         return
     if output is None:
         for line in headline(analysis.verdict, analysis.cause, analysis.course):
--- a/ringshift/findings/digest.py
+++ b/ringshift/findings/digest.py
@@ -90,8 +90,8 @@
     """server, what, detail, up, seq"""
     stamps: list[tuple[int, int, int, int]] = field(default_factory=list)
     """caller, window, how far `up` 0 lies past the caller's clock's 0 at least, up"""
-    shares: list[tuple[str, float, int]] = field(default_factory=list)
-    """Of fleet-wide budgets: budget, what may be used from then on, up"""
+    shares: list[tuple[str, float, str, int]] = field(default_factory=list)
+    """Of fleet-wide budgets: budget, what may be used from then on, why, up"""
     holds: list[tuple[str, str, int]] = field(default_factory=list)
     """Of fleet tasks' leases: task, the state gone to, up"""
     ended: tuple[int, int, int, int] | None = None
@@ -234,7 +234,7 @@
 
     def on_share(self, record: Record, body: ShareChange) -> None:
         if len(self.digest.shares) < 50 * MOST_MARKS:
-            self.digest.shares.append((body.budget[:200], body.new, record.up))
+            self.digest.shares.append((body.budget[:200], body.new, body.why[:50], record.up))
 
     def on_lease(self, record: Record, body: LeaseChange) -> None:
         if len(self.digest.holds) < MOST_MARKS:
--- a/ringshift/fleet/lease.py
+++ b/ringshift/fleet/lease.py
@@ -113,7 +113,7 @@
 SEEKING                    | GRANTED    | HOLDING  | take act
 SEEKING                    | STALE      | DOUBTFUL | take check
 SEEKING                    | TAKEN      | SEEKING  | wait_out watch
-SEEKING                    | FREED      | SEEKING  | seek_now
+SEEKING                    | FREED      | SEEKING  | seek_soon
 SEEKING                    | UNANSWERED | SEEKING  | wait_out
 HOLDING                    | TICK       | HOLDING  | renew_when_due
 HOLDING                    | RENEWED    | HOLDING  | extend
@@ -176,6 +176,7 @@
     deadline: int = 0  # before it the holder may act; after it, doubtful
     asked: int | None = None  # when the request in flight was sent, if one is
     next_ask: int = 0  # when to send the next seek or renewal
+    handicap: int = 0  # how long a freed key is left to others first (ringshift/fleet/placement.py)
     out: list[Effect] = field(default_factory=list)
 
     def hear(self, heard: Heard, chance: float = 0.0) -> list[Effect]:
@@ -219,6 +220,12 @@
         self.asked = heard.now
         self.out.append(Effect("seek"))
 
+    def seek_soon(self, heard: Heard, chance: float) -> None:
+        if self.handicap:
+            self.asked, self.next_ask = None, heard.now + self.handicap
+        else:
+            self.seek_now(heard, chance)
+
     def wait_out(self, heard: Heard, chance: float) -> None:
         self.asked = None
         self.next_ask = heard.now + self.terms.seek_after + int(self.terms.seek_after * chance)
--- a/ringshift/lifecycle/holder.py
+++ b/ringshift/lifecycle/holder.py
@@ -28,6 +28,7 @@
 from loguru import logger
 
 from ringshift.fleet.lease import MS, RELEASED, Effect, Heard, Lease, LeaseTerms, News
+from ringshift.fleet.placement import Placement
 from ringshift.records.schema import Body, LeaseChange
 from ringshift.wire.keeper import KeeperLink
 
@@ -117,11 +118,13 @@
 
 class Holder:
     def __init__(self, name: str, task: str, terms: LeaseTerms, link: KeeperLink, work: Work, clock: OwnClock,
-                 seed: int, history: IO[bytes] | None = None,
-                 tell: Callable[[Body], None] | None = None) -> None:  # fmt: skip
+                 seed: int, history: IO[bytes] | None = None, tell: Callable[[Body], None] | None = None,
+                 placement: Placement | None = None) -> None:  # fmt: skip
         self.name, self.task, self.key = name, task, f"/ringshift/tasks/{task}".encode()
         self.terms, self.link, self.work = terms, link, work
         self.lease, self.clock, self.random, self.history = Lease(terms), clock, Random(seed), history
+        self.placement = placement or Placement((task,))
+        self.lease.next_ask = clock.now() + self.placement.first_wait(task, self.random.random())
         self.heard: SimpleQueue[Heard] = SimpleQueue()
         self.asker = Asker(link, self.heard, STUCK * terms.answer_within)
         # The key's value: unique to this process, so that two started with one name never take one hold.
@@ -181,6 +184,9 @@
             logger.bind(kind="lease").debug(f"lease {self.key.decode()}: a step's fate is not known: {wrong}")
 
     def hear(self, heard: Heard) -> None:
+        if heard.news in (News.GRANTED, News.RENEWED):
+            self.write(heard.news.name.lower(), token=heard.token, sent=heard.sent)
+        self.lease.handicap = self.placement.wait(self.task)
         for effect in self.lease.hear(heard, self.random.random()):
             getattr(self, f"do_{effect.kind}")(effect)
 
@@ -212,6 +218,7 @@
     def do_act(self, effect: Effect) -> None:
         if not self.permitted:
             self.work.taken(effect.token, self.clock.now())
+            self.placement.took(self.task)
         self.permitted = True
         self.write("act", token=effect.token, deadline=effect.until)
 
@@ -219,6 +226,7 @@
         if self.permitted:
             self.work.halted()
         self.permitted = False
+        self.placement.let_go(self.task)
         self.write("halt", token=effect.token)
 
     def do_record(self, effect: Effect) -> None:
--- a/ringshift/lifecycle/sharing.py
+++ b/ringshift/lifecycle/sharing.py
@@ -22,6 +22,7 @@
 from ringshift.control import Controller
 from ringshift.fleet.budget import Ask, Budget, Divider, Ledger, Stage, Word
 from ringshift.fleet.lease import LeaseTerms
+from ringshift.fleet.placement import Placement
 from ringshift.fleet.share import Change, News, Share
 from ringshift.interface import Granted, Unit
 from ringshift.lifecycle.holder import Hold, Holder, OwnClock
@@ -155,12 +156,14 @@
                  clock: OwnClock, seed: int, tell: Tell | None = None,
                  history: IO[bytes] | None = None) -> None:  # fmt: skip
         self.terms, self.holders, self.threads = terms, list[Holder](), list[threading.Thread]()
+        placement = Placement(tuple(f"budget-{budget.name}" for budget in budgets))
         for number, budget in enumerate(budgets):
-            task = f"budget-{budget.name}"
+            task = placement.tasks[number]
             link = BudgetLink(keepers, clock.now, terms.answer_within / 1e9)
             work = Dividing(budget, f"/ringshift/tasks/{task}".encode(), link, clock.now)
             keeper = KeeperLink(keepers, clock.now, terms.answer_within / 1e9)
-            holder = Holder(name, task, terms, keeper, work, clock, seed + number, history, tell)
+            holder = Holder(name, task, terms, keeper, work, clock, seed + number, history, tell,
+                            placement)  # fmt: skip
             thread = threading.Thread(target=self.run, args=(holder,), name=task, daemon=True)
             self.holders.append(holder)
             self.threads.append(thread)
--- a/ringshift/report/charts.py
+++ b/ringshift/report/charts.py
@@ -358,7 +358,7 @@
     told: dict[str, dict[str, list[tuple[int, float]]]] = {}
     for server, stints in course.stints.items():
         for stint in stints:
-            for budget, amount, up in stint.digest.shares:
+            for budget, amount, _, up in stint.digest.shares:
                 rows = told.setdefault(budget, {}).setdefault(server, [])
                 rows.append((stint.time(up, course.alignment), amount))
             for rows in (by[server] for by in told.values() if server in by):
--- a/ringshift/report/page.py
+++ b/ringshift/report/page.py
@@ -10,6 +10,7 @@
 from ringshift import __version__
 from ringshift.findings.course import Course
 from ringshift.findings.digest import ARRIVED, COUNTS, ERRORED, GONE, SUCCEEDED, THROTTLED
+from ringshift.findings.fleet import tell as tell_fleet
 from ringshift.findings.judge import What
 from ringshift.findings.telling import clock, headline, sentence, some, span
 from ringshift.report import charts
@@ -124,5 +125,6 @@
         refusals=refusals[:MOST_ROWS],
         refused=sum(source.refused for source in sources),
         What=What,
+        fleet=tell_fleet(course).told[:MOST_ROWS],
         runs=sum(len(stints) for stints in course.stints.values()),
     )
--- a/ringshift/wire/keeper.py
+++ b/ringshift/wire/keeper.py
@@ -3,7 +3,8 @@
 Blocking calls with a timeout, for a process of its own or a thread of its own: never on the backend's hub
 (etcd3gw speaks HTTP through requests, whose sockets are not gevent's). Each answer is stamped with the time
 its request was sent on the holder's own clock, as the lease's rule needs (ringshift/fleet/lease.py).
-Several keeper addresses are tried in turn; a call that fails or times out is UNANSWERED, never LOST: only
+Which of several members is asked is ringshift/fleet/members.py's to say. A call that fails or times out is
+UNANSWERED, never LOST: only
 the keeper's own word (keep-alive TTL 0, the key gone or at another create revision) is LOST.
 """
 
@@ -14,10 +15,20 @@
 import threading
 from collections.abc import Callable, Iterable
 from queue import SimpleQueue
+from random import Random
 from typing import Any
 
+from etcd3gw.exceptions import (
+    ConnectionFailedError,
+    ConnectionTimeoutError,
+    Etcd3Exception,
+    InternalServerError,
+)
+
 from ringshift.fleet.lease import Heard, News
+from ringshift.fleet.members import Members
 
+UNFIT = (ConnectionFailedError, ConnectionTimeoutError, InternalServerError)
 MOST_LINE = 1 << 20  # bytes of one line of a watch; more is not from a keeper
 
 
@@ -33,22 +44,31 @@
 
         if not addresses:
             raise ValueError("keepers: no address")
-        self.clock, self.timeout_s, self.turn = clock, timeout_s, 0
+        self.clock, self.timeout_s = clock, timeout_s
+        self.random = Random()
+        self.members = Members(len(addresses), self.random.randrange(len(addresses)))
         self.clients = []
         for address in addresses:
             host, _, port = address.rpartition(":")
             self.clients.append(Etcd3Client(host=host, port=int(port), api_path="/v3/", timeout=timeout_s))
 
     def call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        """One call to the member in turn; on failure the next is in turn. Raises OSError-like on failure."""
-        client = self.clients[self.turn % len(self.clients)]
+        """One call to the member that is to be asked. Raises whatever the client raises on failure."""
+        began = self.clock()
+        place = self.members.choose(began)
+        client, good = self.clients[place], False
         try:
             answer = client.post(client.get_url(path), json=body)
-        except Exception:
-            self.turn += 1
+            if not isinstance(answer, dict):
+                raise ValueError(f"keeper at {path}: {answer!r}")
+            good = True
+        except Etcd3Exception as wrong:
+            # A refusal is an answer, unless the member says that it can't serve (no leader, a full disk).
+            good = not isinstance(wrong, UNFIT)
             raise
-        if not isinstance(answer, dict):
-            raise ValueError(f"keeper at {path}: {answer!r}")
+        finally:
+            now = self.clock()
+            self.members.heard(place, good, max(now - began, 0), now, self.random.random())
         return answer
 
     def seek(self, key: bytes, value: bytes, ttl_s: int) -> Heard:
@@ -120,7 +140,7 @@
         its next look. Read here from the client's session and not by its `watch`, whose iterator waits for
         ever on a stream that has ended: seen in the harness, a successor then found the key only by looking.
         """
-        client = self.clients[self.turn % len(self.clients)]
+        client = self.clients[self.members.last]
 
         def follow() -> None:
             try:
--- a/standins/checkers/leases.py
+++ b/standins/checkers/leases.py
@@ -9,6 +9,7 @@
   another held, the very thing a lease is for, whether or not the resource took the step;
 - **stale token**: the resource accepted it after it had accepted a higher token;
 - **past deadline**: its holder sent it at or after its own deadline;
+- **deadline too late**: that deadline lies beyond what its last answered renewal's sending gives;
 - **twice**: the resource accepted the same step twice; **skipped**: it accepted one beyond the next.
 
 What safety costs is told too: the time without an accepted step from a holder's last to its successor's
@@ -17,6 +18,7 @@
 
 from __future__ import annotations
 
+import tomllib
 from bisect import bisect_right
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -60,8 +62,9 @@
     verdict = Verdict()
     created = sorted((line["t"], line["token"]) for line in lines(folder / "keeper.jsonl")
                      if line["ev"] == "created")  # fmt: skip
+    acting = acting_time(folder / "script.toml")
     for path in sorted(folder.glob("h*.jsonl")):
-        sent(lines(path), created, verdict)
+        sent(lines(path), created, acting, verdict)
     accepted = [line for line in lines(folder / "resource.jsonl") if line["accepted"]]
     verdict.refused = len(lines(folder / "resource.jsonl")) - len(accepted)
     taken(accepted, verdict)
@@ -70,16 +73,30 @@
     return verdict
 
 
-def sent(history: list[dict[str, Any]], created: list[tuple[int, int]], verdict: Verdict) -> None:
+def acting_time(path: Path) -> int:
+    """Nanoseconds after a renewal's sending, by the terms that the script gave: not by the program's word."""
+    told = tomllib.loads(path.read_text())
+    ttl = told["ttl_s"] * S
+    return int(ttl - ttl * told["drift_ppm"] // 1_000_000 - told["margin_ms"] * 1_000_000)
+
+
+def sent(history: list[dict[str, Any]], created: list[tuple[int, int]], acting: int,
+         verdict: Verdict) -> None:  # fmt: skip
     """A holder's own steps against its deadline and the keys that the keeper created."""
     times = [t for t, _ in created]
+    renewed: dict[tuple[int, int], int] = {}  # pid, token -> when its last answered renewal was sent
     for line in history:
+        if line["ev"] in ("granted", "renewed"):
+            key = line["pid"], line["token"]
+            renewed[key] = max(line["sent"], renewed.get(key, 0))
         if line["ev"] != "step":
             continue
         what = f"{line['holder']} sent step {line['step']} with token {line['token']}"
         if line["own_looked"] >= line["deadline"]:
             verdict.wrong.append(f"past deadline: {what} at {line['own_looked']} ns, its deadline "
                                  f"{line['deadline']}")  # fmt: skip
+        if line["deadline"] > renewed.get((line["pid"], line["token"]), 0) + acting:
+            verdict.wrong.append(f"deadline too late: {what}, its deadline {line['deadline']}")
         newer = [later for _, later in created[: bisect_right(times, line["looked"])]
                  if later > line["token"]]  # fmt: skip
         if newer:
--- /dev/null
+++ b/standins/fleet/__main__.py
@@ -0,0 +1,39 @@
+"""`python -m standins.fleet SCRIPT.toml [--plant BUG]`: plays a script of faults again and tells the verdict.
+
+Of leases or of budgets, whichever the file is; histories go to a new folder, whose name is printed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+from standins.checkers import budgets as of_budgets
+from standins.checkers import leases as of_leases
+from standins.fleet.budgets import BudgetFleet, BudgetScript
+from standins.fleet.harness import Fleet, Script
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("script", type=Path)
+    parser.add_argument("--plant", default="", help="a bug of standins/fleet/planted.py, or no_fence")
+    told = parser.parse_args()
+    folder = Path(tempfile.mkdtemp(prefix="fleet-"))
+    print(f"histories in {folder}")
+    verdict: of_budgets.Verdict | of_leases.Verdict
+    if "whole" in tomllib.loads(told.script.read_text()):
+        BudgetFleet(BudgetScript.read(told.script), folder, told.plant).play()
+        verdict = of_budgets.check(folder)
+    else:
+        Fleet(Script.read(told.script), folder, told.plant).play()
+        verdict = of_leases.check(folder)
+    print(verdict)
+    return 0 if verdict.right else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/fleet/test_budget.py
+++ b/tests/fleet/test_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -245,6 +246,18 @@
     world.run(120 * S)
     assert world.over == [] and world.most == 1 and len(had) >= 10
 
+def test_a_whole_lowered_in_service_is_kept_a_grants_life_and_the_drift_later() -> None:
+    world = World(TIGHT, 2, Trouble(), demand=lambda random: 1000)
+    world.run(10 * S)
+    assert world.granted() == 12
+    world.budget = replace(TIGHT, whole=6)
+    world.new_divider()
+    world.run(10 * S + TIGHT.counted)
+    world.over.clear()  # until then the old grants end; from here on no instant is above the new whole
+    world.run(20 * S)
+    assert world.over == [] and world.granted() == 6
+
+
 def test_a_divider_stalled_past_a_grants_life_lets_every_share_fall_and_divides_again() -> None:
     world = World(TIGHT, 2, Trouble(), demand=lambda random: 1000)
     world.run(10 * S)
