--- /dev/null
+++ b/ringshift/control/cores.py
@@ -0,0 +1,94 @@
+"""How many may run at once: the learned limit, what runs took, and the crowd that the cores survive."""
+
+from math import floor
+
+from ringshift import interface as face
+from ringshift.control.invocation import ANSWERED, BEGUN, HELD, ROOM, RUNNING, Inv
+from ringshift.control.measures import BEAT, MEMORY, RECENT, Fading, S
+from ringshift.control.shares import Shares
+from ringshift.interface import Below
+
+ENOUGH = 30  # completions while work waits, below which a change of their rate is chance
+CEILING = 0.6  # share of the survivable crowd that is used: a mean over a window must never reach it
+DOUBT = 3  # more runs of usual length than run, before their age tells that the machine has slowed
+LEAST = 0.1  # of a run: with a share of none what is held waits as good as for ever, and is turned away
+
+
+class Cores(Shares):
+    def __init__(self, machine: face.Machine, seed: int) -> None:
+        super().__init__(machine, seed)
+        self.limit, self.step, self.tried, self.last_rate = float(machine.cores), 1, 0, 0.0
+        self.window_span = self.window_done = self.done = self.warm_runs = self.ages = 0
+        self.warm_sum, self.slowed = 0.0, 1.0
+        self.at_disk, self.wanted = Fading(4 * MEMORY), Fading(RECENT)
+
+    def count_run(self, inv: Inv) -> None:
+        core = max(self.now - inv.started - inv.calls, 0)
+        inv.line.run.add(self.now, self.now - inv.started)
+        inv.line.core.add(self.now, core)
+        self.done += self.now <= inv.goal
+        self.warm_runs, self.warm_sum = self.warm_runs + 1, self.warm_sum + core
+
+    def on_cores(self) -> float:
+        """Those that run less the part that waits for disk, which only the gauges show."""
+        return (self.count[RUNNING] + self.count[ANSWERED]) * (1 - self.at_disk.mean(self.now))
+
+    def slowness(self) -> float:
+        """Runs that are on the cores far longer than runs used to take tell of a slowed, hung or paused
+        machine before any of them ends. A wave of bulky work looks the same and is answered the same."""
+        if not (running := self.count[RUNNING]) or running * 2 < self.machine.cores:
+            return 1.0  # one bulky run among idle cores tells nothing
+        ages = running * self.now - self.sum_started
+        if ages != self.ages:  # nothing else it is made of changes without them
+            usual = max(line.run.mean(self.now) for line in self.lines)
+            self.ages, self.slowed = ages, max(1.0, ages / ((running + DOUBT) * usual))
+        return self.slowed
+
+    def latest(self, inv: Inv) -> int:
+        return round(inv.size * inv.line.run.mean(self.now) * self.slowness())
+
+    def crowd(self) -> float:
+        """The most the cores survive, as slow as the settings allow them to be by now."""
+        machine, warmed = self.machine, (self.now - self.born) / self.machine.ramp
+        cold = (1 - machine.cold_speed) * max(1 - warmed, 0) if machine.cold else 0.0
+        return (1 + (machine.fall_multiple - 1) * (1 - cold)) * machine.cores
+
+    def limited(self) -> float:
+        """What may run at once: the learned limit, or a smaller share of what all runs of the fleet call."""
+        if self.machine.dependency.kind is Below.SHARED:
+            return self.limit
+        return min(self.limit, max(self.bound(), LEAST))
+
+    def may_run(self) -> bool:
+        """Those at calls come back when they like: all together stay under what the cores survive. Where no
+        call is told of, each run is one at what the fleet shares."""
+        begun = sum(self.count[s] for s in BEGUN)
+        if self.machine.dependency.kind is not Below.SHARED and begun + 1 > self.bound():
+            return False
+        room = max(floor(ROOM * self.crowd()), self.machine.cores) - begun
+        return room > 0 and self.on_cores() + 0.5 < self.limit
+
+    def learn(self, runnable: float | None) -> None:
+        waits, running = self.count[HELD] > 0, self.count[RUNNING]
+        cores, wanting = self.machine.cores, self.machine.cores if runnable is None else runnable
+        self.wanted.add(self.now, wanting)
+        if 2 * running >= cores and wanting <= running:
+            self.at_disk.add(self.now, 1 - wanting / running)
+        if waits and self.on_cores() + 0.5 >= self.limit and wanting < cores and self.slowness() <= 1.0:
+            # Cores idle while work waits: runs wait for disk, which no event tells.
+            self.limit += 1
+        elif wanting > 2 * cores:
+            # Even if each core reads, more runs than cores want one: the machine slowed or its waits ended.
+            self.limit -= 1
+        if waits:
+            self.window_span, self.window_done = self.window_span + BEAT, self.window_done + self.done
+        self.done = 0
+        if self.window_done >= ENOUGH:
+            rate = self.window_done * S / self.window_span
+            if rate <= self.last_rate:
+                self.limit, self.step = self.limit - self.tried, -self.step
+            # At the floor a step down is none, and none is taken back: that once raised the limit by two.
+            self.last_rate, self.tried = rate, max(self.step, round(cores - self.limit))
+            self.limit += self.tried
+            self.window_span = self.window_done = 0
+        self.limit = max(min(self.limit, floor(CEILING * self.crowd())), float(self.machine.cores))
--- a/ringshift/records/tally.py
+++ b/ringshift/records/tally.py
@@ -14,7 +14,8 @@
 from ringshift.records.watch import ERRORED, GONE, SUCCEEDED, THROTTLED
 
 if TYPE_CHECKING:
-    from ringshift.control import Controller, Fading
+    from ringshift.control import Controller
+    from ringshift.control.measures import Fading
 
 MS, S = 10**6, 10**9
 BEAT = S // 4  # how exactly a standstill is told, at four turns of the owner a second
@@ -131,7 +132,8 @@
     """What the module believes, in figures, read from outside without a trace."""
 
     def __init__(self, controller: Controller, now: int) -> None:
-        from ringshift.control import CALM, HELD, HOLD, RUNNING
+        from ringshift.control.invocation import HELD, RUNNING
+        from ringshift.control.lines import CALM, HOLD
 
         lines, limit = controller.lines, controller.limit
         cores = [peek(line.core, now) for line in lines]
