--- a/ringshift/control/calls.py
+++ b/ringshift/control/calls.py
@@ -20,12 +20,11 @@
     def __init__(self, machine: face.Machine, seed: int) -> None:
         super().__init__(machine, seed)
         self.at_call, self.lingering = deque[Inv](), list[int]()
-        self.call_time, self.call_best = Fading(MEMORY), float(HOUR)
+        self.call_time, self.call_best, self.runs_lost = Fading(MEMORY), float(HOUR), Fading(RECENT)
         self.spent = Fading(max(machine.dependency.window, 1))
         shared = machine.dependency.kind is Below.SHARED
         self.call_cap = self.call_most = max(machine.dependency.share, 1.0) if shared else 8.0 * machine.cores
-        self.call_after = self.calls_out = 0
-        self.calls_lost, self.runs_lost = Fading(RECENT), Fading(RECENT)
+        self.call_after, self.calls_out, self.calls_lost = 0, 0, Fading(RECENT)
 
     def step_to(self, inv: Inv, news: News) -> bool:
         moved = super().step_to(inv, news)
--- a/ringshift/control/connections.py
+++ b/ringshift/control/connections.py
@@ -1,13 +1,28 @@
 """Places in the table of connections: how long an unused one keeps its own."""
 
-from ringshift.control.measures import RECENT
+from ringshift import interface as face
+from ringshift.control.measures import MEMORY, MS, RECENT, Fading, S
 from ringshift.control.readiness import Flags
 
 KEPT = 16  # callers a core whose unused connections are taken to fit in the table
+PACK, SPELL = 0.5, 10 * S  # part of the cores at the door from which a full table is kept; how long
 
 
 class Connections(Flags):
+    def __init__(self, machine: face.Machine, seed: int) -> None:
+        super().__init__(machine, seed)
+        self.within, self.last_caller, self.packed_until = Fading(MEMORY, 1.0), -1, 0
+        self.same_caller = Fading(MEMORY, 1 / max(machine.callers, 1))
+
     def idle_life(self) -> int:
-        """A full table turns callers back unseen: welcome while cores are wanted, a loss while some idle."""
-        spare = self.machine.callers > KEPT * self.machine.cores > KEPT * (self.wanted.mean(self.now) + 0.5)
-        return RECENT * spare
+        """Where many callers each come seldom a kept place earns nothing, and a full table takes from cores
+        and turns the next back unseen: the cheapest refusal once half of them are at the door, unless it is
+        for those beyond their share, whom a table does not know."""
+        callers, now = self.machine.callers, self.now
+        if callers <= KEPT * self.machine.cores or callers * MEMORY < self.same_caller.count * RECENT:
+            return 0
+        if self.wanted.mean(now) + 0.5 < self.machine.cores:
+            self.packed_until = now
+        elif now >= self.packed_until and self.at_door.mean(now) * self.within.mean(now) > PACK:
+            self.packed_until = now + SPELL
+        return 0 if now < self.packed_until else 10 * MS  # the shortest that may be set
--- a/ringshift/control/controller.py
+++ b/ringshift/control/controller.py
@@ -17,7 +17,7 @@
     def decide(self, now: int, inputs: Iterable[face.Input]) -> list[face.Action]:
         self.now, self.out, self.forgotten = now, list[face.Action](), list[int]()
         if self.born < 0:
-            self.born = self.warm_at = now
+            self.born, self.warm_at, self.warm = now, now, not self.machine.cold
             self.out.append(face.Wake(0, BEAT))
             self.show()
         for news in inputs:
@@ -44,9 +44,10 @@
             self.step_to(inv, News.TURN)
         elif now >= inv.due - BEAT or (not line.op.late_share and now + self.latest(inv) > inv.goal):
             self.step_to(inv, News.LATE)
-        elif (self.worth_rank(inv, news) < self.level(line) or inv.kb * self.machine.run_factor > self.room
-              or self.rationed(face.Unit.RATE, news.operation)):  # last: it takes a token
-            self.step_to(inv, News.TURN)
+        elif (self.worth_rank(inv, news) < self.level(line) or inv.kb * self.machine.run_factor > self.room or
+              (inv.over and self.open < 1.0) or (not self.warm and len(self.invs) > self.crowd()) or
+              self.rationed(face.Unit.RATE, news.operation)):
+            self.step_to(inv, News.TURN)  # the rate was asked last: it takes a token
         else:
             if news.customer >= 0:
                 self.admitted[news.customer].add(now, 1.0)
@@ -72,7 +73,8 @@
 
     def on_timer(self, news: face.TimerFired) -> None:
         self.out.append(face.Wake(0, BEAT))
-        self.learn(dict(zip(self.machine.gauges, news.gauges, strict=False)).get("runnable"))
+        wanting = dict(zip(self.machine.gauges, news.gauges, strict=False)).get("runnable")
+        self.learn(self.machine.cores if wanting is None else wanting)
         for look in (self.invite, self.warm_up, self.watch_dependency, self.show):
             look()
 
--- a/ringshift/control/cores.py
+++ b/ringshift/control/cores.py
@@ -20,7 +20,7 @@
         self.limit, self.step, self.tried, self.last_rate = float(machine.cores), 1, 0, 0.0
         self.window_span = self.window_done = self.done = self.warm_runs = self.ages = 0
         self.warm_sum, self.slowed = 0.0, 1.0
-        self.at_disk, self.wanted = Fading(4 * MEMORY), Fading(RECENT)
+        self.at_disk, self.wanted, self.at_door = Fading(4 * MEMORY), Fading(RECENT), Fading(MEMORY)
 
     def count_run(self, inv: Inv) -> None:
         core = max(self.now - inv.started - inv.calls, 0)
@@ -47,11 +47,13 @@
     def latest(self, inv: Inv) -> int:
         return round(inv.size * inv.line.run.mean(self.now) * self.slowness())
 
-    def crowd(self) -> float:
-        """The most the cores survive, as slow as the settings allow them to be by now."""
+    def crowd(self) -> float:  # the most that the cores survive
+        return (1 + (self.machine.fall_multiple - 1) * self.speed()) * self.machine.cores
+
+    def speed(self) -> float:
+        """The share of their full speed that the settings promise of the cores by now."""
         machine, warmed = self.machine, (self.now - self.born) / self.machine.ramp
-        cold = (1 - machine.cold_speed) * max(1 - warmed, 0) if machine.cold else 0.0
-        return (1 + (machine.fall_multiple - 1) * (1 - cold)) * machine.cores
+        return 1 - (1 - machine.cold_speed) * max(1 - warmed, 0) if machine.cold else 1.0
 
     def limited(self) -> float:
         """What may run at once: the learned limit, or a smaller share of what all runs of the fleet call."""
@@ -60,18 +62,17 @@
         return min(self.limit, max(self.bound(), LEAST))
 
     def may_run(self) -> bool:
-        """Those at calls come back when they like: all together stay under what the cores survive. Where no
-        call is told of, each run is one at what the fleet shares."""
+        """Those at calls come back when they like. Where no call is told of, each run is one."""
         begun = sum(self.count[s] for s in BEGUN)
         if self.machine.dependency.kind is not Below.SHARED and begun + 1 > self.bound():
             return False
         room = max(floor(ROOM * self.crowd()), self.machine.cores) - begun
         return room > 0 and self.on_cores() + 0.5 < self.limit
 
-    def learn(self, runnable: float | None) -> None:
-        waits, running = self.count[HELD] > 0, self.count[RUNNING]
-        cores, wanting = self.machine.cores, self.machine.cores if runnable is None else runnable
+    def learn(self, wanting: float) -> None:
+        waits, running, cores = self.count[HELD] > 0, self.count[RUNNING], self.machine.cores
         self.wanted.add(self.now, wanting)
+        self.at_door.add(self.now, max(wanting - running, 0) / max(wanting, cores))  # not runs
         if 2 * running >= cores and wanting <= running:
             self.at_disk.add(self.now, 1 - wanting / running)
         if waits and self.on_cores() + 0.5 >= self.limit and wanting < cores and self.slowness() <= 1.0:
--- a/ringshift/control/door.py
+++ b/ringshift/control/door.py
@@ -4,7 +4,7 @@
 from ringshift.control.connections import Connections
 from ringshift.control.invocation import Inv, State
 from ringshift.control.lines import CALM
-from ringshift.control.measures import MEMORY, Fading, S
+from ringshift.control.measures import Fading, S
 from ringshift.interface import Advert, Effect
 
 SOUGHT = 0.4  # share of what may be held at which the door is neither opened nor shut further
@@ -17,15 +17,15 @@
         super().__init__(machine, seed)
         self.open, self.advertised, self.full, self.unread = 1.0, -1.0, False, Fading(1 * S)
         self.shown = (True, False, 0)
-        self.same_caller, self.last_caller = Fading(MEMORY, 1 / max(machine.callers, 1)), -1
 
     def throttle(self, inv: Inv) -> None:
-        """A door long half shut tells of a fleet without room: the next server would read it in vain. By
-        chance, as a server that is slow alone shuts its door as well, and others could run it."""
+        """A door long half shut tells of a fleet without room: the next server would read it in vain, as what
+        is beyond a share. By chance: one slow alone shuts its door as well, and others could run it."""
+        self.within.add(self.now, not inv.over)
         if self.rations and self.limited() < self.limit:
             inv.line.missed.add(self.now, 1.0)
         longest, late = self.machine.longest_pause, self.now + self.latest(inv) > inv.goal
-        give_up = not self.leaving_at and (late or self.random.random() > self.open**2)
+        give_up = not self.leaving_at and (late or inv.over or self.random.random() > self.open**2)
         excess = max(round(self.wait() - CALM * min(map(self.patience, self.lines))), 0)
         pause = longest if self.leaving_at else 0 if late else min(excess, longest)
         self.out.append(face.Throttle(inv.id, pause, give_up))
@@ -49,7 +49,8 @@
         if (min(map(self.level, self.lines)) >= 1) != self.full:
             self.full = not self.full
             self.out.append(face.Log("overload: line full" if self.full else "overload: line open"))
-        share, kind = 0.0 if 0 < self.silent_at <= self.now else self.open, self.machine.advert
+        told = self.open * (1.0 if self.warm else self.speed())  # or the cold are given what the warm can do
+        share, kind = 0.0 if 0 < self.silent_at <= self.now else told, self.machine.advert
         amount = self.credit(share) if kind is Advert.CREDIT else 1 - share if kind is Advert.LEVEL else share
         if kind is not Advert.NONE and abs(amount - self.advertised) > 0.1 * max(amount, self.advertised):
             self.advertised = amount
--- a/ringshift/control/invocation.py
+++ b/ringshift/control/invocation.py
@@ -63,8 +63,7 @@
 
     def __init__(self, op: face.Operation) -> None:
         self.op, self.work, self.turn, self.weight = op, 0.0, 0.0, max(op.billed_value, 0.01)
-        self.queue: deque[Inv] = deque()
-        self.missed = Fading(QUOTA_SPAN)
+        self.queue, self.missed = deque[Inv](), Fading(QUOTA_SPAN)
         self.run, self.core, self.hint = (Fading(MEMORY, op.objective * p) for p in (PRIOR, PRIOR, 0.0))
 
 
@@ -78,16 +77,15 @@
         self.goal = min(self.arrived + op.objective + stretch, self.due)
         line.hint.add(now, news.cost)
         self.size = news.cost * line.hint.count / line.hint.total if news.cost else 1.0
-        self.state, self.keyed_read = HELD, news.keyed_read
+        self.state, self.keyed_read, self.over = HELD, news.keyed_read, False
         self.started = self.called = self.placed = self.call_by = self.calls = 0
 
 
 class Book:
     def __init__(self, machine: face.Machine, seed: int) -> None:
         self.machine, self.random, self.now, self.born = machine, Random(seed), 0, -1
-        self.out, self.forgotten = list[face.Action](), list[int]()
-        self.invs, self.count = dict[int, Inv](), dict.fromkeys(State, 0)
-        self.lines = [Line(op) for op in machine.operations]
+        self.out, self.forgotten, self.invs = list[face.Action](), list[int](), dict[int, Inv]()
+        self.lines, self.count = [Line(op) for op in machine.operations], dict.fromkeys(State, 0)
         self.alarms: list[tuple[int, int, int, News]] = []
         self.room, self.entries, self.memory, self.sum_started = ROOM * machine.memory_kb, list[int](), 0.0, 0
 
--- a/ringshift/control/lines.py
+++ b/ringshift/control/lines.py
@@ -13,17 +13,19 @@
 class Lines(Cores):
     def __init__(self, machine: face.Machine, seed: int) -> None:
         super().__init__(machine, seed)
+        self.heaviest = max(line.weight for line in self.lines)
         self.turn, self.admitted = 0.0, [Fading(QUOTA_SPAN) for _ in machine.customers]
 
     def wait(self, line: Line | None = None) -> float:
         """How long what is held takes to get to the cores beside what fits on free ones, or a line's last:
-        it waits only for what the weight of other lines lets go before it."""
+        it waits only for what the turns of other lines let go before it."""
         if not (held := self.count[HELD]):
             return 0.0
         limit = self.limited()
         beyond = max(held - max(limit - self.on_cores(), 0), 0) / held
-        turns = line.work * line.core.mean(self.now) / line.weight if line else HOUR
-        work = beyond * sum(min(x.work * x.core.mean(self.now), turns * x.weight) for x in self.lines)
+        cores = [(x, x.work * x.core.mean(self.now), max(x.turn, self.turn)) for x in self.lines]
+        last = next((turn + work / x.weight for x, work, turn in cores if x is line), HOUR)
+        work = beyond * sum(min(work, max(last - turn, 0) * x.weight) for x, work, turn in cores)
         return work * self.slowness() * (1 - self.at_disk.mean(self.now)) / limit
 
     def patience(self, line: Line) -> float:
@@ -32,13 +34,16 @@
         return max(objective - run, objective * 0.1) * HOLD
 
     def level(self, line: Line) -> float:
-        """The rank under which work is turned away: 0 with a short line, 1 where it eats the objective."""
-        return min(max(w / self.patience(line) - CALM, 0.0) / (1 - CALM), 1) if (w := self.wait(line)) else 0
+        """The rank under which work is turned away: 0 with a short line, 1 where it eats the objective. One
+        alone, half of the patience on two cores, is no line where nothing worth more can come."""
+        alone = line.core.mean(self.now) / self.limited() if line.weight >= self.heaviest else 0.0
+        beyond = self.wait(line) - alone
+        return min(max(beyond / self.patience(line) - CALM, 0.0) / (1 - CALM), 1) if beyond > 0 else 0.0
 
     def worth_rank(self, inv: Inv, news: face.Arrived) -> float:
         """A customer beyond its part of the fleet's quota ranks as what its traffic is worth there."""
         if news.customer < 0:
             return inv.rank
         part = self.machine.customers[news.customer].quota_per_s / self.machine.fleet * QUOTA_SPAN / S
-        over = self.admitted[news.customer].sum(self.now) > UNEVEN * part + 1
-        return inv.rank * self.machine.over_quota_share if over else inv.rank
+        inv.over = self.admitted[news.customer].sum(self.now) > UNEVEN * part + 1
+        return inv.rank * self.machine.over_quota_share if inv.over else inv.rank
--- a/ringshift/control/readiness.py
+++ b/ringshift/control/readiness.py
@@ -13,10 +13,8 @@
 
 
 class Flags(Calls):
-    def __init__(self, machine: face.Machine, seed: int) -> None:
-        super().__init__(machine, seed)
-        self.warm, self.warm_at, self.warm_last = not machine.cold, 0, 0.0
-        self.leaving_at = self.kill_at = self.silent_at = self.lost_until = 0
+    warm, warm_at, warm_last = False, 0, 0.0
+    leaving_at = kill_at = silent_at = lost_until = 0
 
     def closed(self, inv: Inv) -> bool:
         late = inv.arrived > self.leaving_at + min(self.machine.grace, GRACE)
--- a/ringshift/control/shares.py
+++ b/ringshift/control/shares.py
@@ -32,8 +32,7 @@
         self.tries = dict[tuple[face.Unit, int], int]()  # wished for since the last look
 
     def on_granted(self, news: face.Granted) -> None:
-        ration = self.rations.setdefault((news.unit, news.operation), Ration(news))
-        ration.news = news
+        self.rations.setdefault((news.unit, news.operation), Ration(news)).news = news
 
     def bound(self) -> float:
         """The calls that may be under way here by the fleet's budget; none without one."""
--- /dev/null
+++ b/tests/test_places.py
@@ -0,0 +1,91 @@
+"""Places in the table, customers beyond their share, and lines that wait by turns: the module alone."""
+
+from __future__ import annotations
+
+from random import Random
+
+from ringshift import interface as face
+from ringshift.control.invocation import HELD
+from tests.world import MS, World, machine, operation
+
+BEAT = 50 * MS
+
+
+def kept(world: World, wanting: float, seconds: float) -> list[int]:
+    """The lives told to unused connections while so many want a core, at each beat."""
+    lives = list[int]()
+    for beat in range(int(seconds * 20)):
+        world.now += BEAT
+        gauges = [1.0, wanting, None]
+        said = world.controller.decide(world.now, [world.arrive(patience=1 * MS, unread=0, caller=beat % 800),
+                                                   face.TimerFired(0, gauges)])  # fmt: skip
+        lives += [a.after for a in said if isinstance(a, face.CloseIdle)]
+    return lives
+
+
+def test_a_place_of_one_of_many_callers_is_closed_until_half_the_cores_are_at_the_door() -> None:
+    """Unused connections filled the table: 28% of attempts got no connection, and its tax took a third."""
+    world = World(machine(cores=2, callers=800), Random(1))
+    assert [a.after for a in world.first if isinstance(a, face.CloseIdle)] == [10 * MS]
+    world.step([world.arrive(unread=0, patience=None) for _ in range(2)])  # both cores run
+    assert 0 not in kept(world, 2.0, 1.0)
+    # Where reading and shaking hands is most of the work, a full table turns back at no cost.
+    assert 0 in kept(world, 8.0, 12.0)
+    # It lets go once cores idle.
+    assert kept(world, 0.0, 12.0)[-1] == 10 * MS
+
+
+def test_a_full_table_is_not_kept_where_those_beyond_their_share_are_refused() -> None:
+    """A table does not know customers: kept full it turned back those within their share as well."""
+    world = World(machine(cores=2, callers=800, fleet=10, customers=(face.Customer("one", 1.0),)), Random(1))
+    for _ in range(400):
+        world.controller.within.add(world.now, 0.0)
+    assert 0 not in kept(world, 8.0, 6.0)
+
+
+def test_a_customer_beyond_its_share_waits_for_an_open_door_and_is_told_to_give_up() -> None:
+    """One customer at three times its share was let in whenever the line was empty for a moment."""
+    many, few = face.Customer("many", 5.0), face.Customer("few", 5.0)
+    world = World(machine(cores=2, fleet=5, customers=(many, few)), Random(1))
+    door = world.controller
+    for _ in range(6):
+        world.step([world.arrive(patience=None, unread=0, customer=0)])
+        world.step([world.finish(s) for s in world.of("running")], 5 * MS)
+    open_, shut = 1.0, 0.9
+    for share, customer, turned in ((open_, 0, False), (shut, 0, True), (shut, 1, False)):
+        door.open = share
+        said = world.step([world.arrive(patience=None, unread=0, customer=customer, rank=0.5)])
+        refused = [a for a in said if isinstance(a, face.Throttle)]
+        assert bool(refused) is turned and all(a.give_up for a in refused)
+        world.step([world.finish(s) for s in world.of("running")], 5 * MS)
+
+
+def test_a_line_waits_only_for_what_the_turns_of_others_let_go_before_it() -> None:
+    """A short objective's line was thought to wait a turn of each other line: half of it was turned away."""
+    ops = (operation("long", objective=3300), operation("short", objective=1000))
+    world = World(machine(*ops, cores=2), Random(1))
+    for _ in range(5):
+        world.step([world.arrive(0, patience=None, unread=0, rank=0.9)])
+    long, short = world.controller.lines
+    short.work += 1.0  # as when one arrives
+    core = short.core.mean(world.now)
+    assert len(long.queue) == 3 and world.controller.wait(short) <= 2 * core
+    assert world.controller.level(short) == 0.0 < world.controller.wait(short)
+
+
+def test_one_held_is_no_line_where_nothing_worth_more_can_come() -> None:
+    """On two cores one held run took half of a patience, and equals were turned away for equals."""
+    ops = (operation("low", value=1.0, objective=1000), operation("high", value=5.0, objective=1000))
+    world = World(machine(*ops, cores=2), Random(1))
+    for line in world.controller.lines:
+        for _ in range(40):
+            line.run.add(world.now, 500.0 * MS)
+            line.core.add(world.now, 500.0 * MS)
+    world.step([world.arrive(1, patience=None, unread=0, rank=0.9) for _ in range(2)])
+    low, high = world.controller.lines
+    for line in (low, high):
+        world.controller.count[HELD] += 1
+        line.work += 1.0
+        assert (world.controller.level(line) > 0) is (line is low)
+        line.work -= 1.0
+        world.controller.count[HELD] -= 1
