Nothing begins that would stand before its call; the wait at calls counts in the line

Seen from its tap: 2.5 of 5 begun invocations a server stood before a call they were not let to place, the bound on calls having fallen as calls took ever longer, and failed there with their work done; the line told no wait meanwhile, as cores were free. Excluded: memory (0.40), cores (0.90 busy, 2.5 wanting), errors of runs (none before). At fault: next_held began lines that call while others stood (controller.py), wait knew the cores alone (lines.py). Change: calls.py lies below lines.py now; where more stand than may be out, lines that call are held; a line that calls waits for what stands and is held before the dependency as well. It covers a slow, a crowded and a refusing dependency and a small share of a budget; it harms where calls are a small part of runs and the bound has just fallen. call_over is an effect of the table; a spell of a full table lasts while the door is crowded.

--- a/ringshift/control/calls.py
+++ b/ringshift/control/calls.py
@@ -5,8 +5,8 @@
 from math import exp
 
 from ringshift import interface as face
-from ringshift.control.invocation import BEGUN, CALL_NEWS, HELD, OVER, QUOTA_SPAN, Inv, News
-from ringshift.control.lines import Lines
+from ringshift.control.cores import LEAST, Cores
+from ringshift.control.invocation import BEGUN, CALL_NEWS, HELD, QUOTA_SPAN, Inv, News
 from ringshift.control.measures import BEAT, HEARD, HOUR, MEMORY, RECENT, Fading
 from ringshift.interface import Below, Outcome
 
@@ -16,7 +16,7 @@
 LOSSES = (Outcome.UNREACHABLE, Outcome.TIMED_OUT, Outcome.BROKEN)
 
 
-class Calls(Lines):
+class Calls(Cores):
     def __init__(self, machine: face.Machine, seed: int) -> None:
         super().__init__(machine, seed)
         self.at_call, self.lingering = deque[Inv](), list[int]()
@@ -26,12 +26,6 @@
         self.call_cap = self.call_most = max(machine.dependency.share, 1.0) if shared else 8.0 * machine.cores
         self.call_after, self.calls_out, self.calls_lost = 0, 0, Fading(RECENT)
 
-    def step_to(self, inv: Inv, news: News) -> bool:
-        moved = super().step_to(inv, news)
-        if inv.state is OVER:
-            self.call_over(inv, lingers=True)
-        return moved
-
     def line_up_call(self, inv: Inv) -> None:
         inv.called = inv.called or self.now
         self.at_call.append(inv)
@@ -44,7 +38,7 @@
     def called(self, inv: Inv) -> None:
         inv.calls, inv.called = inv.calls + self.now - inv.called, 0
 
-    def call_over(self, inv: Inv, lingers: bool) -> None:
+    def call_over(self, inv: Inv, lingers: bool = True) -> None:
         """A call stays in the dependency's hands until it ends, also where its invocation was answered."""
         if inv.placed:
             linger = self.machine.dependency.linger * lingers
@@ -87,6 +81,11 @@
             return HOUR
         return round(below.share * below.window - exp(1) * self.spent.sum(self.now) - below.linger)
 
+    def call_wait(self) -> float:
+        """How long what stands before a call, and what is held and will call, takes to be let through."""
+        ahead = len(self.at_call) + sum(len(line.queue) for line in self.lines if line.op.calls)
+        return ahead * self.call_time.mean(self.now) / min(self.call_cap, max(self.bound(), LEAST))
+
     def lost(self, kind: Fading) -> bool:
         return kind.sum(self.now) > LOST * kind.count and kind.count >= HEARD
 
--- a/ringshift/control/connections.py
+++ b/ringshift/control/connections.py
@@ -18,11 +18,10 @@
         """Where many callers each come seldom a kept place earns nothing, and a full table takes from cores
         and turns the next back unseen: the cheapest refusal once half of them are at the door, unless it is
         for those beyond their share, whom a table does not know."""
-        callers, now = self.machine.callers, self.now
-        if callers <= KEPT * self.machine.cores or callers * MEMORY < self.same_caller.count * RECENT:
+        if self.machine.callers <= max(KEPT * self.machine.cores, self.same_caller.count * RECENT / MEMORY):
             return 0
-        if self.wanted.mean(now) + 0.5 < self.machine.cores:
-            self.packed_until = now
-        elif now >= self.packed_until and self.at_door.mean(now) * self.within.mean(now) > PACK:
-            self.packed_until = now + SPELL
-        return 0 if now < self.packed_until else 10 * MS  # the shortest that may be set
+        if self.wanted.mean(self.now) + 0.5 < self.machine.cores:
+            self.packed_until = self.now
+        elif self.at_door.mean(self.now) * self.within.mean(self.now) > PACK:
+            self.packed_until = self.now + SPELL
+        return 0 if self.now < self.packed_until else 10 * MS  # the shortest that may be set
--- a/ringshift/control/controller.py
+++ b/ringshift/control/controller.py
@@ -111,8 +111,9 @@
         for line in self.lines:
             while line.queue and not self.useful(line.queue[0]):
                 line.queue.popleft()
-        best = min((line for line in self.lines if line.queue), key=lambda line: line.turn, default=None)
-        return best.queue[0] if best else None
+        jam = len(self.at_call) > self.call_cap  # held, work costs less than standing before its call
+        ready = [line for line in self.lines if line.queue and not (jam and line.op.calls)]
+        return min(ready, key=lambda line: line.turn).queue[0] if ready else None
 
     def useful(self, inv: Inv) -> bool:
         """Work that cannot end within its objective is not begun, unless late work earns and little waits."""
--- a/ringshift/control/invocation.py
+++ b/ringshift/control/invocation.py
@@ -42,7 +42,7 @@
 CALLING                       | UNRUN         | STANDING | line_up_call
 CALLING                       | UNSURE        | ANSWERED | fail
 ANSWERED                      | LATE DUE      | ANSWERED | stop
-HELD WAITING STANDING CALLING ANSWERED | ENDED ERRED | OVER |
+HELD WAITING STANDING CALLING ANSWERED | ENDED ERRED | OVER | call_over
 """
 TABLE: dict[tuple[State, News], tuple[State, list[str]]] = {
     (State[state], News[name]): (State[row[2].strip()], row[3].split())
--- a/ringshift/control/lines.py
+++ b/ringshift/control/lines.py
@@ -1,7 +1,7 @@
 """What is held: how long it waits, whom a full line turns away, and whose turn it is."""
 
 from ringshift import interface as face
-from ringshift.control.cores import Cores
+from ringshift.control.calls import Calls
 from ringshift.control.invocation import HELD, QUOTA_SPAN, Inv, Line
 from ringshift.control.measures import HOUR, Fading, S
 
@@ -10,7 +10,7 @@
 UNEVEN = 1.5  # callers don't spread a customer's work evenly over the fleet
 
 
-class Lines(Cores):
+class Lines(Calls):
     def __init__(self, machine: face.Machine, seed: int) -> None:
         super().__init__(machine, seed)
         self.heaviest = max(line.weight for line in self.lines)
@@ -26,7 +26,8 @@
         cores = [(x, x.work * x.core.mean(self.now), max(x.turn, self.turn)) for x in self.lines]
         last = next((turn + work / x.weight for x, work, turn in cores if x is line), HOUR)
         work = beyond * sum(min(work, max(last - turn, 0) * x.weight) for x, work, turn in cores)
-        return work * self.slowness() * (1 - self.at_disk.mean(self.now)) / limit
+        cores_wait = work * self.slowness() * (1 - self.at_disk.mean(self.now)) / limit
+        return max(cores_wait, self.call_wait() if line is None or line.op.calls else 0.0)
 
     def patience(self, line: Line) -> float:
         """How long work may be held before the line's objective is in danger."""
--- a/ringshift/control/readiness.py
+++ b/ringshift/control/readiness.py
@@ -1,8 +1,8 @@
 """The two flags, warm and draining, and what makes a server unready: a lost dependency or runs that err."""
 
 from ringshift import interface as face
-from ringshift.control.calls import Calls
 from ringshift.control.invocation import RUNNING, Inv
+from ringshift.control.lines import Lines
 from ringshift.control.measures import HEARD, MS, S
 
 WINDOW = 1 * S  # the least time the warm test compares
@@ -12,7 +12,7 @@
 RETURN = (1 * S, 3 * S)  # after this long, by chance, a server that saw its dependency fail tries again
 
 
-class Flags(Calls):
+class Flags(Lines):
     warm, warm_at, warm_last = False, 0, 0.0
     leaving_at = kill_at = silent_at = lost_until = 0
 
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -89,3 +89,20 @@
         assert (world.controller.level(line) > 0) is (line is low)
         line.work -= 1.0
         world.controller.count[HELD] -= 1
+
+
+def test_nothing_begins_that_would_stand_before_its_call() -> None:
+    """With the dependency slow two of five begun stood before their call and failed there, work lost."""
+    ops = (operation("calls", calls=True), operation("plain"))
+    world = World(machine(*ops, cores=2, below=face.Below.SHARED, share=1.0), Random(1))
+    for _ in range(4):
+        news = [face.CallWanted(s.news.inv) for s in world.of("running")]
+        for s in world.of("running"):
+            s.state = "at call"
+        world.step([*news, world.arrive(0, patience=None, unread=0, rank=0.9)])
+    assert len(world.controller.at_call) > world.controller.call_cap
+    world.step([world.arrive(op, patience=None, unread=0, rank=0.9) for op in (0, 1)])
+    assert [s.op.name for s in world.of("running")] == ["plain"] and world.of("held")[-1].op.name == "calls"
+    world.now += 100 * MS
+    world.step([world.end_call(world.of("calling")[0], face.Outcome.SUCCEEDED)])
+    assert world.controller.wait(world.controller.lines[0]) >= world.controller.call_wait() > 0
