--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -23,10 +23,10 @@
 from ringshift.console.board import LiveBoard
 from ringshift.findings.digest import Digest, Digester
 from ringshift.records.gather import read_source
-from ringshift.records.reader import write
 from ringshift.report.analyse import analyse, digests
 from ringshift.report.page import render
 from ringshift.store.incident import Incident
+from ringshift.store.reader import write
 from standins.scripted import S, Script, Trouble
 
 
--- a/benchmarks/stores.py
+++ b/benchmarks/stores.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 from typing import Any
 
-from ringshift.records.reader import write
+from ringshift.store.reader import write
 from standins.scripted import Script
 
 STORES = ("sqlite3", "lmdb", "duckdb")
--- a/ringshift/__main__.py
+++ b/ringshift/__main__.py
@@ -1,4 +1,5 @@
-"""`python -m ringshift`: one real backend, told by its environment; with words behind it, a command."""
+"""`python -m ringshift` and the script `ringshift`: one real backend, told by its environment; with words
+behind it, a command."""
 
 from __future__ import annotations
 
--- a/ringshift/benchlink/wire.py
+++ b/ringshift/benchlink/wire.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 import orjson
 
 from ringshift import interface as face
+from ringshift.benchlink.ids import Ids
 from ringshift.machine import NS_PER_MS, Malformed, choice, maybe, need, ns
 
-if TYPE_CHECKING:
-    from ringshift.benchlink.hosts import Ids
-
 
 class HasInv(Protocol):
     inv: int
--- a/ringshift/cli/main.py
+++ b/ringshift/cli/main.py
@@ -17,6 +17,9 @@
     "report": ("ringshift.cli.report:report", "Tell an incident's course as one HTML page."),
     "lease": ("ringshift.cli.lease:lease", "Hold a fleet task's lease, tell who holds it, release it."),
     "budget": ("ringshift.cli.budget:budget", "Tell how fleet-wide budgets are divided."),
+    "rules": ("ringshift.cli.rules:rules", "Publish the fleet's rulebook; tell who acts by what."),
+    "schedule": ("ringshift.cli.schedule:schedule", "Plan and withdraw scheduled routing changes."),
+    "retire": ("ringshift.cli.retire:retire", "Retire a version of an operation step by step."),
 }
 
 
@@ -64,10 +67,3 @@
         return 2
     except BrokenPipeError:
         return 1
-
-
-def entry() -> None:
-    """The console script: a backend without words, as `python -m ringshift` is."""
-    from ringshift.__main__ import main as start
-
-    sys.exit(start())
--- a/ringshift/cli/records.py
+++ b/ringshift/cli/records.py
@@ -81,7 +81,7 @@
     Example: ringshift records check n1.log
     """
     from ringshift.records.gather import read_source
-    from ringshift.records.reader import Refusal
+    from ringshift.store.reader import Refusal
 
     wrong = 0
     for path in named(paths):
@@ -106,8 +106,8 @@
     """
     from datetime import UTC, datetime
 
-    from ringshift.records.reader import write
     from ringshift.store.incident import Incident
+    from ringshift.store.reader import write
 
     incident = Incident(store)
     for name, run, _, _ in incident.runs():
--- a/ringshift/findings/fleet.py
+++ b/ringshift/findings/fleet.py
@@ -1,9 +1,10 @@
-"""What went wrong between servers: tasks that nobody held, holds that seem to overlap, shares lost together.
+"""What went wrong between servers: tasks that nobody held, holds that seem to overlap, shares lost together,
+ramps of retirement that did not go as planned.
 
-From records of kinds `lease` and `share` (ringshift/records/schema.py), laid on one time by the course's
-alignment. Decisions only; what is told names what it rests on. Two holds that overlap by less than what the
-clocks of their servers may be apart are no finding: the records can't show it. An overlap beyond that is told
-as what the records say, and that the resource's own view of tokens decides (docs/leases.md).
+From records of kinds `lease`, `share` and `ramp` (ringshift/records/schema.py), laid on one time by the
+course's alignment. Decisions only; what is told names what it rests on. Two holds that overlap by less than
+what the clocks of their servers may be apart are no finding: the records can't show it. An overlap beyond
+that is told as what the records say, and that the resource's own view of tokens decides (docs/leases.md).
 """
 
 from __future__ import annotations
@@ -20,6 +21,8 @@
 NOTICED = 1 * S  # a task without a holder for less than that is a handover
 TOGETHER = 2 * S  # shares that fall within that of each other fell for one reason
 MOST_TOLD = 200
+STANDING = {"PAUSED"}  # phases of a ramp (ringshift/retirement/ramp.py): it waits against its plan
+DECIDED = {"SHEDDING", "STEPPING_BACK", "BROWNOUT"}  # each entered by a decision under an edition of its own
 
 
 class What(Enum):
@@ -27,6 +30,8 @@
     OVERLAP = "two held a task at once, by their records"
     DOUBT = "a holder lost the keeper"
     LOST_SHARES = "shares fell for want of contact"
+    RAMP_HELD_UP = "a retirement did not go as planned"
+    RAMP_TWICE = "one step of a retirement was decided twice, by the records"
 
 
 class Way(Enum):
@@ -64,11 +69,25 @@
     new: float
 
 
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """A decision on a retirement's ramp; `share`: millionths shed from then on."""
+
+    timeline: str
+    server: str
+    at: int
+    old: str
+    new: str
+    why: str
+    share: int
+    edition: int
+
+
 @dataclass(frozen=True, slots=True)
 class Told:
     what: What
     subject: str
-    """The task or the budget."""
+    """The task, the budget or the timeline."""
     start: int
     end: int
     servers: tuple[str, ...]
@@ -78,10 +97,11 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """All that the records tell of tasks and budgets."""
+    """All that the records tell of tasks, budgets and retirements."""
 
     holdings: dict[str, list[Holding]] = field(default_factory=dict)
     falls: dict[str, list[Fall]] = field(default_factory=dict)
+    moves: dict[str, list[Moved]] = field(default_factory=dict)
     told: list[Told] = field(default_factory=list)
 
     def holder(self, task: str, at: int) -> Holding | None:
@@ -182,6 +202,37 @@
                 tuple(f"{fall.server}: {fall.old:g} -> {fall.new:g}" for fall in group[:8]))  # fmt: skip
 
 
+def moves_of(server: str, stint: Stint, course: Course) -> Iterable[Moved]:
+    for timeline, old, new, why, share, edition, up in stint.digest.ramps:
+        yield Moved(timeline, server, stint.time(up, course.alignment), old, new, why, share, edition)
+
+
+def held_up(timeline: str, moves: Sequence[Moved]) -> Iterable[Told]:
+    """What lessened the share turned away, or kept it as it was against the plan, until the ramp went on."""
+    for place, one in enumerate(moves):
+        before = moves[place - 1].share if place else 0
+        if one.new in STANDING or (one.share < before and one.old != "BROWNOUT"):
+            later = (other for other in moves[place + 1 :] if other.share > one.share)
+            end = next((other.at for other in later), one.at)
+            text = f"{timeline} went {one.old} -> {one.new} at {one.share / 10_000:g}% turned away: {one.why}"
+            yield Told(What.RAMP_HELD_UP, timeline, one.at, end, (one.server,), text,
+                       (f"{one.server}: decision {one.edition}",))  # fmt: skip
+
+
+def twice(timeline: str, moves: Sequence[Moved]) -> Iterable[Told]:
+    """Decisions that two servers say they wrote: the keeper's compare lets one of them through."""
+    decided = defaultdict[int, list[Moved]](list)
+    for one in moves:
+        if one.new in DECIDED and one.old != one.new:
+            decided[one.edition].append(one)
+    for edition, same in decided.items():
+        servers = tuple(sorted({one.server for one in same}))
+        if len(servers) > 1:
+            text = f"decision {edition} of {timeline} was written by {' and '.join(servers[:5])}"
+            yield Told(What.RAMP_TWICE, timeline, same[0].at, same[-1].at, servers, text,
+                       tuple(f"{one.server}: {one.old} -> {one.new}" for one in same[:8]))  # fmt: skip
+
+
 def tell(course: Course) -> Fleet:
     """All of it, in the order of time, bounded."""
     fleet, known = Fleet(), defaultdict[str, set[str]](set)
@@ -191,6 +242,8 @@
                 fleet.holdings.setdefault(holding.task, []).append(holding)
             for fall in falls_of(server, stint, course):
                 fleet.falls.setdefault(fall.budget, []).append(fall)
+            for move in moves_of(server, stint, course):
+                fleet.moves.setdefault(move.timeline, []).append(move)
             for budget, *_ in stint.digest.shares:
                 known[budget].add(server)
     found = list[Told]()
@@ -200,6 +253,9 @@
     for budget, falls in fleet.falls.items():
         falls.sort(key=lambda fall: (fall.at, fall.server))
         found += lost_together(budget, falls, fleet, len(known[budget]))
+    for timeline, moves in fleet.moves.items():
+        moves.sort(key=lambda move: (move.edition, move.at, move.server))
+        found += [*held_up(timeline, moves), *twice(timeline, moves)]
     found.sort(key=lambda one: (one.start, one.what.value, one.subject))
     fleet.told = found[:MOST_TOLD]
     return fleet
--- a/ringshift/records/__init__.py
+++ b/ringshift/records/__init__.py
@@ -1,1 +1,1 @@
-"""What a server did and what became of its work: one schema, its carriers, and their readers."""
+"""What a server did and what became of its work: one schema, who writes it, and who gathers it."""
--- a/ringshift/records/follow.py
+++ b/ringshift/records/follow.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 
 from ringshift.records.gather import SQLITE, sources
-from ringshift.records.reader import read
 from ringshift.records.schema import MOST_BYTES, Record
 from ringshift.records.text import TextLog
+from ringshift.store.reader import read
 
 AT_ONCE = 4 * 1024 * 1024  # bytes of one file in one poll, so that a large one does not hold up the others
 ROWS_AT_ONCE = 5000
--- a/ringshift/records/gather.py
+++ b/ringshift/records/gather.py
@@ -9,13 +9,12 @@
 from pathlib import Path
 from typing import BinaryIO
 
-from ringshift.records.reader import Refusal, read, write
-from ringshift.records.schema import MOST_BYTES, Record
+from ringshift.records.schema import MOST_BYTES
 from ringshift.records.text import TextLog
+from ringshift.store.reader import Found, Refusal, read, write
 
 SQLITE = b"SQLite format 3\0"
 ENDS = {".log", ".jsonl", ".json", ".txt", ".err", ".db", ""}
-Found = tuple[int, bytes, Record | Refusal]
 
 
 def sources(paths: Iterable[str]) -> list[Path]:
--- a/ringshift/records/portions.py
+++ b/ringshift/records/portions.py
@@ -10,14 +10,13 @@
 import io
 import sqlite3
 from contextlib import closing
-from dataclasses import dataclass, field
 from hashlib import blake2b
 from pathlib import Path
 
 from ringshift.fleet.gathering import Kind, Portion, Seen
-from ringshift.records.gather import SQLITE, Found, read_lines
-from ringshift.records.reader import Refusal, read
+from ringshift.records.gather import SQLITE, read_lines
 from ringshift.records.schema import MOST_BYTES
+from ringshift.store.reader import Read, Refusal, read
 
 HEAD = 256  # bytes at a file's start by which a replaced one is known
 SNIFFED = 4096  # bytes in which every line is a record for a file to be read by portions
@@ -25,12 +24,6 @@
 MARK = b'{"ringshift"'
 
 
-@dataclass
-class Read:
-    reached: int
-    found: list[Found] = field(default_factory=list)
-
-
 def rows(path: str) -> sqlite3.Connection:
     return sqlite3.connect(f"file:{path}?mode=ro", uri=True, timeout=0.2)
 
--- a/ringshift/records/recorder.py
+++ b/ringshift/records/recorder.py
@@ -11,7 +11,6 @@
 from loguru import logger
 
 from ringshift import __version__
-from ringshift.records.carriers import Carrier, Lines
 from ringshift.records.schema import (
     NAMES,
     VERSION,
@@ -25,6 +24,7 @@
     Started,
 )  # fmt: skip
 from ringshift.records.tally import BEAT, Tally
+from ringshift.store.carriers import Carrier, Lines
 
 if TYPE_CHECKING:
     from ringshift.control import Controller
--- a/ringshift/records/schema.py
+++ b/ringshift/records/schema.py
@@ -61,6 +61,8 @@
     failed_runs: int = 0
     held: int = 0
     level: float = 0.0
+    ruled: int = 0
+    """Turned away by the fleet's rulebook, which is no sign of overload and not in `throttled`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,14 +172,51 @@
     """Until the grant ends here, 0 for the safe share."""
 
 
+@dataclass(frozen=True, slots=True)
+class RampStep:
+    """The holder of a retirement's ramp (ringshift/retirement/ramp.py) decided, and by what: the figures are
+    those of fresh backends alone."""
+
+    timeline: str
+    holder: str
+    old: str
+    new: str
+    why: str
+    edition: int = 0
+    rung: int = 0
+    share: int = 0
+    """Millionths of the callers, turned away from then on."""
+    token: int = 0
+    known: int = 0
+    fresh: int = 0
+    answers: tuple[int, int, int] = (0, 0, 0)
+    """Of the old operation, of its successor, errors among the latter."""
+    moved: int = 0
+    """Of the callers turned away until then, those that the successor served."""
+    ready: int = 0
+    """Callers turned away from then on: drawn, and warned to the floor."""
+
+
+@dataclass(frozen=True, slots=True)
+class RulesChange:
+    """What this server acts by in the fleet's rulebook changed (ringshift/rulebook/reader.py)."""
+
+    state: str
+    acted_by: tuple[tuple[int, int], ...]
+    """(epoch, number) of each version, one or two; without contact those whose `alone` counts."""
+    left_ms: float = 0.0
+    """Until that ends unless the keeper confirms it, 0 without contact."""
+    why: str = ""
+
+
 Body = (
     Started | Phase | Greeted | Ready | Second | Shedding | Said | Mark | Saw | Dropped | Ended | LeaseChange
-    | ShareChange
+    | ShareChange | RampStep | RulesChange
 )
 KINDS: dict[str, type] = {
     "started": Started, "phase": Phase, "greeted": Greeted, "ready": Ready, "second": Second,
     "shedding": Shedding, "said": Said, "mark": Mark, "saw": Saw, "dropped": Dropped, "ended": Ended,
-    "lease": LeaseChange, "share": ShareChange,
+    "lease": LeaseChange, "share": ShareChange, "ramp": RampStep, "rules": RulesChange,
 }  # fmt: skip
 NAMES: dict[type, str] = {kind: name for name, kind in KINDS.items()}
 
--- a/ringshift/records/watch.py
+++ b/ringshift/records/watch.py
@@ -9,7 +9,7 @@
     from ringshift.wire.news import Called
 
 # How an invocation ended for its caller; a place in the counts of a second.
-SUCCEEDED, THROTTLED, ERRORED, GONE = range(4)
+SUCCEEDED, THROTTLED, ERRORED, GONE, RULED = range(5)  # RULED: turned away by the fleet's rulebook
 
 
 class Watch(Protocol):
--- a/ringshift/rulebook/bound.py
+++ b/ringshift/rulebook/bound.py
@@ -6,53 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-MS = 1_000_000
-S = 1_000_000_000
-MILLION = 1_000_000
-
-
-class ReadingTermsError(ValueError):
-    """Terms that can't be kept; the message names the field."""
-
-
-@dataclass(frozen=True)
-class ReadingTerms:
-    """`life`: of a reading lease; `margin`: taken off, for a step under way to end; `refresh`: how often a
-    reader confirms."""
-
-    life: int = 8 * S
-    margin: int = 500 * MS
-    drift_ppm: int = 10_000
-    refresh: int = 1 * S
-
-    def __post_init__(self) -> None:
-        if self.life <= 0:
-            raise ReadingTermsError(f"life: {self.life} ns; above 0")
-        if not 0 <= self.drift_ppm < MILLION // 2:
-            raise ReadingTermsError(f"drift_ppm: {self.drift_ppm}; from 0 to under 500000")
-        if self.margin < 0:
-            raise ReadingTermsError(f"margin: {self.margin} ns is below 0")
-        if self.refresh <= 0 or self.acting_time <= 2 * self.refresh:
-            raise ReadingTermsError(
-                f"refresh: {self.refresh} ns; two must fit into the {self.acting_time} ns left to act"
-            )
-
-    @property
-    def acting_time(self) -> int:
-        """Nanoseconds of the reader's clock, from a confirmation's sending, for which its answer holds."""
-        return self.life - -(-self.life * self.drift_ppm // MILLION) - self.margin
-
-    @property
-    def surely_ended(self) -> int:
-        """Nanoseconds of the publisher's clock from reading a confirmation until that one gives no more time.
-
-        Never shorter in true time than `life + margin`, on a clock that gains all of the drift; the reader's
-        end is at most `life - margin` of true time after the sending, which was before the reading.
-        """
-        most = self.life + self.margin
-        return most + -(-most * self.drift_ppm // MILLION)
+from ringshift.settings.terms import MILLION as MILLION
+from ringshift.settings.terms import MS as MS
+from ringshift.settings.terms import ReadingTerms as ReadingTerms
+from ringshift.settings.terms import ReadingTermsError as ReadingTermsError
+from ringshift.settings.terms import S as S
 
 
 def bound(life: int, margin: int, drift_ppm: int) -> int:
--- a/ringshift/store/fenced.py
+++ b/ringshift/store/fenced.py
@@ -15,10 +15,9 @@
 
 from ringshift.fleet.fence import Fence
 from ringshift.fleet.gathering import Portion
-from ringshift.records.portions import Read
-from ringshift.records.reader import Refusal
 from ringshift.records.schema import Record
 from ringshift.store.incident import MOST_REFUSALS, Incident
+from ringshift.store.reader import Read, Refusal
 
 TABLES = """
 CREATE TABLE IF NOT EXISTS fences (task TEXT PRIMARY KEY, token INTEGER NOT NULL, step INTEGER NOT NULL);
--- a/ringshift/store/incident.py
+++ b/ringshift/store/incident.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 from ringshift.machine import Malformed
-from ringshift.records.reader import Refusal, read
 from ringshift.records.schema import Record
+from ringshift.store.reader import Refusal, read
 
 APPLICATION, VERSION = 0x72736869, 1  # "rshi"
 TABLES = """
--- a/ringshift/store/invocations.py
+++ b/ringshift/store/invocations.py
@@ -27,6 +27,7 @@
     door: Door
     request: int
     item: str = ""
+    caller: int = -1
     state: Try = Try.HELD
     launched: bool = False
     mark: int = 0
@@ -49,8 +50,8 @@
         return len(self.by_request)
 
     def add(self, job: str, operation: int, body: bytes, door: Door, request: int,
-            item: str = "") -> Invocation:  # fmt: skip
-        inv = Invocation(self.next, job, operation, body, door, request, item)
+            item: str = "", caller: int = -1) -> Invocation:  # fmt: skip
+        inv = Invocation(self.next, job, operation, body, door, request, item, caller)
         self.next += 1
         self.by_job[job] = self.by_index[inv.index] = self.by_request[door, request] = inv
         return inv
--- a/ringshift/records/reader.py
+++ b/ringshift/store/reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -31,6 +31,17 @@
     why: str
 
 
+Found = tuple[int, bytes, Record | Refusal]  # the place in its source, the bytes, what they were read as
+
+
+@dataclass
+class Read:
+    """A portion of one source: how far it reaches, and what was found in it."""
+
+    reached: int
+    found: list[Found] = field(default_factory=list)
+
+
 ENVELOPE = msgspec.json.Decoder(Envelope)
 BODIES: dict[str, msgspec.json.Decoder[Any]] = {
     name: msgspec.json.Decoder(kind) for name, kind in KINDS.items()
--- a/ringshift/store/ring.py
+++ b/ringshift/store/ring.py
@@ -14,8 +14,8 @@
 
 import orjson
 
-from ringshift.records.carriers import MOST_WAITING, Item, Queued
 from ringshift.records.schema import VERSION, Dropped
+from ringshift.store.carriers import MOST_WAITING, Item, Queued
 
 TABLE = """CREATE TABLE IF NOT EXISTS records (
     id INTEGER PRIMARY KEY, run TEXT NOT NULL, seq INTEGER NOT NULL, at INTEGER NOT NULL,
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -252,10 +252,14 @@
     def sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP)
-            for connection in list(self.connections):
-                connection.look()
-                if self.idle_after and connection.quiet(self.idle_after):
-                    connection.close()
+            self.look()
+
+    def look(self) -> None:
+        """In a frame of its own: the sweep's would hold the last connection past its end."""
+        for connection in list(self.connections):
+            connection.look()
+            if self.idle_after and connection.quiet(self.idle_after):
+                connection.close()
 
     def close(self, seconds: float) -> None:
         """Loses nothing that the kernel accepted: what waits to be accepted is, and a connection closes only
--- a/standins/watcher.py
+++ b/standins/watcher.py
@@ -10,9 +10,9 @@
 import gevent
 from gevent.server import DatagramServer
 
-from ringshift.records.carriers import Lines
 from ringshift.records.recorder import Recorder
 from ringshift.records.schema import Mark, Saw, Second, Started
+from ringshift.store.carriers import Lines
 from ringshift.wire.announce import SENT, report_token
 
 LAPSE = 3.0  # seconds after its last report
--- a/tests/fleet/test_gathering.py
+++ b/tests/fleet/test_gathering.py
@@ -22,10 +22,10 @@
     Source,
 )
 from ringshift.records.portions import look, portion
-from ringshift.records.reader import write
 from ringshift.records.schema import LeaseChange, Record, Said
 from ringshift.store.fenced import FencedStore
 from ringshift.store.incident import Incident
+from ringshift.store.reader import write
 
 ROOT = Path(__file__).parent.parent.parent
 
@@ -140,7 +140,7 @@
 
 
 def test_a_lease_change_is_a_record_of_the_schema() -> None:
-    from ringshift.records.reader import read
+    from ringshift.store.reader import read
 
     body = LeaseChange("gather", "n1", "SEEKING", "HOLDING", "GRANTED", 4, 9400.0)
     told = read(write(Record("n1", "r1", 1, 10**18, 0, body)))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -20,16 +20,16 @@
 from ringshift.cli.main import command
 from ringshift.control import Controller
 from ringshift.machine import Malformed
-from ringshift.records.carriers import Carrier, Lines
 from ringshift.records.gather import read_source, sources
-from ringshift.records.reader import Refusal, read, write
 from ringshift.records.recorder import Recorder
 from ringshift.records.schema import Dropped, Ended, Greeted, Record, Second, Shedding
 from ringshift.records.tally import REMEMBERED, Tally, peek
 from ringshift.records.text import TextLog
 from ringshift.records.watch import SUCCEEDED, THROTTLED
 from ringshift.settings.operators import read_operators
+from ringshift.store.carriers import Carrier, Lines
 from ringshift.store.incident import Incident
+from ringshift.store.reader import Refusal, read, write
 from ringshift.store.ring import Ring, file_name
 from standins.agent import Agent
 from standins.room import Room
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -14,10 +14,10 @@
 from ringshift.cli.main import command
 from ringshift.findings.judge import What
 from ringshift.records.gather import read_source
-from ringshift.records.reader import Refusal, write
 from ringshift.records.schema import Record
 from ringshift.report.analyse import analyse, digests
 from ringshift.store.incident import Incident
+from ringshift.store.reader import Refusal, write
 from standins.scripted import NOON, S, Script, Trouble
 
 EVIL = '<script>alert(1)</script>&"x'
