The decisions take in the fleet's rulebook as news; without one not one action differs

Need: rules that all backends agree on must bind what a server lets in and begins, by the smallest departure. Change: `Ruled` beside `Granted`: names held back or let through, a retirement's lots, shares to be served elsewhere, rates; asked after a tokened repeat and before overload's reasons, a rate last. What was read under other rules and has not begun is answered at once where the new ones hold it back by name; nothing else of a later version touches it. Refusals are final and counted apart (`ruled`).

--- a/ringshift/control/calls.py
+++ b/ringshift/control/calls.py
@@ -52,8 +52,7 @@
             self.call_cap = min(self.call_cap + 1 / self.call_cap, self.call_most)
         elif news.outcome is not Outcome.ERRORED:
             self.call_cap = max(self.call_cap * FEWER, 1.0)
-            if news.outcome in CALL_NEWS:
-                # Refused calls come back at once and would be placed again every tick.
+            if news.outcome in CALL_NEWS:  # refused, they come back at once: not placed again every tick
                 self.call_after = self.now + self.random.randint(BEAT, 3 * BEAT)
         if inv := self.invs.get(news.inv):
             self.call_over(inv, lingers=news.outcome is Outcome.TIMED_OUT)
@@ -67,8 +66,7 @@
         """Calls that take far longer than at best tell of a dependency with more than it can serve."""
         self.call_time.add(self.now, latency)
         mean = self.call_time.mean(self.now)
-        if self.call_time.count >= HEARD:
-            self.call_best = min(self.call_best, mean)
+        self.call_best = min(self.call_best, mean if self.call_time.count >= HEARD else HOUR)
         return mean > CROWDED * self.call_best
 
     def call_room(self) -> int:
--- a/ringshift/control/connections.py
+++ b/ringshift/control/connections.py
@@ -15,9 +15,8 @@
         self.same_caller = Fading(MEMORY, 1 / max(machine.callers, 1))
 
     def idle_life(self) -> int:
-        """Where many callers each come seldom a kept place earns nothing, and a full table takes from cores
-        and turns the next back unseen: the cheapest refusal once half of them are at the door, unless it is
-        for those beyond their share, whom a table does not know."""
+        """Where many callers come seldom a kept place earns nothing; a full table takes from cores and turns
+        the next back unseen: the cheapest refusal once half of them are at the door, within their shares."""
         if self.machine.callers <= max(KEPT * self.machine.cores, self.same_caller.count * RECENT / MEMORY):
             return 0
         if self.wanted.mean(self.now) + 0.5 < self.machine.cores:
--- a/ringshift/control/controller.py
+++ b/ringshift/control/controller.py
@@ -34,20 +34,20 @@
         self.same_caller.add(now, news.caller == self.last_caller)
         self.unread.add(now, min(news.unread, line.op.objective))
         self.memory, self.last_caller = self.memory + inv.kb, news.caller
-        if self.closed(inv):
+        kept = news.repeats is not None and line.op.effect is Effect.TOKENED  # what ran is never turned away
+        if self.closed(inv) or (self.ruled and not kept and self.ruled_out(inv, news.lot)):
             self.step_to(inv, News.TURN)
-        elif news.repeats is not None and (line.op.effect is Effect.TOKENED or self.machine.fresh):
+        elif kept or (news.repeats is not None and self.machine.fresh):
             self.step_to(inv, News.REPEAT)
             self.alarm(inv.due - BEAT, inv, News.DUE)
         elif self.lost(self.runs_lost) and self.random.random() > PROBE:
-            # A server whose runs err at once looks the quickest of all and would draw the fleet's work.
-            self.step_to(inv, News.TURN)
+            self.step_to(inv, News.TURN)  # runs that err at once look the quickest and draw the fleet's work
         elif now >= inv.due - BEAT or (not line.op.late_share and now + self.latest(inv) > inv.goal):
             self.step_to(inv, News.LATE)
         elif (self.worth_rank(inv, news) < self.level(line) or inv.kb * self.machine.run_factor > self.room or
               (inv.over and self.open < 1.0) or (not self.warm and len(self.invs) > self.crowd()) or
-              self.rationed(face.Unit.RATE, news.operation)):
-            self.step_to(inv, News.TURN)  # the rate was asked last: it takes a token
+              self.rationed(face.Unit.RATE, news.operation) or self.outpaced(inv)):
+            self.step_to(inv, News.TURN)  # the rates were asked last: they take a token
         else:
             if news.customer >= 0:
                 self.admitted[news.customer].add(now, 1.0)
@@ -99,13 +99,11 @@
         while self.at_call and (room := self.call_room()) > BEAT:
             self.at_call[0].call_by = self.now + room
             self.step_to(self.at_call.popleft(), News.PLACE)
-        while self.may_run() and (inv := self.next_held()):
-            if self.memory + inv.kb * (self.machine.run_factor - 1) > self.room:
-                break
-            inv.line.queue.popleft()
+        more = self.machine.run_factor - 1
+        while self.may_run() and (inv := self.next_held()) and self.memory + inv.kb * more <= self.room:
             self.turn = inv.line.turn
             inv.line.turn += inv.line.core.mean(self.now) / inv.line.weight
-            self.step_to(inv, News.START)
+            self.step_to(inv.line.queue.popleft(), News.START)
 
     def next_held(self) -> Inv | None:
         for line in self.lines:
@@ -128,4 +126,4 @@
 HANDLERS: dict[type, Callable[..., None]] = dict.fromkeys(PLAIN_NEWS, Controller.on_plain) | {
     face.Arrived: Controller.on_arrived, face.CallEnded: Controller.on_call_ended,
     face.Leaving: Controller.on_leaving, face.TimerFired: Controller.on_timer,
-    face.Granted: Controller.on_granted}  # fmt: skip
+    face.Granted: Controller.on_granted, face.Ruled: Controller.on_ruled}  # fmt: skip
--- a/ringshift/control/cores.py
+++ b/ringshift/control/cores.py
@@ -4,7 +4,7 @@
 
 from ringshift import interface as face
 from ringshift.control.invocation import ANSWERED, BEGUN, HELD, ROOM, RUNNING, Inv
-from ringshift.control.measures import BEAT, MEMORY, RECENT, Fading, S
+from ringshift.control.measures import BEAT, HOUR, MEMORY, RECENT, Fading, S
 from ringshift.control.shares import Shares
 from ringshift.interface import Below
 
@@ -57,17 +57,16 @@
 
     def limited(self) -> float:
         """What may run at once: the learned limit, or a smaller share of what all runs of the fleet call."""
-        if self.machine.dependency.kind is Below.SHARED:
-            return self.limit
-        return min(self.limit, max(self.bound(), LEAST))
+        return min(self.limit, max(self.run_bound(), LEAST))
+
+    def run_bound(self) -> float:
+        return float(HOUR) if self.machine.dependency.kind is Below.SHARED else self.bound()
 
     def may_run(self) -> bool:
         """Those at calls come back when they like. Where no call is told of, each run is one."""
         begun = sum(self.count[s] for s in BEGUN)
-        if self.machine.dependency.kind is not Below.SHARED and begun + 1 > self.bound():
-            return False
-        room = max(floor(ROOM * self.crowd()), self.machine.cores) - begun
-        return room > 0 and self.on_cores() + 0.5 < self.limit
+        room = min(max(floor(ROOM * self.crowd()), self.machine.cores), self.run_bound()) - begun
+        return room >= 1 and self.on_cores() + 0.5 < self.limit
 
     def learn(self, wanting: float) -> None:
         waits, running, cores = self.count[HELD] > 0, self.count[RUNNING], self.machine.cores
@@ -76,20 +75,16 @@
         if 2 * running >= cores and wanting <= running:
             self.at_disk.add(self.now, 1 - wanting / running)
         if waits and self.on_cores() + 0.5 >= self.limit and wanting < cores and self.slowness() <= 1.0:
-            # Cores idle while work waits: runs wait for disk, which no event tells.
-            self.limit += 1
+            self.limit += 1  # cores idle while work waits: runs wait for disk, which no event tells
         elif wanting > 2 * cores:
-            # Even if each core reads, more runs than cores want one: the machine slowed or its waits ended.
-            self.limit -= 1
-        if waits:
-            self.window_span, self.window_done = self.window_span + BEAT, self.window_done + self.done
-        self.done = 0
+            self.limit -= 1  # even if each core reads, more runs than cores want one: slowed, or waits over
+        self.window_span += BEAT * waits
+        self.window_done, self.done = self.window_done + self.done * waits, 0
         if self.window_done >= ENOUGH:
             rate = self.window_done * S / self.window_span
             if rate <= self.last_rate:
                 self.limit, self.step = self.limit - self.tried, -self.step
             # At the floor a step down is none, and none is taken back: that once raised the limit by two.
             self.last_rate, self.tried = rate, max(self.step, round(cores - self.limit))
-            self.limit += self.tried
-            self.window_span = self.window_done = 0
+            self.limit, self.window_span, self.window_done = self.limit + self.tried, 0, 0
         self.limit = max(min(self.limit, floor(CEILING * self.crowd())), float(self.machine.cores))
--- a/ringshift/control/door.py
+++ b/ringshift/control/door.py
@@ -28,7 +28,7 @@
         give_up = not self.leaving_at and (late or inv.over or self.random.random() > self.open**2)
         excess = max(round(self.wait() - CALM * min(map(self.patience, self.lines))), 0)
         pause = longest if self.leaving_at else 0 if late else min(excess, longest)
-        self.out.append(face.Throttle(inv.id, pause, give_up))
+        self.out.append(face.Throttle(inv.id, pause, give_up or inv.final, inv.final))
 
     def end(self, inv: Inv) -> None:
         """An error is tried again in vain; an idempotent one may be turned away with the wish not to."""
@@ -42,8 +42,7 @@
         self.open = min(max(self.open * (1 + GAIN * (SOUGHT - pressure)), AJAR), 1.0)
 
     def show(self) -> None:
-        shown = (*self.health(), self.idle_life())
-        if shown != self.shown:
+        if (shown := (*self.health(), self.idle_life())) != self.shown:
             self.shown = shown
             self.out += [face.Readiness(*shown[:2]), face.CloseIdle(shown[2])]
         if (min(map(self.level, self.lines)) >= 1) != self.full:
--- a/ringshift/control/invocation.py
+++ b/ringshift/control/invocation.py
@@ -77,7 +77,8 @@
         self.goal = min(self.arrived + op.objective + stretch, self.due)
         line.hint.add(now, news.cost)
         self.size = news.cost * line.hint.count / line.hint.total if news.cost else 1.0
-        self.state, self.keyed_read, self.over = HELD, news.keyed_read, False
+        self.state, self.keyed_read, self.over, self.final = HELD, news.keyed_read, False, False
+        self.who = news.operation, news.customer, news.caller
         self.started = self.called = self.placed = self.call_by = self.calls = 0
 
 
@@ -89,22 +90,17 @@
         self.alarms: list[tuple[int, int, int, News]] = []
         self.room, self.entries, self.memory, self.sum_started = ROOM * machine.memory_kb, list[int](), 0.0, 0
 
-    def step_to(self, inv: Inv, news: News) -> bool:
+    def step_to(self, inv: Inv, news: News) -> None:
         old = inv.state
         if (old, news) not in TABLE:
-            return False
+            return
         state, effects = TABLE[old, news]
         if state is not old:
-            self.count[old] -= 1
-            self.count[state] += 1
+            self.count[old], self.count[state] = self.count[old] - 1, self.count[state] + 1
             self.memory += self.weight(inv, state) - self.weight(inv, old)
-            inv.state = state
-            inv.line.work -= inv.size * (old is HELD)
-            if old is RUNNING:
-                self.sum_started -= inv.started
-            if state is RUNNING:
-                inv.started = inv.started or self.now
-                self.sum_started += inv.started
+            inv.state, inv.line.work = state, inv.line.work - inv.size * (old is HELD)
+            inv.started = inv.started or self.now * (state is RUNNING)
+            self.sum_started += inv.started * ((state is RUNNING) - (old is RUNNING))
         for effect in effects:
             if effect in PLAIN:
                 self.out.append(PLAIN[effect](inv.id))
@@ -113,7 +109,6 @@
         if state is OVER:
             del self.invs[inv.id]
             self.forgotten.append(inv.id)
-        return True
 
     def weight(self, inv: Inv, state: State) -> float:
         return inv.kb * (0 if state is OVER else 1 if state in WEIGHTLESS else self.machine.run_factor)
@@ -140,14 +135,12 @@
         return True
 
     def stop(self, inv: Inv) -> None:
-        # While the cores stand still a stop does nothing: it is tried again until the run is gone.
         if self.machine.halt is not Halt.NONE:
             self.out.append(face.Halted(inv.id))
-            self.alarm(self.now + 4 * BEAT, inv, News.LATE)
+            self.alarm(self.now + 4 * BEAT, inv, News.LATE)  # tried till it is gone: cores may stand still
 
     def make_room(self) -> None:
         """What was just read can overfill the memory; the newest of the least worth goes first."""
-        while self.memory > self.machine.memory_kb or len(self.invs) > self.machine.in_hand:
-            if not (light := [inv for inv in reversed(self.invs.values()) if inv.state in WEIGHTLESS]):
-                return
+        while (self.memory > self.machine.memory_kb or len(self.invs) > self.machine.in_hand) and (
+                light := [inv for inv in reversed(self.invs.values()) if inv.state in WEIGHTLESS]):
             self.step_to(min(light, key=lambda inv: inv.rank), News.TURN)
--- a/ringshift/control/shares.py
+++ b/ringshift/control/shares.py
@@ -1,10 +1,10 @@
-"""Shares of fleet-wide budgets, as the decisions see them; without one they bind nothing."""
+"""Shares of budgets and the rulebook of the fleet, as the decisions see them; without one nothing binds."""
 
 from ringshift import interface as face
-from ringshift.control.invocation import Book
+from ringshift.control.invocation import Book, Inv, News
 from ringshift.control.measures import HOUR, S
 
-BURST = 0.1  # seconds of a rate's share that may begin at once
+BURST, MOST = 0.1, 1e12  # seconds of a rate's share that may begin at once; a second, where no rate is named
 
 
 class Ration:
@@ -30,6 +30,7 @@
         super().__init__(machine, seed)
         self.rations = dict[tuple[face.Unit, int], Ration]()
         self.tries = dict[tuple[face.Unit, int], int]()  # wished for since the last look
+        self.rules, self.ruled, self.paces = face.Ruled(), False, dict[face.Clause, Ration]()
 
     def on_granted(self, news: face.Granted) -> None:
         self.rations.setdefault((news.unit, news.operation), Ration(news)).news = news
@@ -45,3 +46,28 @@
             return False
         self.tries[unit, operation] = self.tries.get((unit, operation), 0) + 1
         return not ration.take(self.now)
+
+    def on_ruled(self, news: face.Ruled) -> None:
+        self.rules, self.ruled, old = news, news != face.Ruled(), self.paces
+        self.paces = {one: old.get(one) or Ration(face.Granted(face.Unit.RATE, 0, 0, min(one.rate, MOST)))
+                      for one in news.clauses}  # one that goes on keeps its pace  # fmt: skip
+        for inv in [inv for line in self.lines for inv in line.queue if self.barred(inv)]:
+            self.step_to(inv, News.TURN)
+
+    def barred(self, inv: Inv) -> bool:
+        """Refused by name: neither let in nor, read under other rules, begun; it is answered at once."""
+        lists = zip(inv.who, self.rules.held_back, self.rules.let_through, strict=True)
+        inv.final = any(one in held or (some is not None and one not in some) for one, held, some in lists)
+        return inv.final
+
+    def ruled_out(self, inv: Inv, lot: int) -> bool:
+        """Turned away for good, by name or by its caller's lot, or to where a share is to go instead."""
+        inv.final = self.barred(inv) or 0 <= lot < self.rules.shed.get(inv.who[0], 0)
+        away = sum(one.away for one, _ in self.bearing(inv))
+        return inv.final or (away > 0 and self.random.randrange(10**6) < away)
+
+    def outpaced(self, inv: Inv) -> bool:
+        return not all(pace.take(self.now) for _, pace in self.bearing(inv))
+
+    def bearing(self, inv: Inv) -> list[tuple[face.Clause, Ration]]:
+        return [(one, pace) for one, pace in self.paces.items() if one.concerns(inv.who)]
--- a/ringshift/interface.py
+++ b/ringshift/interface.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -180,6 +180,8 @@
     """How long it lay at the machine before it was read."""
     repeats: int | None
     """The remembered invocation of which this is a repeat."""
+    lot: int = -1
+    """The caller's place in this operation's retirement, from 0 to 999,999; -1 where nothing sheds it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,7 +231,40 @@
     operation: int = -1
 
 
-Input = Arrived | Finished | CallerGone | CallWanted | CallEnded | Leaving | TimerFired | Granted
+Some = frozenset[int] | None
+"""Some of a kind by index; None for every one."""
+
+
+@dataclass(frozen=True, slots=True)
+class Clause:
+    """Of what it concerns, at most `rate` invocations a second begin here, and `away` millionths are to be
+    served elsewhere."""
+
+    operations: Some = None
+    customers: Some = None
+    callers: Some = None
+    rate: float = float("inf")
+    away: int = 0
+
+    def concerns(self, who: tuple[int, int, int]) -> bool:
+        """`who`: an invocation's operation, customer and caller."""
+        named = (self.operations, self.customers, self.callers)
+        return all(some is None or one in some for one, some in zip(who, named, strict=True))
+
+
+@dataclass(frozen=True, slots=True)
+class Ruled:
+    """What the fleet's rulebook (ringshift/rulebook) asks of this server from now on, in place of what it
+    asked before. Both lists are of operations, customers and callers, in this order; `shed`: operation ->
+    millionths, callers whose lot is below are turned away for good."""
+
+    held_back: tuple[frozenset[int], frozenset[int], frozenset[int]] = (frozenset(), frozenset(), frozenset())
+    let_through: tuple[Some, Some, Some] = (None, None, None)
+    clauses: tuple[Clause, ...] = ()
+    shed: Mapping[int, int] = field(default_factory=dict)
+
+
+Input = Arrived | Finished | CallerGone | CallWanted | CallEnded | Leaving | TimerFired | Granted | Ruled
 
 
 # Effects.
@@ -250,6 +285,8 @@
     inv: int
     pause: int
     give_up: bool
+    ruled: bool = False
+    """By the fleet's rulebook, not for want of room: it is no sign of overload."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ringshift/lifecycle/entry.py
+++ b/ringshift/lifecycle/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 from collections.abc import Callable
 from pathlib import Path
@@ -19,6 +20,7 @@
 from ringshift.runtime import logs
 
 if TYPE_CHECKING:
+    from ringshift.lifecycle.ruling import Rulings
     from ringshift.lifecycle.sharing import Shares
     from ringshift.records.schema import Body
 
@@ -34,6 +36,16 @@
     return shares(path, backend.name, backend.seed, clock, operations, tell)
 
 
+def ruling(backend: Backend, clock: Callable[[], int], tell: Callable[[Body], None] | None) -> Rulings | None:
+    """The fleet's rulebook, where the operators' file has a table for it; nothing is imported without."""
+    path = os.environ.get("RINGSHIFT_SETTINGS", "")
+    if not path or not re.search(r"^\s*\[rules\]", Path(path).read_text(encoding="utf-8"), re.MULTILINE):
+        return None
+    from ringshift.lifecycle.ruling import rulings
+
+    return rulings(path, backend.name, backend.seed, clock, backend.machine, tell)
+
+
 def run() -> int:
     logs.set_up("-")
     # Before the file is read, as what replaces it after that is told by this alone; unheeded it would end us.
@@ -47,17 +59,21 @@
         logger.error("{}", wrong)
         return 2
     program = Program(backend, replaced, recording.watch)
-    shares = None
+    shares = rules = None
     status = 1
     try:
         shares = sharing(backend, program.clock.now, recording.tell)
-        program.owner.shared = shares
+        rules = ruling(backend, program.clock.now, recording.tell)
+        if shares is not None and rules is not None:
+            shares.ruled(lambda: rules.wholes)
+        program.owner.shared = [one for one in (shares, rules) if one is not None]
+        program.owner.rulings = rules or program.owner.rulings
         status = program.run()
     except Malformed as wrong:
         logger.error("{}", wrong)
         return 2
     finally:
-        if shares is not None:
-            shares.leave()
+        for one in program.owner.shared:
+            one.leave()
         recording.end(status, program.owner.invocations.owed)
     return status
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from heapq import heappop, heappush
 from itertools import count
@@ -19,7 +19,7 @@
 from ringshift import interface as face
 from ringshift.control import Controller
 from ringshift.machine import NS_PER_MS
-from ringshift.records.watch import ERRORED, GONE, SUCCEEDED, THROTTLED, Unwatched, Watch
+from ringshift.records.watch import ERRORED, GONE, RULED, SUCCEEDED, THROTTLED, Unwatched, Watch
 from ringshift.runtime.bounds import Bounds
 from ringshift.runtime.clock import Clock
 from ringshift.runtime.logs import counted
@@ -49,10 +49,38 @@
 
 
 class Shared(Protocol):
-    """Shares of fleet-wide budgets, where the installation has them (ringshift/lifecycle/sharing.py)."""
+    """What this server has from the fleet, where the installation lets instances talk: shares of budgets
+    (ringshift/lifecycle/sharing.py), the rulebook (ringshift/lifecycle/ruling.py). Never waits."""
 
-    def granted(self, now: int, controller: Controller) -> list[face.Granted]: ...
+    def granted(self, now: int, controller: Controller) -> Sequence[face.Input]: ...
     def leaving(self) -> None: ...
+    def leave(self) -> None: ...
+
+
+class Rulings(Shared, Protocol):
+    """The rulebook's retirements, of one caller: its lot, what its answers carry, that one with that was
+    sent, and how each of its invocations ended (ringshift/records/watch.py)."""
+
+    def lot(self, operation: int, caller: int) -> int: ...
+    def fields(self, operation: int, caller: int) -> Mapping[str, str]: ...
+    def answered(self, operation: int, caller: int) -> None: ...
+    def ended(self, operation: int, caller: int, how: int) -> None: ...
+
+
+class Unruled:
+    """No rulebook: nothing is asked of anyone."""
+
+    def lot(self, operation: int, caller: int) -> int:
+        return -1
+
+    def fields(self, operation: int, caller: int) -> Mapping[str, str]:
+        return {}
+
+    def answered(self, operation: int, caller: int) -> None:
+        pass
+
+    def ended(self, operation: int, caller: int, how: int) -> None:
+        pass
 
 
 class Owner:
@@ -64,7 +92,8 @@
         self.deep_checks, self.seed, self.clock = deep_checks, seed, clock
         self.agent, self.ready, self.idle = agent, ready, idle
         self.watch = watch or Unwatched()
-        self.shared: Shared | None = None
+        self.shared: list[Shared] = []
+        self.rulings: Rulings | Unruled = Unruled()
         self.queue: Queue[News] = Queue(bounds.news)
         self.controller: Controller | None = None
         self.invocations, self.results = Invocations(), Results(machine.fresh, bounds.results)
@@ -132,9 +161,18 @@
                 counted.warn("invocation forgotten without an answer", "errored")
                 self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
 
-    def answer(self, inv: Invocation, data: bytes, how: int) -> None:
-        if self.invocations.answer(inv, data):
+    def answer(self, inv: Invocation, data: bytes, how: int) -> bool:
+        if told := self.invocations.answer(inv, data):
             self.watch.answered(inv.operation, how)
+            self.rulings.ended(inv.operation, inv.caller, how)
+        return told
+
+    def succeed(self, inv: Invocation, result: bytes) -> None:
+        warning = self.rulings.fields(inv.operation, inv.caller)
+        fields = {**self.fields, **warning} if warning else self.fields
+        # Counted only once it was handed to the connection: who was not warned must not be shed for it.
+        if self.answer(inv, calls.succeeded(inv.request, fields, result), SUCCEEDED) and warning:
+            self.rulings.answered(inv.operation, inv.caller)
 
     def timer(self, at: int, due: Callable[[Any], None], what: Any) -> None:
         heappush(self.timers, (at, next(self.order), due, what))
@@ -157,7 +195,7 @@
             item.door.send(item.request, calls.errored(item.request, self.fields, 400))
             return
         inv = self.invocations.add(item.job, item.operation, item.body, item.door, item.request,
-                                   item.item)  # fmt: skip
+                                   item.item, item.caller)  # fmt: skip
         unread = self.clock.since(item.came)
         self.watch.arrived(item, unread)
         self.inputs.append(face.Arrived(
@@ -166,6 +204,7 @@
             cost=0.0, kb=item.kb, rank=item.rank, keyed_read=bool(item.item),
             caller=item.caller, unread=unread,
             repeats=self.results.original(inv, self.clock.now()),
+            lot=self.rulings.lot(item.operation, item.caller),
         ))  # fmt: skip
 
     def on_checked(self, item: news.Checked) -> None:
@@ -200,7 +239,7 @@
             logger.info("agent greeted after {} ms, {} start", item.took // MS, start)
             self.watch.greeted(item.cold, item.took)
             self.decide(now - item.took)  # it warms since its own start
-            if self.shared is not None:
+            if self.shared:
                 self.look_at_shares(now)
             self.ready(self.health[0])
             if self.leaving_at:
@@ -213,8 +252,9 @@
                 self.agent.exercise(ref)  # lost with the link it would answer bad after a second
 
     def look_at_shares(self, now: int) -> None:
-        assert self.shared is not None and self.controller is not None
-        self.inputs += self.shared.granted(self.clock.now(), self.controller)
+        assert self.controller is not None
+        for one in self.shared:
+            self.inputs += one.granted(self.clock.now(), self.controller)
         self.timer(now + SHARES_EVERY, self.look_at_shares, now + SHARES_EVERY)
 
     def sample(self) -> str:
@@ -253,7 +293,7 @@
         self.end_repeats(self.results.ended(inv.index, self.clock.now(), item.result if good else None),
                          item.result if good else None)  # fmt: skip
         if good:
-            self.answer(inv, calls.succeeded(inv.request, self.fields, item.result), SUCCEEDED)
+            self.succeed(inv, item.result)
         elif outcome is face.Outcome.ERRORED:
             self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
         self.inputs.append(face.Finished(inv.index, outcome, item.took))
@@ -269,8 +309,8 @@
 
     def on_told_to_leave(self, item: news.ToldToLeave) -> None:
         self.leaving_at, self.left = self.clock.now(), item.left
-        if self.shared is not None:
-            self.shared.leaving()
+        for one in self.shared:
+            one.leaving()
         if self.controller is not None:
             self.inputs.append(face.Leaving(item.left))
 
@@ -289,7 +329,8 @@
 
     def throttle(self, action: face.Throttle) -> None:
         inv = self.invocations.by_index[action.inv]
-        data, how = calls.throttled(inv.request, self.fields, action.pause, action.give_up), THROTTLED
+        data = calls.throttled(inv.request, self.fields, action.pause, action.give_up)
+        how = RULED if action.ruled else THROTTLED
         if inv.state is not Try.HELD:
             # On sockets a throttled answer promises that this try never ran.
             data, how = calls.errored(inv.request, self.fields), ERRORED
@@ -328,7 +369,7 @@
             if result is None:
                 self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
             else:
-                self.answer(inv, calls.succeeded(inv.request, self.fields, result), SUCCEEDED)
+                self.succeed(inv, result)
             outcome = face.Outcome.ERRORED if result is None else face.Outcome.SUCCEEDED
             self.inputs.append(face.Finished(inv.index, outcome, 0))
 
