--- a/ringshift/fleet/budget.py
+++ b/ringshift/fleet/budget.py
@@ -25,86 +25,18 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
-from math import floor, inf, isfinite
+from math import floor, isfinite
 
 from ringshift.interface import Unit
+from ringshift.settings.terms import MS as MS
+from ringshift.settings.terms import Budget as Budget
+from ringshift.settings.terms import BudgetError as BudgetError
+from ringshift.settings.terms import S as S
 
-S = 1_000_000_000
-MS = 1_000_000
-MILLION = 1_000_000
 MOST_ROWS = 4  # times the largest fleet: rows of backends alive and of those whose grants have not ended
 KEPT_ODD = 2  # lives of a grant for which a backend keeps what rounding left to it
 REMEMBERED = 16  # send times of a backend's last asks: an answer to an older one is of no use any more
 
-
-class BudgetError(ValueError):
-    """Terms that can't be kept; the message names the field."""
-
-
-@dataclass(frozen=True)
-class Budget:
-    """`whole` of calls under way at once (CALLS), invocations a second of one operation (RATE), or repeated
-    attempts a second (RETRIES). `safe`: what a backend may use without a grant; `most`: the largest fleet
-    that is ever alive at once, which the operators promise; `weight`: this backend's, in the division. Times
-    in nanoseconds; `longest`: how long one use may last, 0 where a use is over at once (RATE, RETRIES)."""
-
-    name: str
-    unit: Unit
-    whole: float
-    most: int
-    safe: float = 0.0
-    weight: float = 1.0
-    operation: str = ""
-    life: int = 8 * S
-    refresh: int = 1 * S
-    margin: int = 250 * MS
-    longest: int = 2 * S
-    drift_ppm: int = 10_000
-
-    def __post_init__(self) -> None:
-        if not 0 < self.whole < inf:
-            raise BudgetError(f"whole: {self.whole}; above 0")
-        if self.most < 1:
-            raise BudgetError(f"most: {self.most}; at least 1")
-        if not 0 <= self.safe < inf:
-            raise BudgetError(f"safe: {self.safe}; not below 0")
-        if self.unit is Unit.CALLS and (self.whole % 1 or self.safe % 1):
-            raise BudgetError(f"whole: {self.whole} with safe {self.safe}; calls are whole numbers")
-        if self.safe * self.most > self.whole:
-            raise BudgetError(f"whole: {self.whole} is less than the safe shares of {self.most} backends, "
-                              f"{self.safe * self.most}")  # fmt: skip
-        if not 0 < self.weight < inf:
-            raise BudgetError(f"weight: {self.weight}; above 0")
-        if not 0 <= self.drift_ppm < MILLION // 2:
-            raise BudgetError(f"drift_ppm: {self.drift_ppm}; from 0 to under 500000")
-        if self.margin < 0 or self.longest < 0:
-            raise BudgetError(f"margin: {self.margin} ns, longest {self.longest} ns; not below 0")
-        if self.refresh <= 0 or self.usable <= 2 * self.refresh:
-            raise BudgetError(f"refresh: {self.refresh} ns; two must fit into what a grant of {self.life} ns "
-                              f"leaves beside margin and longest, {self.usable} ns")  # fmt: skip
-
-    @property
-    def usable(self) -> int:
-        """Nanoseconds after an ask's sending during which its grant lets something begin."""
-        return self.life - self.margin - self.longest
-
-    @property
-    def counted(self) -> int:
-        """Nanoseconds on the divider's clock after it read an ask until the ask's grant has surely ended."""
-        return self.drifted(self.life)
-
-    def drifted(self, life: int) -> int:
-        return life + life * self.drift_ppm // MILLION
-
-    @property
-    def pool(self) -> float:
-        """What is divided: the whole less the safe shares of the largest fleet."""
-        return self.whole - self.safe * self.most
-
-    def whole_units(self, amount: float) -> float:
-        return float(floor(amount + 1e-9)) if self.unit is Unit.CALLS else amount
-
-
 # What travels.
 
 
--- a/ringshift/fleet/lease.py
+++ b/ringshift/fleet/lease.py
@@ -21,68 +21,10 @@
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
-S = 1_000_000_000
-MS = 1_000_000
-MILLION = 1_000_000
-
-
-class LeaseTermsError(ValueError):
-    """Terms that leave no time to act; the message names the field."""
-
-
-@dataclass(frozen=True)
-class LeaseTerms:
-    """How a lease is held. Times in nanoseconds, `drift_ppm` in millionths of a second a second.
-
-    `renew_share`: a renewal is sent this share of the time to live after the last one was sent (etcd's own
-    clients use a third). `seek_after`: how long a holder that found the key taken waits before it looks
-    again, when no watch told it that the key was freed; drawn between it and twice it.
-    """
-
-    ttl: int = 10 * S
-    margin: int = 500 * MS
-    drift_ppm: int = 10_000  # 1%: a clock at most that much faster than the keeper's
-    renew_share: float = 1 / 3
-    seek_after: int = 1 * S
-    answer_within: int = 2 * S  # a request unanswered this long is given up and may be sent again
-    grace: int = 4 * S  # from the notice to leave to the kill
-    leave_share: float = 0.25  # of the grace, for letting the lease go; the rest is the task's
-
-    def __post_init__(self) -> None:
-        if self.ttl < S or self.ttl % S:
-            raise LeaseTermsError(f"ttl: {self.ttl} ns; etcd grants whole seconds, at least one")
-        if not 0 <= self.drift_ppm < MILLION // 2:
-            raise LeaseTermsError(f"drift_ppm: {self.drift_ppm}; from 0 to under 500000")
-        if self.margin < 0:
-            raise LeaseTermsError(f"margin: {self.margin} ns is below 0")
-        if self.acting_time <= self.renew_after:
-            raise LeaseTermsError(
-                f"margin: {self.margin} ns with drift_ppm {self.drift_ppm} leaves {self.acting_time} ns to "
-                f"act of a ttl of {self.ttl} ns, not more than the {self.renew_after} ns before a renewal"
-            )
-        if not 0 < self.renew_share < 1:
-            raise LeaseTermsError(f"renew_share: {self.renew_share}; between 0 and 1")
-        if not 0 < self.answer_within <= self.renew_after:
-            raise LeaseTermsError(f"answer_within: {self.answer_within} ns; above 0, at most one renewal's")
-        if not 0 < self.leave_share <= 1:
-            raise LeaseTermsError(f"leave_share: {self.leave_share}; above 0, at most 1")
-        if self.grace <= 0:
-            raise LeaseTermsError(f"grace: {self.grace} ns; above 0")
-
-    @property
-    def acting_time(self) -> int:
-        """Nanoseconds after a renewal's send time during which its holder may act."""
-        return self.ttl - self.ttl * self.drift_ppm // MILLION - self.margin
-
-    @property
-    def leave_within(self) -> int:
-        """Nanoseconds after the notice to leave in which the keeper's answer to the release is waited for."""
-        return int(self.grace * self.leave_share)
-
-    @property
-    def renew_after(self) -> int:
-        return int(self.ttl * self.renew_share)
-
+from ringshift.settings.terms import MS as MS
+from ringshift.settings.terms import LeaseTerms as LeaseTerms
+from ringshift.settings.terms import LeaseTermsError as LeaseTermsError
+from ringshift.settings.terms import S as S
 
 Phase = IntEnum("Phase", "SEEKING HOLDING DOUBTFUL RELEASED")
 SEEKING, HOLDING, DOUBTFUL, RELEASED = Phase.SEEKING, Phase.HOLDING, Phase.DOUBTFUL, Phase.RELEASED
--- a/ringshift/lifecycle/holder.py
+++ b/ringshift/lifecycle/holder.py
@@ -238,6 +238,21 @@
             self.tell(LeaseChange(self.task, self.name, old, new, why, effect.token, round(left / MS, 3)))
 
 
+def apart(holder: Holder) -> threading.Thread:
+    """The holder begun in a thread of its own, until it has left."""
+
+    def run() -> None:
+        try:
+            while not holder.turn():
+                pass
+        except Exception as wrong:  # the lease ends by itself, and another process goes on with the task
+            logger.error("{}: ended by a bug: {!r}", holder.task, wrong)
+
+    thread = threading.Thread(target=run, name=holder.task, daemon=True)
+    thread.start()
+    return thread
+
+
 def hold(name: str, task: str, terms: LeaseTerms, keepers: list[str], work: Work, seed: int,
          history: Path | None, clock: OwnClock,
          tell: Callable[[Body], None] | None = None) -> int:  # fmt: skip
--- a/ringshift/lifecycle/sharing.py
+++ b/ringshift/lifecycle/sharing.py
@@ -11,8 +11,9 @@
 import os
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
+from dataclasses import replace
 from queue import Empty, SimpleQueue
 from random import Random
 from typing import IO
@@ -25,14 +26,16 @@
 from ringshift.fleet.placement import Placement
 from ringshift.fleet.share import Change, News, Share
 from ringshift.interface import Granted, Unit
-from ringshift.lifecycle.holder import Hold, Holder, OwnClock
+from ringshift.lifecycle.holder import Hold, Holder, OwnClock, apart
 from ringshift.machine import Malformed
 from ringshift.records.schema import Body, ShareChange
 from ringshift.wire.keeper import KeeperLink
 from ringshift.wire.shares import BudgetLink
 
 HANDED_BACK = 0.3  # seconds at the exit for the keeper to hear of a share handed back
+LEAST_WHOLE = 1.0  # of a budget: none at all is no budget; the rulebook's lists turn things off
 Tell = Callable[[Body], None]
+Wholes = Callable[[], Mapping[str, float]]
 
 
 def identity(name: str, random: Random) -> str:
@@ -107,6 +110,8 @@
 
     def __init__(self, budget: Budget, task_key: bytes, link: BudgetLink, clock: Callable[[], int]) -> None:
         self.divider, self.task_key, self.link, self.clock = Divider(budget), task_key, link, clock
+        self.stated = budget
+        self.wholes: Wholes = dict  # of the rulebook, where there is one
         self.revision = 0
         self.pace = budget.refresh // 4
 
@@ -134,6 +139,7 @@
         if held.revision != self.revision:
             divider.hear(Word.REFUSED, now)
             return
+        divider.budget = ruled(self.stated, self.wholes())
         ledger = divider.hear(Word.ROUND, now, held.asks)
         if ledger is None:
             return
@@ -149,6 +155,15 @@
         pass
 
 
+def ruled(budget: Budget, wholes: Mapping[str, float]) -> Budget:
+    """With the whole of the rulebook, where it has one: in whole units, and never under the safe shares,
+    which are set aside for good."""
+    if budget.name not in wholes:
+        return budget
+    whole = budget.whole_units(wholes[budget.name])
+    return replace(budget, whole=max(whole, budget.safe * budget.most, LEAST_WHOLE))
+
+
 class Dividers:
     """A holder for each budget's divider, each in a thread of its own, until `leave`."""
 
@@ -156,6 +171,7 @@
                  clock: OwnClock, seed: int, tell: Tell | None = None,
                  history: IO[bytes] | None = None) -> None:  # fmt: skip
         self.terms, self.holders, self.threads = terms, list[Holder](), list[threading.Thread]()
+        self.works = list[Dividing]()
         placement = Placement(tuple(f"budget-{budget.name}" for budget in budgets))
         for number, budget in enumerate(budgets):
             task = placement.tasks[number]
@@ -164,18 +180,9 @@
             keeper = KeeperLink(keepers, clock.now, terms.answer_within / 1e9)
             holder = Holder(name, task, terms, keeper, work, clock, seed + number, history, tell,
                             placement)  # fmt: skip
-            thread = threading.Thread(target=self.run, args=(holder,), name=task, daemon=True)
             self.holders.append(holder)
-            self.threads.append(thread)
-            thread.start()
-
-    @staticmethod
-    def run(holder: Holder) -> None:
-        try:
-            while not holder.turn():
-                pass
-        except Exception as wrong:  # the lease ends by itself, and another process divides
-            logger.error("{}: ended by a bug: {!r}", holder.task, wrong)
+            self.works.append(work)
+            self.threads.append(apart(holder))
 
     def leaving(self) -> None:
         """The notice to leave: the leases are let go at once, each by its own thread."""
@@ -197,6 +204,11 @@
         self.keys = [(one, one.share.budget.unit, operations.get(one.share.budget.operation, -1))
                      for one in sharers]  # fmt: skip
 
+    def ruled(self, wholes: Wholes) -> None:
+        """From now on the rulebook's wholes are divided; asked for in the dividers' threads."""
+        for work in self.dividers.works:
+            work.wholes = wholes
+
     def granted(self, now: int, controller: Controller) -> list[Granted]:
         """Polls each; a share is told anew when it changed, and always at first: the safe one."""
         span, told = max(now - self.last, 1) / 1e9, list[Granted]()
--- a/ringshift/rulebook/reader.py
+++ b/ringshift/rulebook/reader.py
@@ -90,7 +90,7 @@
 
 def fits(version: Version) -> str:
     """Why a proposal can't be taken in, or empty: a program that knows more checks more."""
-    return ""
+    return version.odd
 
 
 @dataclass
--- a/ringshift/rulebook/version.py
+++ b/ringshift/rulebook/version.py
@@ -26,16 +26,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
 from ringshift.rulebook.bound import ReadingTerms
 from ringshift.rulebook.document import Rulebook, digest
-from ringshift.rulebook.kinds import differences
+from ringshift.rulebook.kinds import Verdict, differences
+from ringshift.rulebook.words import NOTHING as NOTHING
+from ringshift.rulebook.words import Effect as Effect
+from ringshift.rulebook.words import Row as Row
+from ringshift.rulebook.words import Stamp as Stamp
+from ringshift.rulebook.words import Told as Told
+from ringshift.rulebook.words import Version as Version
 
-Stamp = tuple[int, int]  # (epoch, number): the order of versions
-NOTHING: Stamp = (0, 0)
 KEPT = 32  # superseded versions beside the one in force and the one before it
 
 
@@ -43,24 +47,6 @@
     """A publication that may not be made, and why."""
 
 
-@dataclass(frozen=True)
-class Version:
-    stamp: Stamp
-    book: Rulebook
-    digest: str
-    author: str = ""
-    reason: str = ""
-
-
-@dataclass(frozen=True)
-class Told:
-    """What the keeper holds at `place` of its history, (epoch, revision)."""
-
-    place: tuple[int, int]
-    in_force: Version
-    proposed: Version | None = None
-
-
 State = IntEnum("State", "DRAFTED PROPOSED ACKNOWLEDGED IN_FORCE SUPERSEDED WITHDRAWN REFUSED")
 
 
@@ -106,31 +92,6 @@
 }
 
 
-@dataclass(frozen=True)
-class Row:
-    """A reader's last confirmation at the keeper: its `n`th, what it acknowledged or refused, and the highest
-    place in the keeper's history that it has seen. A process started anew is another reader."""
-
-    n: int
-    acked: Stamp = NOTHING
-    refused: Stamp = NOTHING
-    why: str = ""
-    seen: tuple[int, int] = (0, 0)  # (epoch, the keeper's revision)
-    stamp: Stamp = NOTHING  # the highest version it has seen
-    floor: Stamp = NOTHING  # what is in force below it is refused as lower
-
-
-@dataclass(frozen=True)
-class Effect:
-    """`kind`: propose, put_in_force, take_back. The keeper does put_in_force only where the proposal is still
-    this one, its readers are `known`, and those in `ended` have not confirmed beyond that number."""
-
-    kind: str
-    version: Version
-    known: frozenset[str] = frozenset()
-    ended: Mapping[str, int] = field(default_factory=dict)
-
-
 @dataclass
 class Publication:
     """One version's life. `by_all`: an ended lease does not stand for an acknowledgement."""
@@ -138,6 +99,7 @@
     version: Version
     by_all: bool = False
     undoes: Stamp | None = None
+    base: Stamp | None = None
     state: State = State.DRAFTED
     acked: set[str] = field(default_factory=set)
     ended: dict[str, int] = field(default_factory=dict)
@@ -155,7 +117,8 @@
     # Effects, named in the specification.
 
     def propose(self, news: News, reader: str, n: int, why: str) -> None:
-        self.out.append(Effect("propose", self.version))
+        self.out.append(Effect("propose", self.version, undoes=self.undoes, by_all=self.by_all,
+                               base=self.base))  # fmt: skip
 
     def note(self, news: News, reader: str, n: int, why: str) -> None:
         if news is News.ACK:
@@ -178,10 +141,23 @@
         self.out.append(Effect("take_back", self.version))
 
 
+def opening(rows: Mapping[str, Row]) -> Stamp:
+    """Of the first publication where the keeper holds none: above all that any reader saw, since it may
+    have held some and lost them."""
+    stamp = max((max(row.stamp, row.floor, row.acked) for row in rows.values()), default=NOTHING)
+    epochs = [max(row.seen[0] + (row.seen != (0, 0)), row.stamp[0] + (row.stamp != NOTHING))
+              for row in rows.values()]  # fmt: skip
+    return max(epochs, default=0), stamp[1] + 1
+
+
 def check_step(old: Rulebook, new: Rulebook) -> bool:
     """Whether the step must be acknowledged by every reader. Raises PublicationError, with the way to go,
     where it may not be made at all."""
-    kinds = {one.kind for one in differences(old, new)}
+    found = differences(old, new)
+    kinds = {one.kind for one in found}
+    for one in found:
+        if one.verdict is Verdict.ENDLESS and one.kind != "alone changed":
+            raise PublicationError(f"{one.kind}: {one.what}: {one.reason}")
     alone = {kind for kind in kinds if kind.startswith("alone")}
     if alone and kinds - alone:
         raise PublicationError(f"alone: changed together with {', '.join(sorted(kinds - alone))}; publish "
@@ -205,7 +181,7 @@
     place: tuple[int, int] = (0, 0)  # the keeper's, as last read
     play: Publication | None = None
     past: list[Publication] = field(default_factory=list)  # in the order in which they were in force
-    read: dict[str, tuple[int, int]] = field(default_factory=dict)  # reader -> (n, when first read)
+    read: dict[str, tuple[tuple[int, int], int]] = field(default_factory=dict)  # reader -> (mark, first read)
 
     def __post_init__(self) -> None:
         found = [] if self.play is None else [self.play.version.stamp]  # by one started anew, at the keeper
@@ -213,15 +189,29 @@
         if not self.past:
             self.past.append(Publication(self.in_force, state=State.IN_FORCE))
 
+    @classmethod
+    def begun(cls, terms: ReadingTerms, told: Told, highest: Stamp, undoes: Stamp | None = None,
+              by_all: bool = False, kept: Sequence[Version] = ()) -> Publisher:  # fmt: skip
+        """One started anew on what the keeper holds: it leads on what is proposed there. `kept`: versions
+        that were in force before, ascending (others among them are passed over)."""
+        play = None
+        if told.proposed is not None:
+            play = Publication(told.proposed, by_all, undoes, state=State.PROPOSED)
+        before = [Publication(one, state=State.SUPERSEDED) for one in kept
+                  if one.stamp < told.in_force.stamp][-KEPT - 1 :]  # fmt: skip
+        past = [*before, Publication(told.in_force, state=State.IN_FORCE)]
+        return cls(terms, told.in_force, highest, told.place, play, past)
+
     def publish(self, book: Rulebook, author: str = "", reason: str = "",
-                undoes: Stamp | None = None) -> list[Effect]:  # fmt: skip
-        """Proposes the next version. Raises PublicationError where it may not be proposed now."""
+                undoes: Stamp | None = None, anew: bool = False) -> list[Effect]:  # fmt: skip
+        """Proposes the next version, on the one in force; `anew`: on whatever is. Raises PublicationError
+        where it may not be proposed now."""
         if self.play is not None:
             raise PublicationError(f"{self.play.version.stamp} is proposed: two in play are the most")
         by_all = check_step(self.in_force.book, book)
         self.highest = (self.highest[0], self.highest[1] + 1)
         version = Version(self.highest, book, digest(book), author, reason)
-        self.play = Publication(version, by_all, undoes)
+        self.play = Publication(version, by_all, undoes, None if anew else self.in_force.stamp)
         return self.play.hear(News.PROPOSE)
 
     def withdraw(self, author: str = "", reason: str = "") -> list[Effect]:
@@ -232,10 +222,16 @@
             raise PublicationError("no version before the one in force is kept")
         return self.publish(self.past[-2].version.book, author, reason, undoes=self.in_force.stamp)
 
-    def look(self, now: int, told: Told, rows: Mapping[str, Row]) -> list[Effect]:
-        """What the keeper holds, read at `now`: what to write there next, in order."""
+    def look(self, now: int, told: Told, rows: Mapping[str, Row], absent: frozenset[str] = frozenset(),
+             highest: Stamp = NOTHING) -> list[Effect]:  # fmt: skip
+        """What the keeper holds, read at `now`: what to write there next, in order.
+
+        `absent`: those of `rows` whose lease was found to have surely ended, by whichever publisher. One that
+        comes back joins anew, which breaks the keeper's compare; so they are not waited for, but by a
+        publication that all must acknowledge. `highest`: of the stamps that the keeper ever held."""
+        self.highest = max(self.highest, highest)
         self.read = {
-            name: self.read[name] if name in self.read and self.read[name][0] == row.n else (row.n, now)
+            name: self.read[name] if name in self.read and self.read[name][0] == row.mark else (row.mark, now)
             for name, row in rows.items()
         }
         if self.play is not None and (self.play.state is State.ACKNOWLEDGED
@@ -250,19 +246,22 @@
         if self.play is None:
             return []
         if told.proposed != self.play.version:
-            return self.missing(self.play, told)
-        return self.settle(self.play, now, rows)
+            return self.missing(self.play, told, highest)
+        return self.settle(self.play, now, rows, absent)
 
-    def missing(self, play: Publication, told: Told) -> list[Effect]:
-        """The proposal is not at the keeper: its writing was lost, or another publisher's stands there."""
+    def missing(self, play: Publication, told: Told, highest: Stamp) -> list[Effect]:
+        """The proposal is not at the keeper: its writing was lost, or another publisher's stands there, or
+        did, or took this one back: its number was used."""
         epoch, other = play.version.stamp[0], told.proposed
         if other is not None and other.stamp[0] < epoch:  # left by a keeper that lost data
             return [Effect("take_back", other), *play.hear(News.UNHEARD)]
-        if other is None and (told.in_force == self.in_force or told.in_force.stamp[0] < epoch):
+        same = told.in_force == self.in_force or told.in_force.stamp[0] < epoch
+        if other is None and same and highest < play.version.stamp:
             return play.hear(News.UNHEARD)
         return self.close(play, News.BEATEN, why="another publisher was first: begin from what it published")
 
-    def settle(self, play: Publication, now: int, rows: Mapping[str, Row]) -> list[Effect]:
+    def settle(self, play: Publication, now: int, rows: Mapping[str, Row],
+               absent: frozenset[str]) -> list[Effect]:  # fmt: skip
         waited, stamp = 0, play.version.stamp
         play.acked.clear()  # judged anew at each look: an ended one may have confirmed since
         play.ended.clear()
@@ -271,6 +270,8 @@
                 return self.close(play, News.REFUSAL, name, row.why)
             if row.acked == stamp:
                 play.hear(News.ACK, name)
+            elif name in absent and not play.by_all:
+                continue
             elif not play.by_all and now >= self.read[name][1] + self.terms.surely_ended:
                 play.hear(News.ENDED, name, row.n)
             else:
@@ -301,4 +302,4 @@
         Until that lands, a backend that saw more holds what it held until its deadline and then is alone."""
         out = [] if self.play is None else self.close(self.play, News.WITHDRAW)
         self.highest = max(self.highest[0], self.place[0], stamp[0]) + 1, max(self.highest[1], stamp[1])
-        return out + self.publish(self.in_force.book, reason="the keeper lost data")
+        return out + self.publish(self.in_force.book, reason="the keeper lost data", anew=True)
--- a/ringshift/settings/operators.py
+++ b/ringshift/settings/operators.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from ringshift.fleet.budget import Budget, BudgetError
-from ringshift.fleet.lease import MS, LeaseTerms, LeaseTermsError, S
 from ringshift.interface import Unit
 from ringshift.machine import Malformed
+from ringshift.settings.rules import RulesReading
+from ringshift.settings.terms import MS, Budget, BudgetError, LeaseTerms, LeaseTermsError, S
 
 NAME = re.compile(r"[A-Za-z0-9_-]{1,64}")
 
@@ -115,8 +115,11 @@
     records: RecordKeeping = RecordKeeping()
     leases: Leases | None = None
     budgets: list[FleetBudget] = []
+    rules: RulesReading | None = None
 
     def __post_init__(self) -> None:
+        if self.rules is not None and (self.leases is None or not self.leases.keepers):
+            raise ValueError("rules: no [leases] table with keepers, where the rulebook is agreed on")
         if self.budgets and (self.leases is None or not self.leases.keepers):
             raise ValueError("budgets: no [leases] table with keepers, under whose lease they are divided")
         names = [budget.name for budget in self.budgets]
@@ -150,7 +153,7 @@
     if not keys and not path or "unknown field" in told:
         keys += re.findall(r"`(\w+)`", told)
     fields = {"records": RecordKeeping.__struct_fields__, "leases": Leases.__struct_fields__,
-              "budgets": FleetBudget.__struct_fields__}  # fmt: skip
+              "budgets": FleetBudget.__struct_fields__, "rules": RulesReading.__struct_fields__}  # fmt: skip
     if not keys:
         keys = [word for word in re.findall(r"\w+", told) if word in RecordKeeping.__struct_fields__][:1]
     elif len(keys) == 1:
--- a/standins/keeper/store.py
+++ b/standins/keeper/store.py
@@ -194,7 +194,7 @@
     def remember(self, event: Event) -> None:
         self.changes += 1
         self.history.append((self.revision, event))
-        if len(self.history) > HISTORY:
+        if len(self.history) > HISTORY * 5 // 4:  # a fifth at once: gone through whole at each put it is slow
             self.compacted = self.history[len(self.history) - HISTORY - 1][0]
             self.history = [(revision, e) for revision, e in self.history if revision > self.compacted]
 
--- a/tests/rulebook/test_agreement.py
+++ b/tests/rulebook/test_agreement.py
@@ -9,8 +9,8 @@
 
 from ringshift.rulebook.bound import S
 from ringshift.rulebook.reader import News
-from ringshift.rulebook.version import State
-from tests.rulebook.emulated import B, Keeper, world
+from ringshift.rulebook.version import Row, State
+from standins.fleet.emulated_rules import B, Keeper, world
 
 RUNS = settings(derandomize=True, deadline=None, max_examples=60)
 
@@ -31,9 +31,9 @@
     copy = run.keeper
     for step in range(100):
         if step == 15:
-            copy = Keeper(run.keeper.told, dict(run.keeper.rows))
+            copy = run.keeper.copied()
         if step == 45:
-            run.keeper = Keeper(copy.told, dict(copy.rows))
+            run.keeper = copy.copied()
             run.queue.clear()
         run.step()
         assert run.worst <= B
@@ -74,11 +74,24 @@
     run.keeper.rows["a"] = replace(run.keeper.rows["a"], n=2, acked=stamp)
     wait = run.publisher.terms.surely_ended
     assert run.publisher.look(wait - 1, run.keeper.told, run.keeper.rows) == []
+    seen = run.keeper.held()
     (put,) = run.publisher.look(wait, run.keeper.told, run.keeper.rows)
     assert put.kind == "put_in_force" and put.ended == {"b": 1} and put.known == {"a", "b"}
     run.keeper.rows["b"] = replace(run.keeper.rows["b"], n=2)
-    assert not run.keeper.do(put)
+    assert not run.keeper.do(put, seen)
     run.publisher.landed(False)
     assert run.publisher.play.state is State.PROPOSED
     assert run.publisher.look(wait + 1, run.keeper.told, run.keeper.rows) == []
     assert run.readers["a"].hear(News.TICK, 5 * S) is not None
+
+
+def test_a_row_put_again_under_an_old_number_is_a_new_confirmation() -> None:
+    """It comes twice, and a newer one came in between that was answered: its lease is not the old one's."""
+    run = world(2, "a")
+    publisher, wait = run.publisher, run.publisher.terms.surely_ended
+    publisher.look(0, run.keeper.told, {"a": Row(5, put=10)})
+    run.effects(publisher.publish(publisher.in_force.book))
+    assert publisher.look(wait, run.keeper.told, {"a": Row(5, put=12)}) == []
+    assert publisher.look(2 * wait - 1, run.keeper.told, {"a": Row(5, put=12)}) == []
+    (put,) = publisher.look(2 * wait, run.keeper.told, {"a": Row(5, put=12)})
+    assert put.ended == {"a": 5}
