--- /dev/null
+++ b/ringshift/lifecycle/ramping.py
@@ -0,0 +1,206 @@
+"""The ramp of a retirement, decided by one process of the fleet at a time, under the lease of a fleet task.
+
+`Ramping` is the doing of the task `retire-NAME`: it reads what all backends tell, asks the ramp
+(ringshift/retirement/ramp.py), and writes what it answers in one transaction with its token, and with it the
+counts of backends that are no more. Each position that landed is one record, with what it was decided on.
+`Ramps` runs a holder for each timeline of the rulebook, in threads of their own.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Mapping
+from typing import IO
+
+from loguru import logger
+
+from ringshift.fleet.lease import MS, LeaseTerms
+from ringshift.fleet.placement import Placement
+from ringshift.lifecycle.holder import Hold, Holder, OwnClock, apart
+from ringshift.lifecycle.sharing import Tell
+from ringshift.records.schema import RampStep
+from ringshift.retirement import warn
+from ringshift.retirement.judge import Freshness, Seen
+from ringshift.retirement.position import Position
+from ringshift.retirement.ramp import Ramp
+from ringshift.retirement.shed import key
+from ringshift.retirement.timeline import Phase, Timeline
+from ringshift.retirement.warn import Counts
+from ringshift.wire.keeper import KeeperLink
+from ringshift.wire.retiring import MOST_FOLDED, Held, RetireLink
+
+PACE = 1_000 * MS  # between two looks: a step is planned by the hour, and a row comes each second
+GONE_AFTER = 10  # times the freshness of a figure, after which a silent backend is taken as no more
+
+
+class Ramping:
+    """A `Work` (ringshift/lifecycle/holder.py). `timeline` may be set anew at any time; None: it is not in
+    the rulebook any more, and once that is written, the work is done."""
+
+    def __init__(self, name: str, timeline: Timeline | None, holder: str, link: RetireLink,
+                 tell: Tell | None = None, wall: Callable[[], int] = time.time_ns,
+                 pace: int = PACE) -> None:  # fmt: skip
+        self.name, self.timeline, self.holder, self.link, self.tell = name, timeline, holder, link, tell
+        self.task_key = f"/ringshift/tasks/retire-{name}".encode()
+        self.wall, self.pace, self.done = wall, pace, False
+        self.pause = (0, 0)  # fault tests: (rung, ns): stands still after the last look before that step
+        self.begin()
+
+    def begin(self) -> None:
+        """Nothing of before counts: not what stood for how long, not which rows were seen to change."""
+        self.ramp: Ramp | None = None
+        self.sent: Position | None = None  # written, and not known whether it landed
+        self.rows: Freshness | None = None
+        self.silent: dict[str, tuple[int, int]] = {}  # backend -> its row's number, when first seen with it
+        self.offset: int | None = None
+
+    def taken(self, token: int, now: int) -> None:
+        self.begin()
+
+    def halted(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+    def step(self, hold: Hold) -> None:
+        try:
+            self.look(hold)
+        except OSError:
+            raise
+        except Exception as wrong:  # whatever a client raises: what came of it is told by the next look
+            raise OSError(str(wrong)) from None
+
+    def look(self, hold: Hold) -> None:
+        held = self.link.read(self.name)
+        own = hold.now()
+        if self.offset is None:  # a wall clock that is set anew must not make a dwell time pass
+            self.offset = self.wall() - own
+        ramp, seen, gone = self.found(held, hold), self.fresh(held, own), self.gone(held, own)
+        rows = held.rows.values()
+        counts = warn.fold(held.counts, [row.warned for row in rows], self.lots)
+        position = ramp.look(own + self.offset, seen, counts, held.word.paused)
+        if position is None and not gone:
+            self.done = ramp.timeline is None
+        elif hold.may():
+            self.write(hold, held, position, gone)
+
+    def found(self, held: Held, hold: Hold) -> Ramp:
+        """The ramp at the position that the keeper holds. Where that is not the one known here, all that
+        stood begins anew; but a write of ours whose answer was lost is found here, and recorded."""
+        position = held.position or Position()
+        if self.ramp is None:
+            self.ramp = Ramp(self.timeline, position)
+        elif self.ramp.position != position:
+            if self.sent == position:
+                self.landed(self.ramp, position, hold)
+            else:
+                self.ramp = Ramp(self.timeline, position)
+        self.ramp.timeline, self.sent = self.timeline, None
+        return self.ramp
+
+    @property
+    def lots(self) -> int:
+        return key(self.timeline) if self.timeline is not None else 0
+
+    @property
+    def fresh_for(self) -> int:
+        return self.timeline.conditions.fresh if self.timeline is not None else self.pace
+
+    def fresh(self, held: Held, own: int) -> Seen:
+        if self.rows is None or self.rows.fresh != self.fresh_for:
+            self.rows = Freshness(self.fresh_for)
+        return self.rows.look(own, {name: (row.n, row.figures) for name, row in held.rows.items()
+                                    if not row.leaving})  # fmt: skip
+
+    def gone(self, held: Held, own: int) -> list[str]:
+        """Backends that said they leave, or were silent for long in this holder's own sight; not all at once
+        where they are many."""
+        self.silent = {name: had if (had := self.silent.get(name)) and had[0] == row.n else (row.n, own)
+                       for name, row in held.rows.items()}  # fmt: skip
+        limit = GONE_AFTER * self.fresh_for
+        return [name for name, (_, at) in sorted(self.silent.items())
+                if held.rows[name].leaving or own - at > limit][:MOST_FOLDED]  # fmt: skip
+
+    def write(self, hold: Hold, held: Held, position: Position | None, gone: list[str]) -> None:
+        """In one transaction, as one was decided with the other."""
+        assert self.ramp is not None
+        counts: Counts | None = None
+        if gone:
+            counts = warn.fold(held.counts, [held.rows[name].warned for name in gone], self.lots)
+        if position is not None:
+            one = position.decided
+            hold.write("ramp", token=hold.token, edition=one.edition, rung=one.rung, share=one.share,
+                       phase=position.phase, ready=len(one.ready))  # fmt: skip
+            if one.rung == self.pause[0] and one != self.ramp.position.decided:
+                pause, self.pause = self.pause[1], (0, 0)
+                time.sleep(pause / 1e9)  # fault tests: a pause after the last look, a GC's or VM's
+        self.sent = position
+        landed = self.link.write(self.name, self.task_key, hold.token, held, position, counts, gone)
+        self.sent = None
+        if position is not None:
+            hold.write("ramped", token=hold.token, edition=position.decided.edition, phase=position.phase,
+                       landed=landed)  # fmt: skip
+            if landed:
+                self.landed(self.ramp, position, hold)
+
+    def landed(self, ramp: Ramp, position: Position, hold: Hold) -> None:
+        old, one, told = ramp.position, position.decided, ramp.told
+        ramp.landed(position)
+        text = f"retirement {self.name}: {old.phase} -> {position.phase}, {one.share / 10_000:g}% of callers"
+        logger.bind(kind="retirement").info(f"{text}: {position.why}")
+        if self.tell is not None:
+            self.tell(RampStep(
+                self.name, self.holder, old.phase, position.phase, position.why, one.edition, one.rung,
+                one.share, hold.token, told.known, told.fresh, (told.old, told.new, told.errors), told.moved,
+                len(one.ready)))  # fmt: skip
+        self.done = ramp.timeline is None and position.phase == Phase.WITHDRAWN.name
+
+
+class Ramps:
+    """A holder for each timeline's ramp, each in a thread of its own. `clock` as the leases count."""
+
+    def __init__(self, name: str, terms: LeaseTerms, keepers: list[str], clock: OwnClock, seed: int,
+                 tell: Tell | None = None, wall: Callable[[], int] = time.time_ns, pace: int = PACE,
+                 history: IO[bytes] | None = None) -> None:  # fmt: skip
+        self.name, self.terms, self.keepers, self.clock, self.seed = name, terms, keepers, clock, seed
+        self.tell, self.wall, self.pace, self.history = tell, wall, pace, history
+        self.pause = (0, 0)
+        self.placement = Placement(())
+        self.running: dict[str, tuple[Ramping, Holder, threading.Thread]] = {}
+        self.began = 0
+
+    def tend(self, timelines: Mapping[str, Timeline]) -> None:
+        """The timelines of the rulebook acted by, by name. Whoever holds the ramp of one that is gone from
+        there writes that down and lets go; the others let go at once."""
+        self.running = {name: one for name, one in self.running.items() if one[2].is_alive()}
+        self.placement.tasks = tuple(sorted(f"retire-{name}" for name in {*timelines, *self.running}))
+        for name, (work, holder, _) in self.running.items():
+            work.timeline = timelines.get(name)
+            if work.timeline is None and not holder.permitted:
+                holder.leave()
+        for name, timeline in timelines.items():
+            if name not in self.running:
+                self.begin(name, timeline)
+
+    def begin(self, name: str, timeline: Timeline) -> None:
+        task, within = f"retire-{name}", self.terms.answer_within / 1e9
+        self.began += 1
+        link = RetireLink(self.keepers, self.clock.now, within)
+        work = Ramping(name, timeline, self.name, link, self.tell, self.wall, self.pace)
+        work.pause = self.pause
+        keeper = KeeperLink(self.keepers, self.clock.now, within)
+        holder = Holder(self.name, task, self.terms, keeper, work, self.clock, self.seed + self.began,
+                        self.history, self.tell, self.placement)  # fmt: skip
+        self.running[name] = work, holder, apart(holder)
+
+    def leaving(self) -> None:
+        """The notice to leave: the leases are let go at once, each by its own thread."""
+        for _, holder, _ in self.running.values():
+            holder.leave()
+
+    def leave(self) -> None:
+        self.leaving()
+        for _, _, thread in self.running.values():
+            thread.join(self.terms.leave_within / 1e9 + 0.1)
--- a/ringshift/report/page.py
+++ b/ringshift/report/page.py
@@ -13,7 +13,7 @@
 from ringshift.findings.fleet import tell as tell_fleet
 from ringshift.findings.judge import What
 from ringshift.findings.telling import clock, headline, sentence, some, span
-from ringshift.report import charts
+from ringshift.report import charts, fleetcharts
 from ringshift.report.analyse import Analysis
 from ringshift.store.incident import Source
 
@@ -92,13 +92,16 @@
         lstrip_blocks=True,
     )
     environment.filters.update(clock=clock, span=span, sentence=sentence, some=some)
+    fleet = tell_fleet(course)
     loud = [one for one in verdict.findings if one.what not in QUIET]
     steps_told = steps(analysis)
     drawn = {
         "lanes": charts.lanes(course, verdict, cause) if course.stints else "",
         "service": charts.service(course, verdict, cause),
         "believed": charts.believed(course, verdict, cause),
-        "shares": charts.shares(course, cause),
+        "shares": fleetcharts.shares(course, cause),
+        "rulebook": fleetcharts.rulebook(course, cause),
+        "retirement": fleetcharts.retirement(course, fleet, cause),
     }
     clocks = clock_rows(course)
     return environment.get_template("incident.html").render(
@@ -125,6 +128,6 @@
         refusals=refusals[:MOST_ROWS],
         refused=sum(source.refused for source in sources),
         What=What,
-        fleet=tell_fleet(course).told[:MOST_ROWS],
+        fleet=fleet.told[:MOST_ROWS],
         runs=sum(len(stints) for stints in course.stints.values()),
     )
--- /dev/null
+++ b/ringshift/wire/retiring.py
@@ -0,0 +1,183 @@
+"""A retirement at the keeper, as etcd v3 calls: rows of backends, the fleet's counts, the ramp's position.
+
+Under `/ringshift/retire/NAME/` lie `rows/BACKEND`, what one backend tells; `state`, the ramp's position, read
+by every backend; `counts`, the warnings of backends that are no more, read by the ramp's holder only, so that
+a refresh stays small; `word`, an operator's pause. A backend's refresh is one transaction: its row put, the
+state read. What the holder writes holds only while the lease's key is at its token, and `state`, `counts` and
+`word` are as it read them: so the keeper is the fence, a holder that was stalled writes nothing, and no step
+overtakes a pause that was there before it.
+
+**A warning is counted once.** A row's counts are all of its backend's, so one that is put again adds nothing.
+The row of a backend that is no more is added to `counts` and deleted in one transaction, which compares the
+row as read; a backend that was only silent finds by the compare of its next refresh that its row went, and
+begins another from nothing. A backend's first row has no counts: where its answer was lost, nothing could be
+told twice. Blocking calls, for threads.
+"""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from ringshift.retirement.figures import Figures
+from ringshift.retirement.position import Position
+from ringshift.retirement.warn import Counted, Counts
+from ringshift.wire.keeper import KeeperLink, b64
+
+MOST_FOLDED = 60  # rows in one transaction: a compare and a write each, and etcd takes 128 of either
+MOST_NAME = 200  # characters of a backend's name
+MOST_ROW = 512 * 1024  # bytes
+
+
+class Row(msgspec.Struct, frozen=True):
+    """What one backend tells. `n`: a number that grows with each; `warned`: by caller, since the row was
+    begun; `leaving`: its last."""
+
+    n: int
+    figures: Figures = Figures()
+    warned: dict[int, Counted] = {}
+    leaving: bool = False
+
+
+class Word(msgspec.Struct, frozen=True):
+    """An operator's: no step is moved while `paused`."""
+
+    paused: bool = False
+    reason: str = ""
+    author: str = ""
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Of a row's putting. `created`: the row's create revision, 0 where it went."""
+
+    created: int
+    position: Position | None
+
+
+@dataclass(frozen=True)
+class Held:
+    """All that the keeper has of one retirement, read at once; revisions are 0 of what isn't there."""
+
+    rows: Mapping[str, Row] = field(default_factory=dict)
+    revisions: Mapping[str, int] = field(default_factory=dict)
+    position: Position | None = None
+    revision: int = 0
+    counts: Counts = field(default_factory=dict)
+    counts_revision: int = 0
+    word: Word = Word()
+    word_revision: int = 0
+
+
+def read_row(backend: str, data: bytes) -> Row | None:
+    """None for what is no row: whoever wrote it is not counted."""
+    try:
+        if len(backend) > MOST_NAME or len(data) > MOST_ROW:
+            return None
+        return msgspec.json.decode(data, type=Row)
+    except ValueError:
+        return None
+
+
+def found(response: dict[str, Any]) -> list[dict[str, Any]]:
+    kvs: list[dict[str, Any]] = response["response_range"].get("kvs", [])
+    return kvs
+
+
+def value(kv: dict[str, Any]) -> bytes:
+    return base64.b64decode(kv.get("value", ""))
+
+
+def ranged(key: str) -> dict[str, Any]:
+    return {"request_range": {"key": b64(key.encode())}}
+
+
+def put(key: str, data: bytes) -> dict[str, Any]:
+    return {"request_put": {"key": b64(key.encode()), "value": b64(data)}}
+
+
+def deleted(key: str) -> dict[str, Any]:
+    return {"request_delete_range": {"key": b64(key.encode())}}
+
+
+def at_revision(key: str, revision: int) -> dict[str, Any]:
+    return {"key": b64(key.encode()), "result": "EQUAL", "target": "MOD", "mod_revision": str(revision)}
+
+
+class RetireLink(KeeperLink):
+    """Raises whatever the client raises where the keeper does not answer, ValueError where it answers oddly:
+    a position that can't be read is never taken for none."""
+
+    @staticmethod
+    def prefix(name: str) -> str:
+        return f"/ringshift/retire/{name}/"
+
+    def put(self, name: str, backend: str, row: Row, created: int) -> Answer:
+        """The row put, where it is at its create revision `created` still (0: nowhere yet). Where one is
+        there although `created` is 0, an earlier first was put: its revision is answered, nothing is put."""
+        prefix = self.prefix(name)
+        key = f"{prefix}rows/{backend}"
+        reads = [ranged(f"{prefix}state"), ranged(key)]
+        answer = self.call("/kv/txn", {
+            "compare": [{"key": b64(key.encode()), "result": "EQUAL", "target": "CREATE",
+                         "create_revision": str(created)}],
+            "success": [put(key, msgspec.json.encode(row)), *reads], "failure": reads,
+        })  # fmt: skip
+        state, mine = (found(one) for one in answer["responses"][-2:])
+        there = int(mine[0]["create_revision"]) if mine else 0
+        position = msgspec.json.decode(value(state[0]), type=Position) if state else None
+        return Answer(there if answer.get("succeeded") or not created else 0, position)
+
+    def read(self, name: str) -> Held:
+        prefix = self.prefix(name)
+        place, end = f"{prefix}rows/", f"{prefix}rows0"  # '0' follows '/'
+        rows_range = {"request_range": {"key": b64(place.encode()), "range_end": b64(end.encode())}}
+        singles = [ranged(prefix + one) for one in ("state", "counts", "word")]
+        answer = self.call("/kv/txn", {"compare": [], "failure": [], "success": [rows_range, *singles]})
+        rows, revisions = dict[str, Row](), dict[str, int]()
+        listed, state, counts, word = (found(one) for one in answer["responses"])
+        for kv in listed:
+            backend = base64.b64decode(kv["key"]).decode(errors="replace").removeprefix(place)
+            if row := read_row(backend, value(kv)):
+                rows[backend], revisions[backend] = row, int(kv["mod_revision"])
+        return Held(
+            rows, revisions,
+            msgspec.json.decode(value(state[0]), type=Position) if state else None,
+            int(state[0]["mod_revision"]) if state else 0,
+            msgspec.json.decode(value(counts[0]), type=dict[int, Counted]) if counts else {},
+            int(counts[0]["mod_revision"]) if counts else 0,
+            msgspec.json.decode(value(word[0]), type=Word) if word else Word(),
+            int(word[0]["mod_revision"]) if word else 0,
+        )  # fmt: skip
+
+    def write(self, name: str, task_key: bytes, token: int, held: Held, position: Position | None = None,
+              counts: Counts | None = None, gone: Iterable[str] = ()) -> bool:  # fmt: skip
+        """Whether it was written; not where the lease is another's by now, or what it was decided on changed
+        since `held` was read. Rows may have, but for those of `gone`: they go, added up in `counts`."""
+        prefix = self.prefix(name)
+        compares = [*self.fence(task_key, token), at_revision(f"{prefix}state", held.revision),
+                    at_revision(f"{prefix}counts", held.counts_revision),
+                    at_revision(f"{prefix}word", held.word_revision)]  # fmt: skip
+        writes = list[dict[str, Any]]()
+        if position is not None:
+            writes.append(put(f"{prefix}state", msgspec.json.encode(position)))
+        if counts is not None:
+            writes.append(put(f"{prefix}counts", msgspec.json.encode(dict(counts))))
+        for backend in gone:
+            compares.append(at_revision(f"{prefix}rows/{backend}", held.revisions[backend]))
+            writes.append(deleted(f"{prefix}rows/{backend}"))
+        answer = self.call("/kv/txn", {"compare": compares, "success": writes, "failure": []})
+        return bool(answer.get("succeeded"))
+
+    @staticmethod
+    def fence(task_key: bytes, token: int) -> list[dict[str, Any]]:
+        return [{"key": b64(task_key), "result": "EQUAL", "target": "CREATE", "create_revision": str(token)}]
+
+    def say(self, name: str, word: Word) -> None:
+        """An operator's word: whatever is written after it was decided with it."""
+        key = f"{self.prefix(name)}word"
+        self.call("/kv/put", {"key": b64(key.encode()), "value": b64(msgspec.json.encode(word))})
