--- a/benchmarks/recording.py
+++ b/benchmarks/recording.py
@@ -46,8 +46,13 @@
         keep = f'folder = "{folder}/ring"\n' if way == "store" else ""
         told.write_text(f"[records]\nlines = true\n{keep}")
         environ["RINGSHIFT_SETTINGS"] = str(told)
+    return served(environ, calls, seed)
+
+
+def served(environ: dict[str, str], calls: int, seed: int, ready: str = "serving") -> tuple[float, float]:
+    """The same of a backend with that environment, from its log line that holds `ready` on."""
     with Room(Agent(lambda job, kind, body: (0.0, "good", body)), environ=environ) as room:
-        room.line("serving")
+        room.line(ready)
         random, pid = Random(seed), room.process.pid
         links = [Link(room.address()) for _ in range(4)]
         warm = [gevent.spawn(ask, links[i % 4], 300, random.getrandbits(32)) for i in range(8)]
@@ -95,6 +100,27 @@
     return told
 
 
+Seen = dict[str, list[tuple[float, float]]]
+"""Way -> of each round what `served` gives; the first way is what the others are held against."""
+
+
+def last(seen: Seen) -> str:
+    return ", ".join(f"{way} {costs[-1][0]:.0f} us {costs[-1][1]:.1f} MB" for way, costs in seen.items())
+
+
+def table(what: str, seen: Seen) -> None:
+    print(f"\n| {what} | CPU an invocation, us | against off | peak memory, MB |\n| --- | --- | --- | --- |")
+    first = next(iter(seen.values()))
+    base = statistics.median(cost for cost, _ in first)
+    for way, costs in seen.items():
+        cost = statistics.median(cost for cost, _ in costs)
+        pairs = [on / off - 1 for (on, _), (off, _) in zip(costs, first, strict=True)]
+        print(
+            f"| {way} | {cost:.0f} | {cost / base - 1:+.1%} (pairs {min(pairs):+.1%} to {max(pairs):+.1%}) | "
+            f"{statistics.median(memory for _, memory in costs):.1f} |"
+        )
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=8)
@@ -111,20 +137,8 @@
         for way in order:
             with tempfile.TemporaryDirectory() as folder:
                 seen[way].append(serve(way, calls, seed, Path(folder)))
-        print(
-            f"round {index + 1} of {rounds}: "
-            + ", ".join(f"{way} {seen[way][-1][0]:.0f} us {seen[way][-1][1]:.1f} MB" for way in WAYS),
-            flush=True,
-        )
-    print("\n| records | CPU an invocation, us | against off | peak memory, MB |\n| --- | --- | --- | --- |")
-    base = statistics.median(cost for cost, _ in seen["off"])
-    for way in WAYS:
-        cost = statistics.median(cost for cost, _ in seen[way])
-        pairs = [on / off - 1 for (on, _), (off, _) in zip(seen[way], seen["off"], strict=True)]
-        print(
-            f"| {way} | {cost:.0f} | {cost / base - 1:+.1%} (pairs {min(pairs):+.1%} to {max(pairs):+.1%}) | "
-            f"{statistics.median(memory for _, memory in seen[way]):.1f} |"
-        )
+        print(f"round {index + 1} of {rounds}: {last(seen)}", flush=True)
+    table("records", seen)
     if not told.short:
         for name, (modules, peak) in imports().items():
             print(f"{name}: {modules} modules loaded, {peak:.1f} MB at the peak once imported")
