--- a/standins/fleet/budgets.py
+++ b/standins/fleet/budgets.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 import time
 from dataclasses import dataclass, field
@@ -23,7 +22,7 @@
 from ringshift.wire.shares import write_ledger
 from standins.fleet.dependency import Dependency
 from standins.fleet.harness import Fault, Fleet, Script
-from standins.fleet.proxy import DOWN, UP, Proxy
+from standins.fleet.proxy import DOWN, UP
 
 KINDS = ["stop", "kill", "delay", "blackhole", "blackhole_up", "blackhole_down", "cut", "cut_mid", "refuse",
          "keeper_kill", "keeper_stop", "join", "leave", "partition", "stop", "kill"]  # fmt: skip
@@ -140,29 +139,7 @@
     def join(self) -> None:
         if self.alive() >= self.terms.most or self.ending:
             return  # the operators' promise: never more than the largest fleet stated
-        number = len(self.holders)
-        self.proxies.append(Proxy(("127.0.0.1", self.keeper_port)))
-        self.addresses.append(self.proxies[number].start())
-        self.holders.append(None)
-        self.holders[number] = self.start_holder(number)
-
-    def leave(self, number: int) -> None:
-        process = self.holders[number]
-        if process is not None and process.poll() is None:
-            process.send_signal(signal.SIGTERM)
-            gevent.spawn(self.gone, number, process)
-
-    def gone(self, number: int, process: subprocess.Popen[bytes]) -> None:
-        process.wait()
-        if self.holders[number] is process:
-            self.holders[number] = None
-
-    def replace(self, number: int) -> None:
-        self.leave(number)
-        while self.holders[number] is not None and not self.ending:
-            gevent.sleep(0.02)
-        if not self.ending:
-            self.holders[number] = self.start_holder(number)
+        self.add()
 
     def restart_holder(self, number: int) -> None:
         # As before, but for a fleet that is full by now.
