--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 	touch $@
 
 test: build
-	$(PYTHON) -m pytest -q -p no:cacheprovider -n 4 --dist loadgroup
+	$(PYTHON) -m pytest -q -p no:cacheprovider -m alone
+	$(PYTHON) -m pytest -q -p no:cacheprovider -m "not alone" -n 4 --dist loadgroup
 
 lint: build
 	.venv/bin/ruff check .
--- a/tests/schedule/test_timetable.py
+++ b/tests/schedule/test_timetable.py
@@ -174,6 +174,7 @@
     assert sorted(c.rate for c in one.clauses() if not c.away) == [5.0, 10.0]
 
 
+@pytest.mark.alone
 def test_a_look_costs_what_is_near_and_not_what_the_book_holds() -> None:
     def looked(count: int) -> float:
         far = [row(f"n{n}", 1_000 + 20 * n, 1_010 + 20 * n) for n in range(count)]
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -149,6 +149,7 @@
     assert follower.poll() == []
 
 
+@pytest.mark.alone
 def test_three_hundred_servers_without_lag() -> None:
     """A step of the whole table is well under what a person takes for a stall, on a slow machine too."""
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -496,6 +496,7 @@
         assert len(room.announce.reports) <= reports + 1  # one may have been on its way
 
 
+@pytest.mark.alone
 def test_all_is_answered_by_the_kill() -> None:
     with Room(stop_ms=900.0) as room:
         sidecar = room.serving()
--- a/tests/test_rules_fleet.py
+++ b/tests/test_rules_fleet.py
@@ -171,6 +171,7 @@
 }  # fmt: skip
 
 
+@pytest.mark.alone
 def test_each_planted_bug_is_named_and_the_same_script_without_it_is_right(tmp_path: Path) -> None:
     jobs = {bug: gevent.spawn(played, script, tmp_path / bug, bug) for bug, (_, script) in PLANTED.items()}
     # Of those that share a script, once without.
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -16,6 +16,7 @@
 STAGED = [("kill+hung", 101), ("cold", 102), ("drain+announce", 103), ("slow+gap", 104)]
 
 
+@pytest.mark.alone
 def test_staged_incidents_are_told_as_they_were(tmp_path: Path) -> None:
     """Four at once, so that all of them last as long as one. What is told beyond the truth is not held
     against the report here: on a crowded machine a server that truly stood still is told so."""
