Whoever was turned away at a share is so again when it comes back, counts lost or not

Excluded: a lot salted by backend, an edition undone (each backend's editions only grew). At fault: `Ramp.decide`, which knew only the last decision and the counts. Change: a backend tells whom an earlier decision of its turned away and this one does not, until the keeper has them down (`OWED`, `Position.kept`); no step moves before, as a step waits for all to act by the decision before it.

--- a/ringshift/lifecycle/retiring.py
+++ b/ringshift/lifecycle/retiring.py
@@ -119,10 +119,12 @@
             else:
                 self.created = answer.created
         decided = None if answer.position is None else answer.position.decided
-        if self.follower.answered(decided, sent, now):
+        acts = self.follower.answered(decided, sent, now)
+        if acts:
             self.begin()
-            return True
-        return False
+        if answer.position is not None:
+            self.tally.down(answer.position.kept)
+        return acts
 
 
 class Retiring:
--- a/ringshift/retirement/figures.py
+++ b/ringshift/retirement/figures.py
@@ -27,6 +27,9 @@
     """Callers turned away by the decision that were served by the successor here since it was heard."""
     share: int = 0
     """Millionths that the decision turns away."""
+    owed: frozenset[int] = frozenset()
+    """Callers turned away by a decision acted by before, not by this one, that the keeper is not known to
+    have down (`Position.kept`)."""
 
 
 class Half:
@@ -41,13 +44,21 @@
         self.half, self.began = stretch // 2, now
         self.this, self.before = Half(), Half()
         self.ready: frozenset[int] = frozenset()
+        self.owed: frozenset[int] = frozenset()
         self.moved: set[int] = set()
 
     def decided(self, ready: frozenset[int]) -> None:
-        """Another decision is acted by: whoever moved earlier and is still turned away stays counted."""
+        """Another decision is acted by: whoever moved earlier and is still turned away stays counted. Whoever
+        is not any more is told: after a step back the fleet's counts name them still, but a keeper that lost
+        its data may have lost those."""
+        self.owed = (self.owed | self.ready) - ready
         self.ready = ready
         self.moved &= ready
 
+    def down(self, kept: frozenset[int]) -> None:
+        """The keeper has them down."""
+        self.owed -= kept
+
     def turn(self, now: int) -> None:
         halves = (now - self.began) // self.half
         if halves > 0:
@@ -76,4 +87,4 @@
         self.turn(now)
         a, b = self.this, self.before
         return Figures(edition, a.old + b.old, a.new + b.new, a.errors + b.errors, a.shed + b.shed,
-                       frozenset(self.moved), share)  # fmt: skip
+                       frozenset(self.moved), share, self.owed)  # fmt: skip
--- a/ringshift/retirement/judge.py
+++ b/ringshift/retirement/judge.py
@@ -42,6 +42,8 @@
     highest: int = 0
     """Highest edition that any row names, fresh or not, and the least share told with it."""
     share: int = 0
+    owed: frozenset[int] = frozenset()
+    """Callers that some row says were turned away before."""
 
 
 @dataclass(frozen=True)
@@ -77,7 +79,8 @@
             if at is not None and now - at <= self.fresh
         }
         highest, share = max(((told.edition, -told.share) for _, told in rows.values()), default=(0, 0))
-        return Seen(len(rows), figures, highest, -share)
+        owed = frozenset[int]().union(*(told.owed for _, told in rows.values()))
+        return Seen(len(rows), figures, highest, -share, owed)
 
     def aged(self, name: str, n: int, now: int) -> tuple[int, int | None]:
         had = self.last.get(name)
--- a/ringshift/retirement/position.py
+++ b/ringshift/retirement/position.py
@@ -27,6 +27,9 @@
     """When callers were last added to a rung."""
     why: str = ""
     """The word and the finding that led here."""
+    kept: frozenset[int] = frozenset()
+    """Callers that some decision of this timeline turned away and a later one did not, as backends told
+    (`Figures.owed`): turned away again wherever the share comes back to them, whatever counts were lost."""
 
 
 @dataclass(frozen=True)
--- a/ringshift/retirement/ramp.py
+++ b/ringshift/retirement/ramp.py
@@ -31,10 +31,11 @@
 from ringshift.retirement.warn import MOST_CALLERS, Counts, cut, ready
 
 Word = IntEnum(
-    "Word", "GONE LOST ANNOUNCE WARN LIGHT WORSE STOP CONFIRMED BAD SHORT AGAIN DARK LAST DUE MORE"
+    "Word", "GONE LOST OWED ANNOUNCE WARN LIGHT WORSE STOP CONFIRMED BAD SHORT AGAIN DARK LAST DUE MORE"
 )
 # The first that holds is heard. GONE: no more in the rulebook; LOST: a backend acts by an edition above the
-# keeper's, which lost data: all are brought to one again, by the lesser share of both; ANNOUNCE, WARN: their
+# keeper's, which lost data: all are brought to one again, by the lesser share of both; OWED: backends tell of
+# callers turned away before, whom the keeper does not have down; ANNOUNCE, WARN: their
 # dates have come (WARN also where a ramp without a rung goes on); LIGHT: a brownout is over, or must be;
 # WORSE: stood long enough; STOP: by operators; CONFIRMED: all fresh ones act by the decision; BAD: or
 # unheard, stood long enough; SHORT: a rung is due, but what it asks for doesn't hold; AGAIN: a pause may end;
@@ -44,6 +45,7 @@
 # phases | words | next phase | effect. What is missing changes nothing.
 SPECIFICATION = """
 PLANNED ANNOUNCED WARNING BROWNOUT SHEDDING HOLDING PAUSED STEPPING_BACK ENDED | LOST | = | unite
+PLANNED ANNOUNCED WARNING BROWNOUT SHEDDING HOLDING PAUSED STEPPING_BACK ENDED | OWED | = | put_down
 PLANNED                             | ANNOUNCE      | ANNOUNCED     |
 ANNOUNCED                           | WARN          | WARNING       |
 WARNING                             | DARK          | BROWNOUT      | darken
@@ -84,6 +86,7 @@
     counts: Counts = field(default_factory=dict)
     highest: int = 0
     acted: int = 0  # share of the highest edition that a row names
+    owed: frozenset[int] = frozenset()  # callers that rows say were turned away before
     cut: int = WHOLE  # lot up to which all callers are counted
     stopped: bool = False
     word: Word | None = None
@@ -96,6 +99,7 @@
             self.stands.clear()  # not looked at meanwhile: nothing is known to have stood
         self.now, self.stopped = max(now, self.now), stopped
         self.counts, self.acted = counts, seen.share
+        self.owed = self.lowest(self.position.kept | seen.owed) - self.position.kept
         self.highest = max(seen.highest, self.position.decided.edition)
         self.weigh(seen)
         self.word = self.next_word()
@@ -197,6 +201,8 @@
                 return self.position.decided.key not in (0, key(line))  # another of the same name
             case Word.LOST:
                 return self.highest > self.position.decided.edition
+            case Word.OWED:
+                return bool(self.owed)
             case Word.ANNOUNCE:
                 return now >= ns(line.announced)
             case Word.WARN:
@@ -240,14 +246,21 @@
             after = msgspec.structs.replace(after, phase=phase.name, since=self.now)
         return getattr(self, effect)(after) if effect else after
 
+    def lowest(self, callers: frozenset[int]) -> frozenset[int]:
+        """Under the bound, those drawn first."""
+        if len(callers) <= MOST_CALLERS or self.timeline is None:
+            return callers
+        lots = key(self.timeline)
+        return frozenset(sorted(callers, key=lambda caller: lot(lots, caller))[:MOST_CALLERS])
+
     def decide(self, after: Position, rung: int, share: int, until: int = 0) -> Position:
         """A decision under the next edition, above every one that any row names: a keeper restored from an
         older copy may hold a lower one than the backends. Whoever was turned away at a share stays so."""
         assert self.timeline is not None
         one, lots = self.position.decided, key(self.timeline)
-        kept = frozenset(caller for caller in one.ready if one.key == lots and lot(lots, caller) < share)
-        callers = kept | ready(self.counts, self.timeline.floor, lots, share)
-        callers = frozenset(sorted(callers, key=lambda caller: lot(lots, caller))[:MOST_CALLERS])
+        before = after.kept | one.ready if one.key == lots else after.kept
+        kept = frozenset(caller for caller in before if lot(lots, caller) < share)
+        callers = self.lowest(kept | ready(self.counts, self.timeline.floor, lots, share))
         decided = Decided(self.highest + 1, lots, rung, share, until, callers)
         return msgspec.structs.replace(after, decided=decided)
 
@@ -263,6 +276,16 @@
         rung = sum(least <= share for _, least, _ in self.timeline.rungs[:-1])
         return msgspec.structs.replace(self.decide(after, rung, share, one.until), held=0, since=self.now)
 
+    def put_down(self, after: Position) -> Position:
+        """Kept for when the share comes back to them, and turned away at once where it already has."""
+        assert self.timeline is not None
+        one, lots = self.position.decided, key(self.timeline)
+        kept = self.lowest(after.kept | self.owed)
+        after = msgspec.structs.replace(after, kept=kept)
+        if all(caller in one.ready or lot(lots, caller) >= one.share for caller in kept):
+            return after
+        return self.decide(after, one.rung, one.share, one.until)
+
     def darken(self, after: Position) -> Position:
         assert self.timeline is not None
         hours = self.timeline.dark(self.now)
@@ -298,4 +321,5 @@
     def withdraw(self, after: Position) -> Position:
         """Nobody is turned away; the editions go on."""
         lots = key(self.timeline) if self.timeline else self.position.decided.key
-        return msgspec.structs.replace(after, decided=Decided(self.highest + 1, lots), held=0)
+        decided = Decided(self.highest + 1, lots)
+        return msgspec.structs.replace(after, decided=decided, held=0, kept=frozenset())
--- a/tests/retirement/test_figures.py
+++ b/tests/retirement/test_figures.py
@@ -75,3 +75,16 @@
     fresh.look(0, {name: (1, told) for name, (_, told) in rows.items()})
     told = summed(fresh.look(1, rows), 4, frozenset((1, 2, 3, 5)))
     assert (told.moved, told.ready, told.behind, told.fresh) == (3, 4, 1, 2)
+
+
+def test_whoever_is_not_turned_away_any_more_is_told_until_the_keeper_has_it_down() -> None:
+    tally = Tally(10 * S, 0)
+    tally.decided(frozenset({1, 2, 3}))
+    assert tally.figures(0, 1).owed == frozenset()
+    tally.decided(frozenset({2}))
+    tally.decided(frozenset())
+    assert tally.figures(0, 3).owed == {1, 2, 3}
+    tally.down(frozenset({1, 9}))
+    assert tally.figures(0, 3).owed == {2, 3}
+    tally.decided(frozenset({2}))
+    assert tally.figures(0, 4).owed == {3}
--- a/tests/retirement/test_ramp.py
+++ b/tests/retirement/test_ramp.py
@@ -32,6 +32,7 @@
         self.n = dict.fromkeys(range(10), 1)
         self.beat_at = dict.fromkeys(range(10), -(10**18))
         self.errors, self.silent, self.deaf, self.still = 0, set[int](), set[int](), False
+        self.owed = frozenset[int]()
         self.stopped, self.counts = False, dict(READY)
         self.words = list[tuple[Phase, Word]]()
         self.replace()
@@ -49,7 +50,7 @@
         return {
             str(one): (self.n[one], Figures(
                 told.edition, 60 * (WHOLE - told.share) // WHOLE, 100, self.errors, 0,
-                frozenset() if self.still else told.ready, told.share))
+                frozenset() if self.still else told.ready, told.share, self.owed - self.position.kept))
             for one, told in self.acts.items()
         }  # fmt: skip
 
@@ -256,6 +257,36 @@
     assert fleet.position.decided.edition == 9 and fleet.position.decided.rung == 1
 
 
+def test_whoever_was_turned_away_is_so_again_at_that_share_though_the_counts_were_lost() -> None:
+    """Seen in a script: the keeper came back from a copy made before the step and the counts behind it."""
+    fleet = standing(Phase.HOLDING, 1, edition=7, now=SECOND, held=DAY)
+    away = fleet.position.decided.ready
+    fleet.position, fleet.counts = Position(Decided(2, KEY, 0, 0), "WARNING", FIRST), {}
+    fleet.replace()
+    fleet.deaf = set(fleet.acts)
+    fleet.look()
+    fleet.deaf, fleet.owed = set(), away  # they hear of the lower share, and tell whom they turned away
+    fleet.look()
+    assert [word for _, word in fleet.words] == [Word.LOST, Word.OWED]
+    assert fleet.position.kept == away and fleet.position.decided.edition == 8
+    fleet.run(2 * DWELL)
+    assert fleet.position.decided.rung == 1 and fleet.position.decided.ready == away != frozenset()
+
+
+def test_callers_told_of_late_are_turned_away_at_once_where_the_share_has_come_back_already() -> None:
+    fleet = standing(Phase.HOLDING, 1, edition=7, now=FIRST + DAY)
+    away = fleet.position.decided.ready
+    fleet.counts = {}
+    fleet.position = Position(Decided(7, KEY, 1, 200_000), "HOLDING", FIRST + DAY)
+    fleet.acts, fleet.owed = dict.fromkeys(range(10), fleet.position.decided), away | {500}
+    fleet.replace()
+    fleet.look()
+    assert fleet.words == [(Phase.HOLDING, Word.OWED)] and fleet.position.kept == away | {500}
+    assert fleet.position.decided.edition == 8
+    assert fleet.position.decided.ready == {one for one in away | {500} if lot(KEY, one) < 200_000}
+    assert fleet.look() is None  # told once
+
+
 def test_a_keeper_that_lost_a_step_back_does_not_move_on_by_it() -> None:
     fleet = standing(Phase.HOLDING, 2, edition=7, now=SECOND)
     fleet.acts = dict.fromkeys(range(10), Decided(9, KEY, 1, 200_000))
@@ -298,7 +329,8 @@
         plain.at(at, 4 * DWELL)
     walked |= set(plain.words)
     for phase in Phase:
-        for how in ("none", "worse", "deaf", "bad", "silent", "stopped", "still", "gone", "more", "lost"):
+        for how in ("none", "worse", "deaf", "bad", "silent", "stopped", "still", "gone", "more", "lost",
+                    "owed"):  # fmt: skip
             for rung in (0, 1, 2):
                 fleet = standing(phase, rung, now=SECOND, held=2 * DAY)
                 fleet.errors = {"worse": 50, "deaf": 50, "bad": 5}.get(how, 0)
@@ -310,6 +342,8 @@
                     fleet.counts[min(range(1000, 2000), key=lambda caller: lot(KEY, caller))] = READY[0]
                 if how == "lost":
                     fleet.acts, fleet.deaf = dict.fromkeys(range(10), Decided(9)), {0}
+                if how == "owed":
+                    fleet.owed = frozenset({1})
                 if how == "gone":
                     fleet.line = None
                     fleet.replace()
