Schedule: chained moves, rings and unserved targets are refused; the part told is true

Need: whole moves p to q and q to r were accepted though q sends on what came from p (160 at a place of 100); a ring of moves and a move to where the operation isn't served were accepted; of several shares the part told was that of two, not of all it takes. Change: rules CHAINED, RING and UNSERVED with reasons (moving.py); a move may arrive as another operation (a retirement's successor); the witness is what the rule can't do without, the part where all of it meets, others told as `with` (witness.py); the message prints the part.

--- a/ringshift/retirement/plan.py
+++ b/ringshift/retirement/plan.py
@@ -31,15 +31,16 @@
 
 def changes(timeline: Timeline, world: World | None = None) -> list[Change]:
     """What the timeline brings by its dates: for each part a quota of what is left of the operation (rounded
-    up, 0 where no load is stated), and a move of what the part adds for each place of `onto`. Names are
-    `retire:NAME:FROM` and `retire:NAME:FROM:PLACE`, FROM in ns."""
+    up, 0 where no load is stated), and a move of what the part adds for each place of `onto`, where it is
+    served as the successor. Names are `retire:NAME:FROM` and `retire:NAME:FROM:PLACE`, FROM in ns."""
     loads = world.load if world else {}
     load = sum(rate for (operation, _, _), rate in loads.items() if operation == timeline.operation)
     scope = Scope(frozenset((timeline.operation,)))
     found = list[Change]()
     for start, end, share, added in parts(timeline):
         does: list[tuple[str, Does]] = [("", Quota(-(-load * (WHOLE - share) // WHOLE)))]
-        does += [(f":{one.source}", Move(added, one.source, one.target)) for one in timeline.onto]
+        does += [(f":{one.source}", Move(added, one.source, one.target, timeline.successor))
+                 for one in timeline.onto]  # fmt: skip
         name = f"{PREFIX}{timeline.name}:{start}"
         found += [Change(name + place, scope, it, start, end) for place, it in does]
     return found
--- a/ringshift/schedule/change.py
+++ b/ringshift/schedule/change.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from fractions import Fraction
 from typing import Literal
 
 WHOLE = 1_000_000  # a share of one, in millionths
+FIELDS = ("operations", "customers", "places")
+FEW = 4  # names told of one field
 
 
 class All(Enum):
@@ -39,6 +41,12 @@
     return isinstance(names, All) or name in names
 
 
+def named(names: Iterable[str]) -> str:
+    """For people: the first few, and how many more."""
+    told = sorted(names)
+    return ", ".join(told[:FEW]) + (f" and {len(told) - FEW} more" if len(told) > FEW else "")
+
+
 @dataclass(frozen=True)
 class Scope:
     """Every invocation of one of `operations`, by one of `customers`, that arrives at one of `places`."""
@@ -48,7 +56,7 @@
     places: Names = ALL
 
     def __post_init__(self) -> None:
-        for name, names in zip(("operations", "customers", "places"), self.parts, strict=True):
+        for name, names in zip(FIELDS, self.parts, strict=True):
             if not names:
                 raise ChangeError(f"scope.{name}: empty; name at least one, or all")
 
@@ -61,14 +69,26 @@
         parts = [common(a, b) for a, b in zip(self.parts, other.parts, strict=True)]
         return Scope(*parts) if all(parts) else None
 
+    def __str__(self) -> str:
+        told = [f"{field} {named(names)}" for field, names in zip(FIELDS, self.parts, strict=True)
+                if not isinstance(names, All)]  # fmt: skip
+        return "; ".join(told) or "everywhere"
+
+    @property
+    def order(self) -> list[tuple[bool, list[str]]]:
+        """By which scopes are sorted: every name first."""
+        return [(False, []) if isinstance(names, All) else (True, sorted(names)) for names in self.parts]
+
 
 @dataclass(frozen=True)
 class Move:
-    """`share` (millionths) of what is served at `source` goes to `target` instead."""
+    """`share` (millionths) of what is served at `source` goes to `target` instead. `served_as`: the operation
+    that the target serves it as, where that is another one (a retired one's successor); "": the same."""
 
     share: int
     source: str
     target: str
+    served_as: str = ""
 
     def __post_init__(self) -> None:
         if not 0 < self.share <= WHOLE:
--- a/ringshift/schedule/rules.py
+++ b/ringshift/schedule/rules.py
@@ -17,7 +17,20 @@
 from fractions import Fraction
 from functools import partial
 
-from ringshift.schedule.change import ALL, WHOLE, All, Change, Drain, Freeze, Move, Scope, World, within
+from ringshift.schedule.change import (
+    ALL,
+    WHOLE,
+    All,
+    Change,
+    Drain,
+    Freeze,
+    Move,
+    Scope,
+    World,
+    named,
+    within,
+)
+from ringshift.schedule.moving import arrived, onward
 
 
 class Rule(IntEnum):
@@ -27,19 +40,26 @@
     ENDS_LATE = 2
     FROZEN = 3
     TWO_WAYS = 4
-    INTO_DRAINED = 5
-    LAST_PLACE = 6
-    SHARES = 7
-    CAPACITY = 8
-    CLOSE = 9
+    RING = 5
+    CHAINED = 6
+    INTO_DRAINED = 7
+    UNSERVED = 8
+    LAST_PLACE = 9
+    SHARES = 10
+    CAPACITY = 11
+    CLOSE = 12
 
 
 REASONS = {
     Rule.CYCLE: "each waits for the other, so none would ever begin",
-    Rule.ENDS_LATE: "it begins before a change that it requires has ended, or requires one that isn't there",
+    Rule.ENDS_LATE: "it begins before a change that it requires has ended, or requires one that isn't in the "
+    "book (one that is over goes from it: what it was required for holds, so leave that out)",
     Rule.FROZEN: "nothing else may change where and while a freeze holds",
     Rule.TWO_WAYS: "one invocation can't be sent to two places, nor there and back",
+    Rule.RING: "what is sent round from place to place comes back to where it began, and is served nowhere",
+    Rule.CHAINED: "what one brings to a place the other sends on with the rest, to a place not asked for it",
     Rule.INTO_DRAINED: "what is moved into a drained place would be served nowhere",
+    Rule.UNSERVED: "it is moved to a place that doesn't serve the operation",
     Rule.LAST_PLACE: "an operation whose last place is drained is served nowhere",
     Rule.SHARES: "more than the whole can't be moved away from a place",
     Rule.CAPACITY: "a place asked for more than it can take turns away its own callers as well",
@@ -51,7 +71,7 @@
 class Broken:
     """`first` and `second` are names in order, the same where one change breaks the rule alone. `rule` is
     CLOSE where the two windows themselves don't meet at `instant` (ns), and `beneath` then what they would
-    break."""
+    break. `part`: where they break it at that instant. `beside`: others that they need for it, in order."""
 
     rule: Rule
     beneath: Rule
@@ -59,25 +79,35 @@
     second: str
     instant: int
     part: Scope
+    beside: tuple[str, ...] = ()
 
     def __str__(self) -> str:
-        return (f"{self.first} and {self.second} contradict at {self.instant} ns ({self.rule.name.lower()}): "
-                f"{REASONS[self.rule]}")  # fmt: skip
-
-
-def two(a: Change, b: Change) -> Rule | None:
-    """The rule that two changes break by being in force at once."""
-    if a.scope.meets(b.scope) is None and through(a, b) is None:
-        return None
-    if isinstance(a.does, Freeze) or isinstance(b.does, Freeze):
-        return None if isinstance(a.does, Freeze) and isinstance(b.does, Freeze) else Rule.FROZEN
-    if isinstance(a.does, Move) and isinstance(b.does, Move):
-        apart = a.does.source == b.does.source and a.does.target != b.does.target
-        back = a.does.source == b.does.target and b.does.source == a.does.target
-        return Rule.TWO_WAYS if apart or back else None
-    for move, drain in ((a.does, b.does), (b.does, a.does)):
-        if isinstance(move, Move) and isinstance(drain, Drain) and move.target == drain.place:
-            return Rule.INTO_DRAINED
+        names = self.first if self.first == self.second else f"{self.first} and {self.second}"
+        names += f", with {named(self.beside)}," if self.beside else ""
+        return (f"{names} contradict{'s itself' * (self.first == self.second)} at {self.instant} ns "
+                f"({self.rule.name.lower()}; {self.part}): {REASONS[self.rule]}")  # fmt: skip
+
+
+def two(a: Change, b: Change) -> tuple[Rule, Scope] | None:
+    """The rule that two changes break by being in force at once, and the part of the scope where."""
+    one, other = a.does, b.does
+    if isinstance(one, Freeze) or isinstance(other, Freeze):
+        both = isinstance(one, Freeze) and isinstance(other, Freeze)
+        met = None if both else a.scope.meets(b.scope) or through(a, b)
+        return (Rule.FROZEN, met) if met else None
+    if isinstance(one, Move) and isinstance(other, Move):
+        apart = one.source == other.source and one.target != other.target
+        back = one.source == other.target and other.source == one.target
+        if (apart or back) and (met := a.scope.meets(b.scope)):
+            return Rule.TWO_WAYS, met
+        first, then = (a, b) if a.name < b.name else (b, a)  # one part, whoever asks
+        met = onward(first, then) or onward(then, first)
+        return (Rule.CHAINED, met) if met else None
+    for move, drain in ((a, b), (b, a)):
+        if isinstance(drain.does, Drain) and target(move) == drain.does.place:
+            there = arrived(move)
+            met = move.scope.meets(drain.scope) or (there and there.meets(drain.scope))
+            return (Rule.INTO_DRAINED, met) if met else None
     return None
 
 
@@ -139,8 +169,8 @@
 
     def moved(self, change: Change) -> int:
         """Millionths of an invocation a second that a move brings to its target when it holds. A load doesn't
-        tell where its callers arrive, so the scope's places don't lessen it: too much is counted, never too
-        little."""
+        tell where its callers arrive, so the scope's places don't lessen it: rather too much is counted. What
+        other moves brought to its source is not in it: CHAINED refuses those."""
         if not isinstance(change.does, Move):
             return 0
         scope, source = change.scope, change.does.source
@@ -187,7 +217,7 @@
             if place not in self.world.capacity:
                 continue
             ones = [one, *(c for c in others if place in places(c))]
-            free = (self.world.capacity[place] - self.at.get(place, 0)) * WHOLE
+            free = self.free(place)
             most = sum(self.moved(c) for c in ones if target(c) == place)
             if most + max(c.left.get(place, 0) for c in ones) * WHOLE <= free:
                 continue
@@ -197,14 +227,17 @@
 
     def over(self, place: str, ones: Iterable[Change], now: int) -> bool:
         """Whether a place has to take, with the most that one of them wants left free, more than it can."""
-        free = (self.world.capacity[place] - self.at.get(place, 0)) * WHOLE
         brought, left = Fraction(0), 0
         for change in ones:
             if change.start <= now < change.end + self.late:
                 left = max(left, change.left.get(place, 0))
                 if target(change) == place:
                     brought += self.moved(change) * change.part(now, self.late)
-        return brought + left * WHOLE > max(free, 0)
+        return brought + left * WHOLE > self.free(place)
+
+    def free(self, place: str) -> int:
+        """Millionths of an invocation a second that a place of stated capacity can take beside its own."""
+        return max(self.world.capacity[place] - self.at.get(place, 0), 0) * WHOLE
 
     def last(self, one: Change, others: Sequence[Change]) -> Iterator[int]:
         if not isinstance(one.does, Drain):
@@ -215,9 +248,9 @@
                 yield at
                 return
 
-    def drained(self, drains: Sequence[Change]) -> Iterator[list[Change]]:
-        """The drains that leave an operation without a place, for each kind of caller: those of its
-        places."""
+    def drained(self, drains: Sequence[Change]) -> Iterator[tuple[str, list[Change]]]:
+        """Each operation that is left without a place, and the drains of its places, for each kind of
+        caller."""
         empty = {place for place in (drain_of(c) for c in drains)}
         for operation, serving in self.world.serves.items():
             if not serving or not serving <= empty:
@@ -228,7 +261,7 @@
             for group in groups([Scope(ALL, c.scope.customers, c.scope.places) for c in ones]):
                 some = [ones[n] for n in group]
                 if serving <= {drain_of(c) for c in some}:
-                    yield some
+                    yield operation, some
 
 
 def same_way(change: Change, way: tuple[str, str]) -> bool:
--- a/ringshift/schedule/validate.py
+++ b/ringshift/schedule/validate.py
@@ -11,9 +11,11 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
-from ringshift.schedule.change import ALL, WHOLE, All, Change, ChangeError, Drain, Move, Scope, World
+from ringshift.schedule.change import All, Change, ChangeError, Move, World, within
 from ringshift.schedule.index import Index
-from ringshift.schedule.rules import Broken, Rule, Sums, groups, places, target, through, two
+from ringshift.schedule.moving import unserved
+from ringshift.schedule.rules import Broken, Rule, Sums, places, two
+from ringshift.schedule.witness import pair, together
 
 
 class Live:
@@ -27,6 +29,9 @@
         operations = change.scope.operations
         for name in ("",) if isinstance(operations, All) else operations:  # "": every operation
             yield "operation", name
+        becomes = change.does.served_as if isinstance(change.does, Move) else ""
+        if becomes and not within(becomes, operations):
+            yield "operation", becomes
         for place in places(change):
             yield "place", place
 
@@ -79,6 +84,8 @@
     def first(self, one: Change, others: Sequence[Change]) -> int | None:
         """The first instant at which `one` breaks a rule with `others`, which break none without it."""
         found = [max(one.start, other.start) for other in others if two(one, other)]
+        if unserved(one, self.sums.world):
+            found.append(one.start)
         if any(self.ends_late(one, name) for name in one.after):
             found.append(one.start)
         if (over := self.sums.first(one, others)) is not None:
@@ -100,7 +107,8 @@
 
     def broken(self, at: int, live: Sequence[Change]) -> Broken:
         """What is told of an instant at which a rule is broken by the changes in force."""
-        return min(self.all_broken(at, live), key=lambda one: (one.beneath, one.first, one.second))
+        return min(self.all_broken(at, live), key=lambda one: (one.beneath, one.first, one.second,
+                                                               one.part.order, one.beside))  # fmt: skip
 
     def all_broken(self, at: int, live: Sequence[Change]) -> Iterator[Broken]:
         for one in live:
@@ -111,44 +119,13 @@
                     over = self.names[name].end if name in self.names else at + 1
                     yield pair(Rule.CYCLE if circle else Rule.ENDS_LATE, one.name, name, at, one.scope,
                                not circle and over <= at)  # fmt: skip
+            if part := unserved(one, self.world):
+                yield pair(Rule.UNSERVED, one.name, one.name, at, part, one.end <= at)
         for n, one in enumerate(live):
             for other in live[:n]:
-                if rule := two(one, other):
-                    met = one.scope.meets(other.scope) or through(one, other)
-                    assert met is not None
-                    yield pair(rule, one.name, other.name, at, met, min(one.end, other.end) <= at)
-        yield from self.sums_broken(at, live)
-
-    def sums_broken(self, at: int, live: Sequence[Change]) -> Iterator[Broken]:
-        for ones in self.sums.drained([c for c in live if isinstance(c.does, Drain)]):
-            yield latest(Rule.LAST_PLACE, ones, at)
-        ways: dict[tuple[str, str], list[Change]] = {}
-        for c in live:
-            if isinstance(c.does, Move) and c.part(at, self.late):
-                ways.setdefault((c.does.source, c.does.target), []).append(c)
-        for moves in ways.values():
-            for group in groups([c.scope for c in moves]):
-                some = [moves[n] for n in group]
-                if self.sums.share(some, at) > WHOLE:
-                    yield latest(Rule.SHARES, some, at)
-        for place in {place for c in live for place in places(c)} & self.world.capacity.keys():
-            if self.sums.over(place, live, at):
-                taking = [c for c in live if place in c.left or (
-                    target(c) == place and self.sums.moved(c) and c.part(at, self.late))]  # fmt: skip
-                yield latest(Rule.CAPACITY, taking, at, Scope(ALL, ALL, frozenset({place})))
-
-
-def pair(rule: Rule, one: str, other: str, at: int, part: Scope, apart: bool) -> Broken:
-    first, second = sorted((one, other))
-    return Broken(Rule.CLOSE if apart else rule, rule, first, second, at, part)
-
-
-def latest(rule: Rule, ones: Sequence[Change], at: int, part: Scope | None = None) -> Broken:
-    """Of several that break a rule in sum, the two that began last: with one less it might have held."""
-    told = sorted(ones, key=lambda c: (-c.start, c.name))[:2]
-    one, other = told[0], told[-1]
-    met = part or one.scope.meets(other.scope) or one.scope
-    return pair(rule, one.name, other.name, at, met, min(one.end, other.end) <= at)
+                if met := two(one, other):
+                    yield pair(met[0], one.name, other.name, at, met[1], min(one.end, other.end) <= at)
+        yield from together(self.sums, at, live)
 
 
 def validate(changes: Iterable[Change], world: World, late: int) -> Schedule | Broken:
--- a/tests/retirement/test_plan.py
+++ b/tests/retirement/test_plan.py
@@ -48,7 +48,8 @@
     assert found[dark] == Change(dark, OP, Quota(0), DARK, LIGHT)
     assert [found[name].does for name in names] == [Quota(left) for left in (0, 480, 240, 0)]
     moves = [found[f"{name}:hall-a"] for name in (first, second, end)]
-    assert [one.does for one in moves] == [Move(n * WHOLE // 5, "hall-a", "hall-b") for n in (1, 2, 2)]
+    assert [one.does for one in moves] == [
+        Move(n * WHOLE // 5, "hall-a", "hall-b", "tank-lookup") for n in (1, 2, 2)]
     assert {one.end for one in moves} == {END + AFTER_END} and {one.scope for one in moves} == {OP}
     taken = timeline(steps=[{"at": "2026-05-01T00:00:00Z", "share": 1.0}])
     assert [one.start for one in changes(taken)] == [DARK, SECOND]  # the end adds nothing to a whole
@@ -93,6 +94,11 @@
     assert against(away, world=calm) == (Rule.ROUTING, Routing.TWO_WAYS, "other", first, FIRST + DAY)
     drained = change(Drain("hall-b"), SECOND - DAY, SECOND - 1)
     assert against(drained, world=calm) == (Rule.ROUTING, Routing.INTO_DRAINED, "other", first, SECOND - DAY)
+    new = Scope(frozenset(("tank-lookup",)))
+    sent_on = change(Move(WHOLE // 2, "hall-b", "hall-c"), FIRST + DAY, FIRST + 2 * DAY, new)
+    assert against(sent_on, world=calm)[1:] == (Routing.CHAINED, "other", first, FIRST + DAY)
+    emptied = change(Drain("hall-b"), SECOND - DAY, SECOND - 1, new)
+    assert against(emptied, world=calm)[1] is Routing.INTO_DRAINED
     along = change(Move(WHOLE // 2, "hall-a", "hall-b"), FIRST, SECOND + DAY)
     assert against(along, world=calm)[1] is Routing.SHARES
 
@@ -132,6 +138,8 @@
     assert against(lines=(wrong,), world=World(WORLD.serves)) == first
     nowhere = World({**WORLD.serves, "tank-lookup": frozenset()})
     assert against(world=nowhere)[0] is Rule.NOWHERE
+    both = timeline(onto=[*ONTO, {"from": "hall-b", "to": "hall-c"}])  # where order-book isn't served
+    assert isinstance(judge([both], [], World(WORLD.serves), LATE), Schedule)
     found = judge([LINE], [], WORLD, LATE)
     assert isinstance(found, Contradiction)
     assert found.part == Scope(OP.operations, ALL, frozenset(("hall-a",)))
