Harness of rules: changes drawn with after, left, customers, places, recurrence; judged

Need: the count of overlapping changes was taken in a world without capacity or load, of rows without requirements, `left`, customers, places or recurrence; the checker read only `serves` and forgot `after` and `left`. Change: WORLD states capacity and load into which the hard cases' moves fit; rows are drawn with each of these (a requirement at the least distance or 1 ms too early, two windows of a second by an RRULE); the checker reads them, judges what is in force with load, capacity and `left`, one alone too, `begun too early` by `after`, and windows that the rule doesn't give. After a stop a look's changes count from the end of it: they are heard after the look, as the program hears them before it judges.

--- a/standins/checkers/changes.py
+++ b/standins/checkers/changes.py
@@ -6,7 +6,11 @@
 
 - **overlap**: two changes in force at one true instant, at whichever backends, that contradict each other;
 - **outside its window**: one in force by more than `B` before its start or after its end, of true time;
-- **begun without contact**: it began at a look that had no confirmed version.
+- **begun without contact**: it began at a look that had no confirmed version;
+- **begun too early**: while one that it requires was in force somewhere, or before it was;
+- **no window of its rule**: a recurring one at an instant that its rule doesn't give.
+
+What is in force is judged with what its places can take, what they have, and what each wants left there.
 """
 
 from __future__ import annotations
@@ -15,6 +19,9 @@
 from datetime import datetime
 from pathlib import Path
 from typing import Any
+from zoneinfo import ZoneInfo
+
+from dateutil.rrule import rrulestr  # type: ignore[import-untyped]
 
 from ringshift.schedule.change import ALL, WHOLE, Change, Does, Drain, Freeze, Move, Quota, Scope, World
 from standins.checkers.leases import lines
@@ -33,6 +40,8 @@
     """Changes in force at some backend for a while, one a backend."""
     together: int = 0
     """Instants judged at which two or more were in force anywhere."""
+    kinds: dict[str, int] = field(default_factory=dict)
+    """Of the fields that a change may have, how many had them of those in force anywhere."""
     landed: int = 0
     against: int = 0
     """Sets refused, as they contradicted what was in force."""
@@ -47,7 +56,9 @@
     return int(at.timestamp()) * 1_000_000_000 + at.microsecond * 1_000
 
 
-def read_row(row: dict[str, Any]) -> Change:
+def read_row(row: dict[str, Any], name: str) -> Change:
+    """`name`: as it is in force, that of a recurring one's window with its start."""
+
     def some(names: list[str] | None) -> Any:
         return ALL if names is None else frozenset(names)
 
@@ -60,8 +71,30 @@
     else:
         does = Quota(told["rate"]) if told["kind"] == "quota" else Freeze()
     scope = Scope(some(row.get("operations")), some(row.get("customers")), some(row.get("places")))
-    return Change(row["name"], scope, does, nanoseconds(row["from"]), nanoseconds(row["to"]),
-                  row.get("ramp_in_ms", 0) * MS, row.get("ramp_out_ms", 0) * MS)  # fmt: skip
+    if told := row.get("recurring"):
+        start = nanoseconds(name.rpartition("@")[2])
+        end = start + told["seconds"] * 1_000 * MS
+    else:
+        start, end = nanoseconds(row["from"]), nanoseconds(row["to"])
+    rising, falling = row.get("ramp_in_ms", 0) * MS, row.get("ramp_out_ms", 0) * MS
+    return Change(name, scope, does, start, end, rising, falling, frozenset(row.get("after", ())),
+                  row.get("left", {}))  # fmt: skip
+
+
+def is_window(row: dict[str, Any], change: Change) -> bool:
+    told = row.get("recurring")
+    if told is None:
+        return True
+    local = datetime.fromtimestamp(change.start // 1_000_000_000, ZoneInfo(told["zone"])).replace(tzinfo=None)
+    rule = rrulestr(told["rule"], dtstart=datetime.fromisoformat(told["first"]))
+    return bool(rule.after(local, inc=True) == local)
+
+
+def read_world(told: dict[str, Any]) -> World:
+    return World({one["operation"]: frozenset(one["places"]) for one in told["serves"]},
+                 {one["place"]: one["most"] for one in told.get("capacity", ())},
+                 {(one["operation"], one["customer"], one["place"]): one["rate"]
+                  for one in told.get("load", ())})  # fmt: skip
 
 
 @dataclass
@@ -74,6 +107,7 @@
 
 def check(folder: Path, late: int) -> Found:
     found, plans, worlds = Found(), dict[str, Change](), list[World]()
+    rows = dict[str, dict[str, Any]]()
     stretches = list[Stretch]()
     for path in sorted(folder.glob("p*.jsonl")):
         for line in lines(path):
@@ -81,13 +115,21 @@
             found.against += line["ev"] == "planned" and line["state"] == "CONTRADICTS"
     for path in sorted(folder.glob("h*.jsonl")):
         history = lines(path)
-        plans |= {line["row"]["name"]: read_row(line["row"]) for line in history if line["ev"] == "row"}
-        worlds += [World({one["operation"]: frozenset(one["places"]) for one in line["world"]["serves"]})
-                   for line in history if line["ev"] == "world"]  # fmt: skip
+        rows |= {line["row"]["name"]: line["row"] for line in history if line["ev"] == "row"}
+        worlds += [read_world(line["world"]) for line in history if line["ev"] == "world"]
+        names = {name for line in history if line["ev"] == "force" for name in line["force"]}
+        for name in sorted(names - plans.keys()):
+            row = rows[name.partition("@")[0]]
+            plans[name] = read_row(row, name)
+            if not is_window(row, plans[name]):
+                found.wrong.append(f"no window of its rule: {name}")
+            for kind in ("operations", "customers", "places", "after", "left", "recurring"):
+                found.kinds[kind] = found.kinds.get(kind, 0) + bool(row.get(kind))
         for pid in dict.fromkeys(line["pid"] for line in history):
             own = [line for line in history if line["pid"] == pid]
             stretches += in_force(f"{path.stem}.{pid}", own, plans, late, found)
-    found.planned = len(plans)
+    found.planned = len(rows)
+    found.wrong += begun_too_early(stretches, plans)
     # Shares in force are summed with the operators' world, which the scripts never change once it is stated.
     judge_together(stretches, plans, worlds[-1] if worlds else World(), found)
     return found
@@ -117,12 +159,24 @@
         elif line["ev"] in ("look", "acts") and stretches and line["a"] > stretches[-1].end:
             if line["b"] - last <= GAP:
                 stretches[-1].end = line["a"]
-            else:  # stopped in between: nothing was done there
-                stretches.append(Stretch(backend, line["m"], line["a"], before))
+            else:  # stopped in between: nothing was done there, and this look's changes are heard after it
+                stretches.append(Stretch(backend, line["a"], line["a"], before))
         last = line.get("a", last)
     return [one for one in stretches if one.force and one.end > one.start]
 
 
+def begun_too_early(stretches: list[Stretch], plans: dict[str, Change]) -> list[str]:
+    first, last, where = dict[str, int](), dict[str, int](), dict[str, str]()
+    for one in stretches:
+        for name in one.force:
+            if one.start < first.get(name, one.start + 1):
+                first[name], where[name] = one.start, one.backend
+            last[name] = max(last.get(name, 0), one.end)
+    return [f"begun too early: {name} at {where[name]}, {last[other] - first[name]} ns before {other} ended"
+            for name in first for other in sorted(plans[name].after)
+            if other in last and last[other] > first[name]]  # fmt: skip
+
+
 def judge_together(stretches: list[Stretch], plans: dict[str, Change], world: World, found: Found) -> None:
     live, judged = list[Stretch](), dict[tuple[tuple[str, int], ...], str]()
     for stretch in sorted(stretches, key=lambda one: one.start):
@@ -133,9 +187,9 @@
                 if not part:
                     continue  # begun, and at nothing of its ramp yet
                 force[name] = max(force.get(name, 0), part)
-        if len(force) < 2:
+        if not force:
             continue
-        found.together += 1
+        found.together += len(force) > 1
         # In steps of a hundredth, downwards: as ramps move, one judgement does for many looks.
         key = tuple(sorted((name, part // 10_000) for name, part in force.items()))
         if key not in judged:
@@ -150,8 +204,7 @@
     does = change.does
     if isinstance(does, Move):
         does = replace(does, share=max(does.share * hundredths // 100, 1))
-    return replace(change, does=does, start=0, end=INSTANTS, ramp_in=0, ramp_out=0, after=frozenset(),
-                   left={})  # fmt: skip
+    return replace(change, does=does, start=0, end=INSTANTS, ramp_in=0, ramp_out=0, after=frozenset())
 
 
 def contradiction(changes: list[Change], world: World) -> str:
--- a/standins/fleet/publisher.py
+++ b/standins/fleet/publisher.py
@@ -54,7 +54,7 @@
 from ringshift.schedule.planner import Wish
 from ringshift.settings.rules import RulesReading
 from ringshift.wire.rules import RulesLink
-from standins.fleet.drawn import FIRST, drawn, drawn_rows, row, timeline
+from standins.fleet.drawn import FIRST, drawn, drawn_rows, ends, row, timeline
 from standins.fleet.ruled import History, options
 
 SLOW = 1.5  # seconds
@@ -186,7 +186,7 @@
             rows = [row(name, Moved(1.0, "p0", "p1"), earliest, lasting * MS, operations=["o1"],
                         ramp_in_ms=ramp, ramp_out_ms=1_000)]  # fmt: skip
         else:
-            rows = drawn_rows(random, name, earliest)
+            rows = drawn_rows(random, name, earliest, self.terms.late)
         self.carry(Wish(tuple(rows)), word)
 
     def unplan(self, random: Random, more: list[str]) -> None:
@@ -203,9 +203,8 @@
         planned = Planning(self.publishing, self.terms).carry(wish, self.told.name, reason, self.limit)
         names = [one.name for one in wish.rows] + sorted(wish.withdrawn)
         if planned.landed:  # the harness waits until all is over
-            ends = [edges[1] for one in wish.rows if (edges := one.edges())]
             ended = [time.time_ns() + WALKED_BACK] * len(wish.withdrawn)
-            for name, end in zip(names, ends + ended, strict=True):
+            for name, end in zip(names, [*map(ends, wish.rows), *ended], strict=True):
                 print(f"over {name} {end}", file=sys.stderr, flush=True)
         self.history.write("planned", state=planned.planner.state.name, why=planned.planner.why, names=names,
                            lost=planned.planner.lost)  # fmt: skip
