--- a/ringshift/schedule/rules.py
+++ b/ringshift/schedule/rules.py
@@ -53,7 +53,7 @@
 REASONS = {
     Rule.CYCLE: "each waits for the other, so none would ever begin",
     Rule.ENDS_LATE: "it begins before a change that it requires has ended, or requires one that isn't in the "
-    "book (one that is over goes from it: what it was required for holds, so leave that out)",
+    "book (once over, a change goes from it: the requirement is met then, leave it out)",
     Rule.FROZEN: "nothing else may change where and while a freeze holds",
     Rule.TWO_WAYS: "one invocation can't be sent to two places, nor there and back",
     Rule.RING: "what is sent round from place to place comes back to where it began, and is served nowhere",
--- a/tests/schedule/test_plan.py
+++ b/tests/schedule/test_plan.py
@@ -114,6 +114,9 @@
     done = book(row("c", 600, 700), now=later(408), base=base)
     assert [one.name for one in done.changes] == ["c"]
     assert kinds(base, done) == ["change over", "change over", "change added", "horizon moved"]
+    gone = plan(done, [row("d", 800, 900, after=["a"])], later(450), TERMS)  # met, but nothing tells it
+    assert isinstance(gone, Broken) and gone.rule is Rule.ENDS_LATE
+    assert "once over, a change goes from it: the requirement is met then, leave it out" in str(gone)
     dropped = msgspec.structs.replace(base, changes=[second])
     assert [one.kind for one in differences(base, dropped)] == ["change dropped"]
     with pytest.raises(PlanError, match="a: b requires it"):
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -12,6 +12,7 @@
     "budgets model": "nothing", "budgets scale": "| 100 |", "budgets scripts": "over the whole 0",
     "rulebook model": "nothing", "rulebook scale": "| 10 | 4 |", "rulebook look": "| 10 |",
     "rulebook book": "| digest |", "rulebook lookup": "| 1,000 |", "rulebook ramp": "| 5 | 100% |",
+    "schedule": "| 1,000 |", "schedule --dense": "| 300 |", "schedule --timetable": "| 1,000 | 10 |",
     "ruling": "| full |", "keepers": "etcd3gw", "rules scripts": "wrong: contradiction | 0",
 }  # fmt: skip
 
