Schedule: an operation's places drained each for its own callers are its last place too

Need: drains of p for what arrives at p and of q for what arrives at q were accepted, as their scopes don't meet; in service each drains its place, for whoever the other sends there as well, and the operation is served nowhere. Change: LAST_PLACE is judged on operations and customers, wherever they arrive, in the validator and, written anew, in the brute force.

--- a/ringshift/schedule/change.py
+++ b/ringshift/schedule/change.py
@@ -69,6 +69,10 @@
         parts = [common(a, b) for a, b in zip(self.parts, other.parts, strict=True)]
         return Scope(*parts) if all(parts) else None
 
+    def anywhere(self) -> Scope:
+        """Wherever its invocations arrive."""
+        return Scope(self.operations, self.customers)
+
     def __str__(self) -> str:
         told = [f"{field} {named(names)}" for field, names in zip(FIELDS, self.parts, strict=True)
                 if not isinstance(names, All)]  # fmt: skip
--- a/ringshift/schedule/rules.py
+++ b/ringshift/schedule/rules.py
@@ -242,15 +242,16 @@
     def last(self, one: Change, others: Sequence[Change]) -> Iterator[int]:
         if not isinstance(one.does, Drain):
             return
-        ones = [one, *(c for c in others if isinstance(c.does, Drain) and c.scope.meets(one.scope))]
+        far = one.scope.anywhere()
+        ones = [one, *(c for c in others if isinstance(c.does, Drain) and far.meets(c.scope.anywhere()))]
         for at in sorted({max(one.start, c.start) for c in ones}):
             if any(self.drained([c for c in ones if c.start <= at < c.end + self.late])):
                 yield at
                 return
 
     def drained(self, drains: Sequence[Change]) -> Iterator[tuple[str, list[Change]]]:
-        """Each operation that is left without a place, and the drains of its places, for each kind of
-        caller."""
+        """Each operation that is left without a place, and the drains of its places, for each kind of caller.
+        Wherever those arrive: one drained for its own callers is so for whoever is sent there as well."""
         empty = {place for place in (drain_of(c) for c in drains)}
         for operation, serving in self.world.serves.items():
             if not serving or not serving <= empty:
@@ -258,7 +259,7 @@
             ones = [c for c in drains if within(operation, c.scope.operations) and drain_of(c) in serving]
             if not ones:
                 continue
-            for group in groups([Scope(ALL, c.scope.customers, c.scope.places) for c in ones]):
+            for group in groups([Scope(ALL, c.scope.customers) for c in ones]):
                 some = [ones[n] for n in group]
                 if serving <= {drain_of(c) for c in some}:
                     yield operation, some
--- a/ringshift/schedule/witness.py
+++ b/ringshift/schedule/witness.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from fractions import Fraction
 
 from ringshift.schedule.change import ALL, WHOLE, Change, Drain, Move, Scope
@@ -56,11 +56,11 @@
     return [one[0] for one in kept]
 
 
-def met(ones: Sequence[Change]) -> Scope:
-    """What all of some cover, who cover a point together."""
+def met(scopes: Iterable[Scope]) -> Scope:
+    """What all of some cover, which cover a point together."""
     part = Scope()
-    for one in ones:
-        both = part.meets(one.scope)
+    for one in scopes:
+        both = part.meets(one)
         assert both is not None
         part = both
     return part
@@ -72,8 +72,8 @@
     for operation, ones in sums.drained([c for c in live if isinstance(c.does, Drain)]):
         serving = sums.world.serves[operation]
         some = needed(ones, lambda held, all_of=serving: all_of <= {drain_of(c) for c in held})  # type: ignore[misc]
-        whole = met(some)
-        yield latest(Rule.LAST_PLACE, some, at, Scope(frozenset((operation,)), whole.customers, whole.places))
+        callers = met(c.scope.anywhere() for c in some).customers
+        yield latest(Rule.LAST_PLACE, some, at, Scope(frozenset((operation,)), callers))
     ways: dict[tuple[str, str], list[tuple[Change, Fraction, int]]] = {}
     for c in moves:
         if taken := sums.share([c], at):
@@ -83,7 +83,7 @@
         for group in groups([c.scope for c, _, _ in shares]):
             if sum(shares[n][1] for n in group) > WHOLE:
                 some = needed_in_sum([shares[n] for n in group], WHOLE)
-                yield latest(Rule.SHARES, some, at, met(some))
+                yield latest(Rule.SHARES, some, at, met(c.scope for c in some))
     for place in {place for c in live for place in places(c)} & sums.world.capacity.keys():
         if sums.over(place, live, at):
             asked = [(c, sums.moved(c) * c.part(at, sums.late) if target(c) == place else Fraction(0),
@@ -96,7 +96,7 @@
     to = links(moves)
     there = round_about(set(to), to)
     ones = [c for c in moves if c.name in there]
-    for group in groups([Scope(c.scope.operations, c.scope.customers) for c in ones]) if ones else ():
+    for group in groups([c.scope.anywhere() for c in ones]) if ones else ():
         some = [ones[n] for n in group]
         if round_about({c.name for c in some}, to):
             ring = needed(some, lambda held: bool(round_about({c.name for c in held}, to)))
@@ -105,10 +105,6 @@
 
 def round_part(ring: Sequence[Change]) -> Scope:
     """Whose invocations go round, at the places that send them on."""
-    part = Scope()
-    for one in ring:
-        both = part.meets(Scope(one.scope.operations, one.scope.customers))
-        assert both is not None
-        part = both
+    part = met(c.scope.anywhere() for c in ring)
     places = frozenset(c.does.source for c in ring if isinstance(c.does, Move))
     return Scope(part.operations, part.customers, places)
--- a/standins/checkers/schedule.py
+++ b/standins/checkers/schedule.py
@@ -194,18 +194,22 @@
 def sums(here: Sequence[Change], points: list[Point], where: Where, world: World,
          now: int, late: int) -> Iterator[Wrong]:  # fmt: skip
     moving = [(c, c.does, most(c, now, late)) for c in here if isinstance(c.does, Move)]
-    for point in points:
-        at = [c for c in here if point in where[c.name]]
-        serving = world.serves.get(point[0], frozenset())
-        drains = [c for c in at if isinstance(c.does, Drain) and c.does.place in serving]
+    callers = {c.name: {point[:2] for point in where[c.name]} for c in here}
+    for caller in sorted({point[:2] for point in points}):  # wherever they arrive
+        serving = world.serves.get(caller[0], frozenset())
+        drains = [c for c in here if isinstance(c.does, Drain) and c.does.place in serving
+                  and caller in callers[c.name]]  # fmt: skip
 
         def emptied(ones: Sequence[Change], all_of: frozenset[str] = serving) -> bool:
             return {place for c in ones for place in touched(c)} == all_of
 
         if serving and emptied(drains):
             some = least(drains, emptied)
-            part = [one for one in met(some, where) if one[0] == point[0]]
+            shared = set.intersection(*(callers[c.name] for c in some))
+            part = [point for point in points if point[0] == caller[0] and point[:2] in shared]
             yield wrong("last_place", *last_two(some), now, part)
+    for point in points:
+        at = [c for c in here if point in where[c.name]]
         ways: dict[tuple[str, str], list[tuple[Change, Fraction]]] = {}
         for c, move, part_of in moving:
             if c in at and part_of:
@@ -224,10 +228,9 @@
         brought = {}
         for c, move, part_of in moving:
             if move.target == place:
-                callers = {point[:2] for point in where[c.name]}
                 brought[c.name] = part_of * Fraction(move.share, WHOLE) * sum(
                     rate for cell, rate in world.load.items()
-                    if cell[2] == move.source and cell[:2] in callers
+                    if cell[2] == move.source and cell[:2] in callers[c.name]
                 )  # fmt: skip
 
         def too_much(ones: Sequence[Change], place: str = place, free: int = capacity - there,
--- a/tests/schedule/test_rules.py
+++ b/tests/schedule/test_rules.py
@@ -148,6 +148,9 @@
     one = change("a", Drain("p"), 0, 9)
     other = change("b", Drain("q"), 4, 9, scope=Scope(ALL, frozenset("k")))
     assert verdict(one, other, world=World({"x": frozenset("pq")})) == "LAST_PLACE a b 4"
+    apart = [change(name, Drain(place), 4, 9, scope=Scope(ALL, ALL, frozenset(place)))
+             for name, place in (("a", "p"), ("b", "q"))]  # fmt: skip
+    assert verdict(*apart, world=World({"x": frozenset("pq")})) == "LAST_PLACE a b 4"  # each of its own
     assert verdict(one) == ""
     assert verdict(one, world=World({"x": frozenset("p")})) == "LAST_PLACE a a 0"
 
