--- a/tests/schedule/test_rules.py
+++ b/tests/schedule/test_rules.py
@@ -119,6 +119,8 @@
     # Two thirds hold for all but k: only there they are too much, with the half.
     ([change("a", HALF, 0, 9, scope=K), change("b", THIRD, 0, 9, scope=Scope()),
       change("d", THIRD, 0, 9, scope=Scope())], "SHARES a b 0", K),
+    ([change("a", THIRD, 0, 9, scope=Scope()), change("b", THIRD, 0, 9, scope=Scope()),
+      change("d", HALF, 0, 9, scope=K)], "SHARES a b 0", K),
     # The last begun is not needed for it.
     ([change("a", Move(900_000, "p", "q"), 0, 9), change("b", Move(900_000, "p", "q"), 3, 9, scope=K),
       change("d", Move(1, "p", "q"), 3, 9)], "SHARES a b 3", Scope(frozenset("x"), frozenset("k"))),
