A rulebook's whole below the safe shares is said where it is divided

An operator who lowered a whole from 200 to 10 got 50, as the safe shares of the largest fleet are set aside for good, and nothing told so.

The decision moves to ringshift/fleet/whole.py, beside `raised`, which tells why more is divided than stated.

Measured: said once over a lost contact in between, for 10 of 200 with 50 x 1 safe.

--- a/ringshift/lifecycle/sharing.py
+++ b/ringshift/lifecycle/sharing.py
@@ -13,7 +13,6 @@
 import time
 from collections.abc import Callable, Mapping
 from contextlib import suppress
-from dataclasses import replace
 from queue import Empty, SimpleQueue
 from random import Random
 from typing import IO
@@ -25,6 +24,7 @@
 from ringshift.fleet.lease import LeaseTerms
 from ringshift.fleet.placement import Placement
 from ringshift.fleet.share import Change, News, Share
+from ringshift.fleet.whole import raised, ruled
 from ringshift.interface import Granted, Unit
 from ringshift.lifecycle.holder import Hold, Holder, OwnClock, apart
 from ringshift.machine import Malformed
@@ -33,7 +33,6 @@
 from ringshift.wire.shares import BudgetLink
 
 HANDED_BACK = 0.3  # seconds at the exit for the keeper to hear of a share handed back
-LEAST_WHOLE = 1.0  # of a budget: none at all is no budget; the rulebook's lists turn things off
 Tell = Callable[[Body], None]
 Wholes = Callable[[], Mapping[str, float]]
 
@@ -112,6 +111,7 @@
         self.divider, self.task_key, self.link, self.clock = Divider(budget), task_key, link, clock
         self.stated = budget
         self.wholes: Wholes = dict  # of the rulebook, where there is one
+        self.warned = ""
         self.revision = 0
         self.pace = budget.refresh // 4
 
@@ -139,7 +139,7 @@
         if held.revision != self.revision:
             divider.hear(Word.REFUSED, now)
             return
-        divider.budget = ruled(self.stated, self.wholes())
+        self.rule()
         ledger = divider.hear(Word.ROUND, now, held.asks)
         if ledger is None:
             return
@@ -151,19 +151,21 @@
                                         divider.gone)  # fmt: skip
         divider.hear(Word.WRITTEN if self.revision else Word.REFUSED, self.clock())
 
+    def rule(self) -> None:
+        """The whole of the rulebook by now. Where more must be divided than it states, that is said: once a
+        whole, by the one process that divides it, as a log line and so as a record."""
+        wholes = self.wholes()
+        self.divider.budget = ruled(self.stated, wholes)
+        why = raised(self.stated, wholes)
+        if why and why != self.warned:
+            logger.bind(kind="budget").warning(why)
+        if self.stated.name in wholes:  # without contact it may be stated no more, and come back as it was
+            self.warned = why
+
     def close(self) -> None:
         pass
 
 
-def ruled(budget: Budget, wholes: Mapping[str, float]) -> Budget:
-    """With the whole of the rulebook, where it has one: in whole units, and never under the safe shares,
-    which are set aside for good."""
-    if budget.name not in wholes:
-        return budget
-    whole = budget.whole_units(wholes[budget.name])
-    return replace(budget, whole=max(whole, budget.safe * budget.most, LEAST_WHOLE))
-
-
 class Dividers:
     """A holder for each budget's divider, each in a thread of its own, until `leave`."""
 
--- a/tests/rulebook/test_ruling.py
+++ b/tests/rulebook/test_ruling.py
@@ -12,9 +12,11 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loguru import logger
 
 from ringshift import interface as face
 from ringshift.control import Controller
+from ringshift.fleet.whole import ruled as divided
 from ringshift.lifecycle import confirming, ruling, sharing
 from ringshift.lifecycle.confirming import Answer
 from ringshift.lifecycle.ruling import STUCK, Ruler, Rulings, rulings
@@ -30,6 +32,7 @@
 from ringshift.store.headstart import kept
 from ringshift.wire import rules
 from ringshift.wire.rules import RulesLink
+from ringshift.wire.shares import BudgetLink
 from tests.rulebook.emulated import BASE, FIRST, TERMS, held
 from tests.rulebook.test_link import look, newer, propose, write_newer
 from tests.rulebook.test_rules import rules as any_rules
@@ -439,7 +442,20 @@
 ])  # fmt: skip
 def test_a_budget_is_divided_by_the_rulebooks_whole(wholes: dict[str, float], whole: float) -> None:
     budget = Budget("calls", face.Unit.CALLS, 20, most=5, safe=1)
-    assert sharing.ruled(budget, wholes) == replace(budget, whole=whole)
+    assert divided(budget, wholes) == replace(budget, whole=whole)
+
+
+def test_a_whole_below_the_safe_shares_is_said_once_by_whoever_divides_it() -> None:
+    told, stated = list[str](), Budget("calls", face.Unit.CALLS, 200, most=50, safe=1)
+    work = sharing.Dividing(stated, b"", BudgetLink(["127.0.0.1:9"], Hand(), 1.0), Hand())
+    sink = logger.add(lambda message: told.append(message.record["message"]), level="WARNING")
+    for wholes in ({"calls": 60.0}, {"calls": 10.0}, {"calls": 10.0}, {}, {"calls": 10.0}):
+        work.wholes = lambda now=wholes: now
+        work.rule()
+    logger.remove(sink)
+    assert work.divider.budget.whole == 50.0
+    assert told == ["budget calls: 50 is divided, not the rulebook's 10: the safe shares, 1 of each of up to "
+                    "50 backends, are set aside"]  # fmt: skip
 
 
 MACHINE = face.Machine(
