rules check runs the schedule's validator; every version says who and why

Nothing told of an `alone` laxer than its book, of B for the settings' terms, or that a whole is raised. Past 4,096 absent readers no version is put in force until they are forgotten, one a call.

`publish` warns too. - author and reason default to the system's user and what is planned or withdrawn.

--- a/ringshift/cli/keeping.py
+++ b/ringshift/cli/keeping.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import getpass
+import os
 import re
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import TYPE_CHECKING, TypeVar
 
@@ -26,9 +28,35 @@
 WITHIN = click.option("--within", default=30.0, show_default=True, type=click.FloatRange(0.0, 86400.0),
                       help="Seconds to lead it; what is proposed by then stands.")  # fmt: skip
 T = TypeVar("T")
+MOST_WORDS = 8  # names in a reason
 DIE_AT = click.option("--die-at", default="", hidden=True, help="Fault tests: killed at this place.")
 
 
+def user() -> str:
+    """Who runs this, by the system's name for them: an author where none is told."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):  # a user id without a name
+        return f"user {os.getuid()}"
+
+
+AUTHOR = click.option("--author", default="", callback=lambda ctx, param, told: told.strip() or user(),
+                      help="Who does it; left out, your name on this system.")  # fmt: skip
+
+
+def said(ctx: click.Context, param: click.Parameter, told: str) -> str:
+    """Of a version's author and reason: there for whoever asks later."""
+    if not told.strip():
+        raise click.BadParameter("empty")
+    return told.strip()
+
+
+def listed(names: Iterable[str]) -> str:
+    told = sorted(names)
+    more = f" and {len(told) - MOST_WORDS} more" if len(told) > MOST_WORDS else ""
+    return ", ".join(told[:MOST_WORDS]) + more
+
+
 def reading(path: str) -> tuple[RulesLink, ReadingTerms]:
     from ringshift.settings.operators import read_operators
     from ringshift.wire.rules import RulesLink
--- a/ringshift/cli/retire.py
+++ b/ringshift/cli/retire.py
@@ -11,8 +11,8 @@
 
 import click
 
-from ringshift.cli.keeping import DIE_AT, FILE, JSON, SETTINGS, WITHIN, answered, reading
-from ringshift.cli.schedule import by_whom, terms_of, told_end, wish_of
+from ringshift.cli.keeping import AUTHOR, DIE_AT, FILE, JSON, SETTINGS, WITHIN, answered, reading
+from ringshift.cli.schedule import by_whom, terms_of, told_end, why_of, wish_of
 
 if TYPE_CHECKING:
     from ringshift.retirement.timeline import Timeline
@@ -64,7 +64,7 @@
 
     link, terms = reading(path)
     planning = Planning(leading(link, terms, Progress(as_json), die_at), terms_of(terms, DAYS))
-    return told_end(planning.carry(wish, author, reason, round(within * 1e9)), as_json)
+    return told_end(planning.carry(wish, author, why_of(wish, reason), round(within * 1e9)), as_json)
 
 
 @retire.command()
@@ -178,7 +178,7 @@
 @retire.command()
 @click.argument("name")
 @click.option("--reason", required=True, help="Why, told by status.")
-@click.option("--author", default="", help="Who pauses it.")
+@AUTHOR
 @SETTINGS
 @JSON
 def pause(name: str, reason: str, author: str, path: str, as_json: bool) -> None:
@@ -192,7 +192,7 @@
 @retire.command()
 @click.argument("name")
 @click.option("--reason", default="", help="Why.")
-@click.option("--author", default="", help="Who lets it go on.")
+@AUTHOR
 @SETTINGS
 @JSON
 def resume(name: str, reason: str, author: str, path: str, as_json: bool) -> None:
--- a/ringshift/cli/rules.py
+++ b/ringshift/cli/rules.py
@@ -7,11 +7,12 @@
 import time
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import click
 
 from ringshift.cli.keeping import (
+    AUTHOR,
     DIE_AT,
     FILE,
     JSON,
@@ -19,16 +20,17 @@
     WITHIN,
     answered,
     book_of,
+    listed,
     reading,
     refusing,
+    said,
     version_of,
 )
+from ringshift.cli.progress import steps
+from ringshift.cli.rulecheck import MOST_LINES, STRICT, check, planned, warned
 from ringshift.cli.rulewords import Progress, brief, described, difference, ended, leading, show_differences
-from ringshift.machine import Malformed
 
 if TYPE_CHECKING:
-    from ringshift.rulebook.bound import ReadingTerms
-    from ringshift.rulebook.document import Rulebook
     from ringshift.wire.rules import Held
 
 
@@ -40,89 +42,23 @@
     """
 
 
-@rules.command()
-@click.argument("file", type=click.Path(dir_okay=False))
-@click.option("--settings", "path", type=FILE, help="Also compare it with the version in force there.")
-@JSON
-def check(file: str, path: str | None, as_json: bool) -> int:
-    """Tell whether FILE is a rulebook; with --settings, how it differs from the one in force, and in which
-    steps it can be published. Exit status 2 where it is not, with line and field.
-
-    Example: ringshift rules check rulebook.toml --settings fleet.toml
-    """
-    from ringshift.rulebook.document import digest
-    from ringshift.rulebook.kinds import differences
-    from ringshift.rulebook.steps import plan
-    from ringshift.rulebook.version import PublicationError
-
-    try:
-        book = book_of(file)
-    except Malformed as wrong:
-        if not as_json:
-            raise
-        click.echo(json.dumps({"file": file, "right": False, "why": str(wrong)}))
-        return 2
-    told: dict[str, Any] = {"file": file, "right": True, "digest": digest(book)}
-    parts = {"lists": len(book.lists), "entries": sum(len(one.entries) for one in book.lists),
-             "quotas": len(book.quotas), "shares": len(book.shares), "wholes": len(book.wholes)}  # fmt: skip
-    told |= parts
-    found, steps, refused = None, [], ""
-    if path is not None:
-        link, terms = reading(path)
-        now = version_of("in-force", link)
-        found = differences(now.book, book)
-        try:
-            book = planned(file, book, now.book, terms)
-            found = differences(now.book, book)
-            steps = plan(now.book, book)
-        except (PublicationError, click.ClickException) as wrong:
-            refused = str(wrong)
-        told |= {"in_force": brief(now), "differences": list(map(difference, found)), "refused": refused,
-                 "steps": [{"what": one.what, "by_all": one.by_all} for one in steps]}  # fmt: skip
-    if as_json:
-        click.echo(json.dumps(told))
-        return 0
-    click.echo(f"{file}: right, {', '.join(f'{n} {name}' for name, n in parts.items())}; "
-               f"digest {told['digest'][:16]}")  # fmt: skip
-    if found is not None:
-        click.echo(f"in force is {told['in_force']['number']}, {len(found)} differences")
-        show_differences(found)
-        for place, step in enumerate(steps, 1) if len(steps) > 1 else ():
-            click.echo(f"  step {place} of {len(steps)}: {step.what}"
-                       + (" (every reader must acknowledge it)" if step.by_all else ""))  # fmt: skip
-        if refused:
-            click.echo(f"  may not be published: {refused}")
-    return 0
-
-
-def planned(file: str, book: Rulebook, now: Rulebook | None, terms: ReadingTerms) -> Rulebook:
-    """The document as it can follow `now`, with its scheduled changes and timelines validated: rows that it
-    has no more are withdrawn. It is `now` itself where only the time of planning would differ."""
-    import msgspec
-
-    from ringshift.rulebook.document import Rulebook, digest
-    from ringshift.schedule.plan import Terms, whole
-
-    base = Rulebook(alone=book.alone) if now is None else now
-    found = refusing(file, lambda: whole(base, book, time.time_ns(), Terms.of(terms)))
-    if not isinstance(found, Rulebook):
-        raise click.ClickException(f"{file}: {found}")
-    same = now is not None and digest(msgspec.structs.replace(found, horizon=now.horizon)) == digest(now)
-    return base if same else found
+rules.add_command(check)
 
 
 @rules.command()
 @click.argument("file", type=FILE)
-@click.option("--author", required=True, help="Who publishes it.")
-@click.option("--reason", required=True, help="Why.")
+@click.option("--author", required=True, callback=said, help="Who publishes it.")
+@click.option("--reason", required=True, callback=said, help="Why.")
+@STRICT
 @click.option("--in-steps", is_flag=True, help="Where `alone` changes: publish each step in turn.")
 @WITHIN
 @SETTINGS
 @JSON
 @DIE_AT
-def publish(file: str, author: str, reason: str, in_steps: bool, within: float, path: str, as_json: bool,
-            die_at: str) -> int:  # fmt: skip
-    """Publish FILE as the next version and lead it into force. Exit status 0 only once it is in force.
+def publish(file: str, author: str, reason: str, strict: bool, in_steps: bool, within: float, path: str,
+            as_json: bool, die_at: str) -> int:  # fmt: skip
+    """Publish FILE as the next version and lead it into force. Exit status 0 only once it is in force. Warns
+    where its `alone` admits what its rules refuse, and where a whole can't be as low as it says.
 
     Example: ringshift rules publish rulebook.toml --author anna --reason "hostels back" --settings fleet.toml
     """
@@ -131,6 +67,7 @@
 
     book = book_of(file)
     link, terms = reading(path)
+    warned(file, book, path, strict)
     progress = Progress(as_json)
     publishing = leading(link, terms, progress, die_at)
     held: Held = answered(link.read)
@@ -145,14 +82,14 @@
         click.echo(json.dumps({"state": "IN_FORCE", "why": "it is in force already", "version": told})
                    if as_json else f"in force already: {described(told)}")  # fmt: skip
         return 0
-    steps = refusing(file, lambda: plan(now.book, book))
-    if len(steps) > 1 and not in_steps:
-        lines = "; ".join(f"{place}: {step.what}" for place, step in enumerate(steps, 1))
+    needed = refusing(file, lambda: plan(now.book, book))
+    if len(needed) > 1 and not in_steps:
+        lines = "; ".join(f"{place}: {step.what}" for place, step in enumerate(needed, 1))
         raise click.ClickException(f"{file}: not in one publication: `alone` would change with it. With "
-                                   f"--in-steps it is published in {len(steps)}: {lines}")  # fmt: skip
+                                   f"--in-steps it is published in {len(needed)}: {lines}")  # fmt: skip
     outcome, base = None, now.stamp
-    for place, step in enumerate(steps, 1):
-        why = reason if len(steps) == 1 else f"{reason} ({place} of {len(steps)}: {step.what})"
+    for place, step in enumerate(needed, 1):
+        why = reason if len(needed) == 1 else f"{reason} ({place} of {len(needed)}: {step.what})"
         lead = partial(publishing.publish, step.book, author, why, within=time_left, base=base)
         outcome = refusing(file, lead)
         if not outcome.in_force or outcome.version is None:
@@ -250,8 +187,8 @@
 
 
 @rules.command()
-@click.option("--author", default="", help="Who withdraws it.")
-@click.option("--reason", default="", help="Why.")
+@AUTHOR
+@click.option("--reason", default="", help="Why; left out, which version it withdraws.")
 @WITHIN
 @SETTINGS
 @JSON
@@ -290,18 +227,46 @@
 
 
 @rules.command()
-@click.argument("name")
+@click.argument("names", metavar="[NAME]...", nargs=-1)
+@click.option("--absent", is_flag=True, help="All that are absent, after showing them.")
+@click.option("--yes", is_flag=True, help="Without asking; needed where --absent has no terminal to ask at.")
 @SETTINGS
 @JSON
-def forget(name: str, path: str, as_json: bool) -> None:
-    """Take reader NAME from the keeper: a process that is surely no more, and that would be waited for. One
-    that lives joins anew with its next confirmation.
+def forget(names: tuple[str, ...], absent: bool, yes: bool, path: str, as_json: bool) -> None:
+    """Take each reader NAME from the keeper: processes that are surely no more, and that would be waited for.
+    One that lives joins anew with its next confirmation. --absent: all whose leases ended while a version was
+    switched; one of them that lives without contact goes on by the `alone` it holds.
 
     Example: ringshift rules forget n3.711.8f0e12ab3c4d --settings fleet.toml
     """
+    if not (names or absent):
+        raise click.UsageError("name readers, or --absent")
     link, _ = reading(path)
     held: Held = answered(link.read)
-    if name not in held.rows:
-        raise click.ClickException(f"{name}: no such reader; `ringshift rules status` names them")
-    answered(lambda: link.gone(name))
-    click.echo(json.dumps({"reader": name, "forgotten": True}) if as_json else f"{name}: forgotten")
+    unknown = [name for name in names if name not in held.rows]
+    if unknown:
+        raise click.ClickException(f"{listed(unknown)}: no such reader; `ringshift rules status` names them")
+    away = sorted(held.absent - set(names)) if absent else []
+    gone = [*dict.fromkeys(names), *away]
+    if away and not yes:
+        sure(away, as_json)
+    for name in steps(gone, "forgetting"):
+        answered(partial(link.gone, name))
+        if not as_json:
+            click.echo(f"{name}: forgotten")
+    if as_json:
+        click.echo(json.dumps({"forgotten": gone}))
+    elif not gone:
+        click.echo("no reader is absent")
+
+
+def sure(away: list[str], as_json: bool) -> None:
+    """Raises ClickException or Abort where it is not."""
+    told = f"{len(away)} absent: {listed(away)}"
+    if as_json or not sys.stdin.isatty():
+        raise click.ClickException(f"{told}; with --yes they are forgotten")
+    for name in away[:MOST_LINES]:
+        click.echo(f"  {name}")
+    if len(away) > MOST_LINES:
+        click.echo(f"  and {len(away) - MOST_LINES} more")
+    click.confirm(f"forget {len(away)}, all surely no more?", abort=True)
--- a/ringshift/cli/schedule.py
+++ b/ringshift/cli/schedule.py
@@ -10,7 +10,7 @@
 
 import click
 
-from ringshift.cli.keeping import DIE_AT, FILE, JSON, SETTINGS, WITHIN, answered, reading
+from ringshift.cli.keeping import AUTHOR, DIE_AT, FILE, JSON, SETTINGS, WITHIN, answered, listed, reading
 from ringshift.machine import Malformed
 
 if TYPE_CHECKING:
@@ -21,8 +21,7 @@
 
 AHEAD = click.option("--days", default=180.0, show_default=True, type=click.FloatRange(0.01, 3660.0),
                      help="How far ahead recurring changes are expanded.")  # fmt: skip
-NAMED = [click.option("--author", default="", help="Who plans it."),
-         click.option("--reason", default="", help="Why.")]  # fmt: skip
+NAMED = [AUTHOR, click.option("--reason", default="", help="Why; left out, what is planned or withdrawn.")]
 
 
 def by_whom(command: Any) -> Any:
@@ -60,6 +59,16 @@
         raise Malformed(f"{file}: {where(text, named(str(wrong)))}") from None
 
 
+def why_of(wish: Wish, reason: str) -> str:
+    """The reason that a version carries: as told, else what is done."""
+    if reason.strip():
+        return reason.strip()
+    if wish.withdrawn:
+        return f"withdraws {listed(wish.withdrawn)}"
+    names = [one.name for one in (*wish.rows, *wish.timelines)]
+    return f"planned {listed(names)}" if names else "states the world anew"
+
+
 def terms_of(reading: Any, days: float) -> Terms:
     from ringshift.schedule.plan import DAY, Terms
 
@@ -169,7 +178,8 @@
     link, terms = reading(path)
     publishing = leading(link, terms, Progress(as_json), die_at)
     planning = Planning(publishing, terms_of(terms, days))
-    return told_end(planning.carry(wish, author, reason, round(within * 1e9), tries), as_json)
+    told = why_of(wish, reason)
+    return told_end(planning.carry(wish, author, told, round(within * 1e9), tries), as_json)
 
 
 def told_end(ended: Ended, as_json: bool) -> int:
@@ -217,7 +227,8 @@
 
 
 def standing(book: Rulebook, now: int) -> list[dict[str, Any]]:
-    """By this machine's wall clock; what a backend has in force is for its own to tell."""
+    """By this machine's wall clock, of the book: the keeper holds no states of changes. What a backend has in
+    force is in its records, of kind `change`."""
     from ringshift.schedule.planned import moment, windows
 
     rows = []
--- a/ringshift/schedule/plan.py
+++ b/ringshift/schedule/plan.py
@@ -207,6 +207,15 @@
     return plan(before, book.changes, now, terms, gone=gone)
 
 
+def itself(book: Rulebook, now: int, terms: Terms) -> Rulebook | Against:
+    """A document judged without what is in force. One that was shown by the keeper has its horizon, and is
+    validated in it; a new one is planned beside nothing. Raises PlanError, ChangeError."""
+    if book.horizon is None:
+        return whole(Rulebook(alone=book.alone), book, now, terms)
+    found = validated(book)
+    return book if isinstance(found, Schedule) else found
+
+
 def undone(base: Rulebook, old: Rulebook, now: int) -> Rulebook:
     """`old` published anew over `base`: changes planned since are withdrawn, all others stand as they are by
     now, as a withdrawal is final and one that is over doesn't come back."""
--- a/ringshift/settings/rules.py
+++ b/ringshift/settings/rules.py
@@ -1,4 +1,11 @@
-"""The table [rules] of the operators' file: how this backend reads the rulebook (docs/rulebook.md)."""
+"""The table [rules] of the operators' file: how this backend reads the rulebook (docs/rulebook.md).
+
+Two figures follow from `life`, `margin` and `drift`, which must be the same in every backend and publisher:
+
+- B = life - margin / (1 - drift): for how long two backends may act on rules that contradict each other, at
+  most; 7.495 s with the defaults (ringshift/rulebook/bound.py). 0 between backends that are heard.
+- (life + margin) * (1 + drift): how long a publication waits for a silent backend; 8.585 s.
+"""
 
 from __future__ import annotations
 
--- a/tests/rulebook/test_commands.py
+++ b/tests/rulebook/test_commands.py
@@ -15,12 +15,15 @@
 
 import pytest
 
+from ringshift.cli.keeping import user
 from ringshift.cli.main import command
 from ringshift.rulebook.bound import MS, ReadingTerms, S
 from ringshift.rulebook.document import digest, read
 from ringshift.rulebook.reader import News, Reader
+from ringshift.rulebook.version import Row
 from ringshift.rulebook.writing import write
-from ringshift.wire.rules import RulesLink
+from ringshift.wire.keeper import b64
+from ringshift.wire.rules import RulesLink, key, write_row
 from standins.room import ROOT
 
 TERMS = ReadingTerms(life=8 * S, margin=200 * MS, refresh=100 * MS)
@@ -124,7 +127,7 @@
     def run(*words: str, status: int = 0) -> str:
         assert command(list(words)) == status
         out, err = capsys.readouterr()
-        return str(out + err)
+        return str(out + err if status else out)
 
     def told(*words: str, status: int = 0) -> Any:
         return json.loads(run(*words, "--settings", place.settings, "--json", status=status))
@@ -162,9 +165,9 @@
     assert digest(read(run("rules", "show", "--settings", place.settings))) == digest(read(BOOK))
     assert "no such reader" in run("rules", "forget", "n2", "--settings", place.settings, status=1)
     place.readers[0].stop()
-    assert told("rules", "forget", "n1.7") == {"reader": "n1.7", "forgotten": True}
+    assert told("rules", "forget", "n1.7") == {"forgotten": ["n1.7"]}
     plain = run("rules", "status", "--settings", place.settings)
-    assert plain.startswith("in force: 0.3: withdraws 0.2\nnext: `ringshift rules publish FILE`")
+    assert plain.startswith(f"in force: 0.3 by {user()}: withdraws 0.2\nnext: `ringshift rules publish FILE`")
     assert run("rules", "settle", "--settings", place.settings) == "nothing: no version is proposed\n"
 
 
@@ -196,6 +199,46 @@
     assert json.loads(capsys.readouterr().out)["in_force"]["number"] == "0.6"
 
 
+def test_what_alone_admits_beyond_the_rules_and_a_whole_that_is_raised_are_warned_of(
+    place: Place, capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    whole = '[[wholes]]\nbudget = "database"\nwhole = 10\n[alone]'
+    file = place.file("lax.toml", BOOK.replace("[alone]", whole))
+    with Path(place.settings).open("a") as settings:
+        settings.write('[[budgets]]\nname = "database"\nunit = "calls"\nwhole = 200\nmost = 50\nsafe = 1\n')
+    assert command(place.publish(file, "--strict")) == 1
+    err = capsys.readouterr().err
+    assert "held_back: callers old-agency; a backend alone serves" in err
+    assert "quota: customers hostel no limit, not 20; " in err and "--strict" in err
+    assert "warning: budget database: 50 is divided, not the rulebook's 10" in err
+    check = ["rules", "check", file, "--settings", place.settings]
+    assert command(check) == 0
+    told = capsys.readouterr().out
+    assert "nothing was ever published" in told and "warning: budget database: 50 is divided" in told
+    assert "B is 7.798 s" in told and "waits 8.282 s for a silent backend" in told
+    assert command([*check, "--strict", "--json"]) == 1
+    said = json.loads(capsys.readouterr().out)
+    assert not said["right"] and [one["kind"] for one in said["lax"]] == ["held_back", "quota", "whole"]
+    assert len(said["raised"]) == 1
+    assert command(place.publish(file)) == 0  # warned of, not refused
+
+
+def test_absent_readers_are_forgotten_together_once_they_were_shown(
+    place: Place, capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    link = RulesLink([place.keeper], time.monotonic_ns, 5.0)
+    for name in ("a.1", "b.2", "c.3"):
+        link.call("/kv/put", {"key": key(f"absent/{name}"), "value": b64(write_row(Row(1, (0, 1))))})
+    forget = ["rules", "forget", "--settings", place.settings]
+    assert command(forget) == 2 and command([*forget, "b.2", "nobody"]) == 1
+    assert command([*forget, "--absent"]) == 1  # there is no terminal to ask at
+    assert "3 absent: a.1, b.2, c.3; with --yes" in capsys.readouterr().err and len(link.read().absent) == 3
+    assert command([*forget, "b.2", "a.1"]) == 0
+    assert capsys.readouterr().out == "b.2: forgotten\na.1: forgotten\n" and link.read().absent == {"c.3"}
+    assert command([*forget, "--absent", "--yes", "--json"]) == 0 and not link.read().rows
+    assert json.loads(capsys.readouterr().out) == {"forgotten": ["c.3"]}
+
+
 def test_what_is_written_reads_back_as_the_same_and_a_long_list_has_a_line_an_entry() -> None:
     long = read(BOOK.replace('"old-agency"', ", ".join(f'"depot-{number}"' for number in range(20_000))))
     text = write(long, ("version 0.1", "two\nlines"))
--- a/tests/schedule/test_commands.py
+++ b/tests/schedule/test_commands.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from ringshift.cli.keeping import user
 from ringshift.cli.main import command
 from standins.room import ROOT
 
@@ -87,7 +88,12 @@
     assert (one["name"], one["state"], one["windows"]) == ("night", "planned", 1)
     assert "no such change" in place.told("schedule", "withdraw", "nought", status=1)["why"]
     where = "--settings", place.settings
-    assert "in force by version 0.3" in place.run("schedule", "withdraw", "night", *where)
+    assert "in force by version 0.3" in place.run("schedule", "withdraw", "night", "--author", " ", *where)
+    told = [place.told("rules", "show", f"0.{number}") for number in (2, 3)]
+    assert [one["reason"] for one in told] == ["planned night", "withdraws night"]
+    assert [one["author"] for one in told] == [user(), user()]  # each version tells who and why
+    blank = "rules", "publish", night, "--author", "a", "--reason", " "
+    assert "--reason" in place.run(*blank, *where, status=2)
     assert "night: withdrawn, moves 0.5 of north to south" in place.run("schedule", "status", *where)
     assert place.told("schedule", "plan", drain)["state"] == "LANDED"
     assert [one["name"] for one in place.told("schedule", "status")["changes"]] == ["d"]
@@ -110,6 +116,14 @@
     assert [one["kind"] for one in told["differences"]].count("change withdrawn") == 2
     assert place.publish(without).endswith("0.2: in force\n") and marks() == {"a": True, "b": True}
     clash = place.file("clash.toml", BOOK + row("c", DRAIN, 2) + row("e", MOVE, 2))
+    where = "--settings", place.settings
+    for words in ((), where):
+        said = place.run("rules", "check", clash, *words, status=1)
+        assert "may not be published, 0 lists" in said and "2 changes, 0 timelines" in said
+        assert "clash.toml: line 4: c and e contradict at " in said and "; first at 20" in said
+    assert "2 changes" in place.run("rules", "check", place.file("shown.toml", shown))  # with its horizon
+    soon = place.file("soon.toml", BOOK + row("s", MOVE, -1, 9))
+    assert "soon.toml: line 4: s: begins at " in place.run("rules", "check", soon, status=1)
     assert "c and e contradict" in place.publish(clash, status=1)
     place.publish(place.file("c.toml", BOOK + row("c", DRAIN, 2)))
     place.told("rules", "withdraw")
--- a/tests/test_settings_rules.py
+++ b/tests/test_settings_rules.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import json
 import re
 from pathlib import Path
 
 import pytest
 
+from ringshift.cli.main import command
 from ringshift.machine import Malformed
 from ringshift.rulebook.bound import MS, S
-from ringshift.rulebook.document import read
 from ringshift.settings.operators import read_operators
 
 DEPLOY = Path(__file__).parent.parent / "deploy"
@@ -67,5 +68,13 @@
     assert read_operators(str(off)).rules is None
     rules = read_operators(str(on)).rules
     assert rules is not None and Path(rules.installation).name == "rulebook.toml"
-    book = read((DEPLOY / "rulebook.toml").read_text(), "rulebook.toml")
-    assert book.lists and book.quotas and book.shares and book.wholes and book.alone.lists
+
+
+@pytest.mark.parametrize("path", sorted(DEPLOY.glob("rulebook*.toml")), ids=lambda path: path.name)
+def test_the_command_accepts_each_example_and_its_alone_is_as_cautious_as_its_rules(
+    path: Path, capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    assert command(["rules", "check", str(path), "--strict", "--json"]) == 0
+    told = json.loads(capsys.readouterr().out)
+    kinds = ("changes", "timelines") if "changes" in path.name else ("lists", "quotas", "shares", "wholes")
+    assert told["right"] and all(told[kind] for kind in kinds)
