Each step of a scheduled change's state at a backend is a record

A change armed, begun, missed or walked back at a backend was seen by nobody: the timetable's picture had stand-ins as its only readers.

`Timetable.passed` holds what passed in the last look (so it stays bounded), the program writes each as a record of kind `change` (states, part in force, time left, withdrawn, confirmed), and the report draws how many servers have each change in force, beside the lane of versions.

Measured: with a keeper, a backend's real parts and clocks moved by hand, every state from ARMED to DONE, MISSED without contact, each read back as written; a walk back and a clock set back tell their steps.

--- a/ringshift/findings/digest/digester.py
+++ b/ringshift/findings/digest/digester.py
@@ -11,6 +11,7 @@
 from ringshift.findings.digest.words import MS, Digest, S
 from ringshift.findings.signs import Kind, Spell
 from ringshift.records.schema import (
+    ChangeStep,
     Dropped,
     Ended,
     Greeted,
@@ -167,6 +168,11 @@
             versions = tuple(f"{epoch}.{number}" for epoch, number in body.acted_by[:4])
             self.digest.acting.append((body.state[:50], versions, record.up))
 
+    def on_change(self, record: Record, body: ChangeStep) -> None:
+        if len(self.digest.changes) < MOST_MARKS:
+            row = body.change[:200], body.new[:50], body.part, record.up
+            self.digest.changes.append(row)
+
     def on_dropped(self, record: Record, body: Dropped) -> None:
         pass  # told by check_order, as the gap that it stands in
 
@@ -216,4 +222,5 @@
     LeaseChange: Digester.on_lease,
     RampStep: Digester.on_ramp,
     RulesChange: Digester.on_rules,
+    ChangeStep: Digester.on_change,
 }
--- a/ringshift/findings/digest/words.py
+++ b/ringshift/findings/digest/words.py
@@ -60,6 +60,8 @@
     """Of retirements: timeline, the state left, the state gone to, why, millionths shed, edition, up"""
     acting: list[tuple[str, tuple[str, ...], int]] = field(default_factory=list)
     """In the fleet's rulebook: state, the versions acted by or whose `alone` is, up"""
+    changes: list[tuple[str, str, int, int]] = field(default_factory=list)
+    """Scheduled ones: name, the state gone to, millionths in force, up"""
     ended: tuple[int, int, int, int] | None = None
     """status, owed, up, seq"""
     errors: list[tuple[int, str, int]] = field(default_factory=list)
--- a/ringshift/lifecycle/ruling.py
+++ b/ringshift/lifecycle/ruling.py
@@ -11,20 +11,21 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from queue import Empty, SimpleQueue
 from random import Random
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from loguru import logger
 
 from ringshift import interface as face
 from ringshift.control import Controller
 from ringshift.lifecycle.confirming import Answer, Confirming
+from ringshift.lifecycle.scheduling import tell_passed
 from ringshift.lifecycle.sharing import Tell, identity
 from ringshift.machine import Malformed
 from ringshift.records.schema import Body, RulesChange
@@ -37,6 +38,9 @@
 from ringshift.store.headstart import keep, kept
 from ringshift.wire.rules import RulesLink, reader_name
 
+if TYPE_CHECKING:
+    from ringshift.schedule.timetable import Passed
+
 CAPACITY_EVERY = 5_000_000_000  # ns between two looks at what this backend could serve
 HANDED_BACK = 0.3  # seconds at the exit for the keeper to hear that this reader is no more
 STUCK = 4  # answer times after which a call that never came back is left to itself, and a new thread asks
@@ -161,6 +165,9 @@
 class Timetable(Protocol):
     """The scheduled changes of what is acted by (ringshift/schedule/timetable.py)."""
 
+    @property
+    def passed(self) -> Sequence[Passed]: ...
+
     def hear(self, wall_ns: int, fresh: bool, books: tuple[Rulebook, ...]) -> bool: ...
     def clauses(self) -> tuple[face.Clause, ...]: ...
 
@@ -182,10 +189,10 @@
     """For the owner, like `Shares` (ringshift/lifecycle/sharing.py): all in its greenlet."""
 
     def __init__(self, ruler: Ruler, names: Names, timetable: Timetable | None = None,
-                 retiring: Retiring | None = None,
-                 wall: Callable[[], int] = time.time_ns) -> None:  # fmt: skip
+                 retiring: Retiring | None = None, wall: Callable[[], int] = time.time_ns,
+                 tell: Tell | None = None) -> None:  # fmt: skip
         self.ruler, self.names, self.timetable, self.retiring = ruler, names, timetable, retiring
-        self.wall, self.first, self.measured = wall, True, 0
+        self.tell, self.wall, self.first, self.measured = tell, wall, True, 0
         self.rules = ruler.rules()
         self.wholes: Mapping[str, float] = {}
         """Of budgets, as the rulebook has them by now; replaced whole, so that other threads may read it."""
@@ -200,6 +207,7 @@
             # In this order: what begins by this wall clock was confirmed for longer than that.
             wall, fresh = self.wall(), self.ruler.fresh()
             changed = self.timetable.hear(wall, fresh, self.ruler.books()) or changed
+            tell_passed(self.timetable.passed, fresh, self.tell)
         if self.retiring is not None:
             changed = self.retiring.poll(now) or changed
         if controller is not None and (changed or self.first or now - self.measured >= CAPACITY_EVERY):
@@ -280,7 +288,7 @@
     ramps = Ramps(name, leases.terms(), leases.keepers, OwnClock(time.monotonic_ns()), seed, tell)
     retired = Retired(backend, operations, ruler.books, leases.keepers, clock, reading.answer_within,
                       reading.warn, ramps)  # fmt: skip
-    return Rulings(ruler, names, Scheduled(late, names), retired)
+    return Rulings(ruler, names, Scheduled(late, names), retired, tell=tell)
 
 
 def installed(path: str, installation: str) -> Rules:
--- a/ringshift/records/schema.py
+++ b/ringshift/records/schema.py
@@ -209,14 +209,35 @@
     why: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeStep:
+    """A scheduled change went from one state to another at this server (ringshift/schedule/service.py). One
+    look may pass several states, as after a long stop: then `old` is that before it and `new` that after.
+    From PLANNED on, in which it is taken up a minute before its start; one withdrawn before leaves none."""
+
+    change: str
+    """A recurring one's window is NAME@START."""
+    old: str
+    new: str
+    """PLANNED again where the wall clock was set back so far that all is begun anew."""
+    part: int = 0
+    """Millionths of its effect in force from then on."""
+    left_ms: float = 0.0
+    """Until its planned end, by the wall clock; 0 past it."""
+    withdrawn: bool = False
+    confirmed: bool = False
+    """Whether this server acted by a confirmed version at that moment."""
+
+
 Body = (
     Started | Phase | Greeted | Ready | Second | Shedding | Said | Mark | Saw | Dropped | Ended | LeaseChange
-    | ShareChange | RampStep | RulesChange
+    | ShareChange | RampStep | RulesChange | ChangeStep
 )
 KINDS: dict[str, type] = {
     "started": Started, "phase": Phase, "greeted": Greeted, "ready": Ready, "second": Second,
     "shedding": Shedding, "said": Said, "mark": Mark, "saw": Saw, "dropped": Dropped, "ended": Ended,
     "lease": LeaseChange, "share": ShareChange, "ramp": RampStep, "rules": RulesChange,
+    "change": ChangeStep,
 }  # fmt: skip
 NAMES: dict[type, str] = {kind: name for name, kind in KINDS.items()}
 
--- a/ringshift/report/fleetcharts.py
+++ b/ringshift/report/fleetcharts.py
@@ -1,4 +1,4 @@
-"""The report's charts of what servers have from the fleet: budgets' shares, retirements, the rulebook."""
+"""The report's charts of what servers have from the fleet: shares, retirements, the rulebook, its changes."""
 
 from __future__ import annotations
 
@@ -12,7 +12,8 @@
 from ringshift.findings.fleet import STANDING, Fleet
 from ringshift.report.charts import INK, MOST_OPERATIONS, axes, draw, mark_cause, moment
 
-MOST_VERSIONS = 8  # drawn one by one: those that most servers came to act by
+MOST_VERSIONS = 8  # or changes, drawn one by one: those that most servers came to act by
+RUNNING = ("UNDER_WAY", "HOLDING", "ENDING")  # of ringshift/schedule/service.py, as records name them
 ALONE = "alone, or starting"
 
 
@@ -107,9 +108,37 @@
     return dict(lines)
 
 
+def by_change(course: Course) -> dict[str, list[tuple[int, int]]]:
+    """Scheduled change -> (time, how many servers have it in force from then on, in full or in a ramp)."""
+    steps = list[tuple[int, str, str, bool]]()
+    for server, stints in course.stints.items():
+        for stint in stints:
+            told = stint.digest.changes
+            steps += [(stint.time(up, course.alignment), name, server, state in RUNNING)
+                      for name, state, _, up in told]  # fmt: skip
+            steps += [(stint.last, name, server, False) for name in {one[0] for one in told}]
+    now = defaultdict[str, set[str]](set)
+    lines = defaultdict[str, list[tuple[int, int]]](list)
+    for at, name, server, on in sorted(steps):
+        before = len(now[name])
+        (now[name].add if on else now[name].discard)(server)
+        if len(now[name]) != before:
+            lines[name].append((at, len(now[name])))
+    return dict(lines)
+
+
+def schedule(course: Course, cause: Cause) -> str:
+    """How many servers have each scheduled change in force."""
+    return counted(course, cause, by_change(course), "Servers by scheduled change in force")
+
+
 def rulebook(course: Course, cause: Cause) -> str:
     """How many servers act by each version of the rulebook."""
-    lines = by_version(course)
+    return counted(course, cause, by_version(course), "Servers by version of the rulebook")
+
+
+def counted(course: Course, cause: Cause, lines: dict[str, list[tuple[int, int]]], title: str) -> str:
+    """Numbers of servers by name, in steps; empty where there are none."""
     if not lines:
         return ""
     most = sorted(lines, key=lambda one: (-max(number for _, number in lines[one]), one))[:MOST_VERSIONS]
@@ -119,12 +148,12 @@
     for place, name in enumerate(sorted(most)):
         told = [*lines[name], (course.end, lines[name][-1][1])]
         style = {"color": "#cb181d", "linewidth": 1.6} if name == ALONE else {"linewidth": 1.1}
-        axis.step([moment(at) for at, _ in told], [number for _, number in told], where="post", label=name,
-                  linestyle=styles[place % 4], **style)  # fmt: skip
+        axis.step([moment(at) for at, _ in told], [number for _, number in told], where="post",
+                  label=name[:40], linestyle=styles[place % 4], **style)  # fmt: skip
     axis.set_ylabel("servers", fontsize=8)
     axis.yaxis.set_major_locator(MaxNLocator(4, integer=True))
     axis.set_ylim(bottom=0)
     mark_cause(axis, cause)
     figure.legend(loc="lower center", ncols=6, frameon=False, fontsize=8)
     figure.subplots_adjust(left=0.1, right=0.99, top=0.96, bottom=0.28)
-    return draw(figure, "Servers by version of the rulebook")
+    return draw(figure, title)
--- a/ringshift/report/page.py
+++ b/ringshift/report/page.py
@@ -101,6 +101,7 @@
         "believed": charts.believed(course, verdict, cause),
         "shares": fleetcharts.shares(course, cause),
         "rulebook": fleetcharts.rulebook(course, cause),
+        "schedule": fleetcharts.schedule(course, cause),
         "retirement": fleetcharts.retirement(course, fleet, cause),
     }
     clocks = clock_rows(course)
--- a/ringshift/schedule/timetable.py
+++ b/ringshift/schedule/timetable.py
@@ -34,9 +34,23 @@
 ENDED = (State.DONE, State.WITHDRAWN, State.MISSED)
 
 
+@dataclass(frozen=True)
+class Passed:
+    """A change that went from one state to another in the last look. `part`: millionths of its effect from
+    then on; `left`: ns until its planned end, not below 0."""
+
+    name: str
+    old: str
+    new: str
+    part: int
+    left: int
+    withdrawn: bool
+
+
 @dataclass(frozen=True)
 class Picture:
-    """For the records and `schedule status`: by name the state and millionths of the effect."""
+    """Of one instant, by name the state and millionths of the effect: for whoever compares backends. What the
+    records tell is `Timetable.passed`."""
 
     states: Mapping[str, tuple[str, int]]
     waiting: int
@@ -66,9 +80,12 @@
         self.waiting: list[tuple[int, str]] = []
         self.ended: dict[str, int] = {}
         self.told: tuple[Clause, ...] = ()
+        self.passed: list[Passed] = []  # in the last look; at most one of each that was near or is leaving
 
     def hear(self, wall: int, fresh: bool, books: tuple[Rulebook, ...]) -> bool:
         """Whether what is asked of this backend changed. `fresh`: `books` are confirmed at this instant."""
+        if self.passed:
+            self.passed = []
         if wall < self.now - self.late:
             self.anew(wall)
         self.now = max(self.now, wall)
@@ -92,13 +109,20 @@
 
     def step(self, service: Service, fresh: bool, standing: Standing) -> bool:
         """Whether it came to its end."""
-        begins = fresh and standing is Standing.BEGINS
+        before, begins = service.state, fresh and standing is Standing.BEGINS
         service.hear(self.now, begins, standing is Standing.BACK)
+        if service.state is not before:
+            self.note(service, before, service.state, standing is Standing.BACK)
         if service.state not in ENDED:
             return False
         self.ended[service.state.name] = self.ended.get(service.state.name, 0) + 1
         return True
 
+    def note(self, service: Service, old: State, new: State, withdrawn: bool = False) -> None:
+        left = max(service.change.end - self.now, 0)
+        part = service.in_force(self.now) if new in RUNNING else 0
+        self.passed.append(Passed(service.change.name, old.name, new.name, part, left, withdrawn))
+
     def take(self, books: tuple[Rulebook, ...]) -> None:
         """Linear in the changes of the books, once a version."""
         known = list(zip(self.books, self.sets, strict=True))
@@ -120,7 +144,11 @@
         heapify(self.waiting)
 
     def anew(self, wall: int) -> None:
-        self.now, self.quiet, self.near, self.leaving = wall, wall, {}, []
+        self.now, self.quiet = wall, wall
+        for one in (*self.near.values(), *self.leaving):
+            if one.state is not State.PLANNED:
+                self.note(one, one.state, State.PLANNED)
+        self.near, self.leaving = {}, []
         self.wait()
 
     def next(self) -> int | None:
--- a/tests/rulebook/test_ruling.py
+++ b/tests/rulebook/test_ruling.py
@@ -21,21 +21,25 @@
 from ringshift.lifecycle.confirming import Answer
 from ringshift.lifecycle.ruling import STUCK, Ruler, Rulings, rulings
 from ringshift.machine import Malformed
-from ringshift.records.schema import Body, RulesChange
+from ringshift.records.schema import Body, ChangeStep, Record, RulesChange
 from ringshift.rulebook.bound import MS, S
 from ringshift.rulebook.document import Listing, Portion, Quota, Rulebook, Rules, Whole, digest
 from ringshift.rulebook.indices import Names, ruled
 from ringshift.rulebook.meet import Invocation, Judge
 from ringshift.rulebook.reader import Reader
 from ringshift.rulebook.version import UNMARKED, Effect, Publisher, Row, Told, Version
+from ringshift.schedule.timetable import Passed, Timetable
 from ringshift.settings.terms import Budget
 from ringshift.store.headstart import kept
+from ringshift.store.reader import read, write
 from ringshift.wire import rules
 from ringshift.wire.rules import RulesLink
 from ringshift.wire.shares import BudgetLink
 from tests.rulebook.emulated import BASE, FIRST, TERMS, held
 from tests.rulebook.test_link import look, newer, propose, write_newer
 from tests.rulebook.test_rules import rules as any_rules
+from tests.schedule.planning import book as schedule_book
+from tests.schedule.planning import later, row
 from tests.test_keeper import Member
 
 WITHIN = 800 * MS  # by the clock that is moved by hand
@@ -299,7 +303,7 @@
     """A timetable of one clause."""
 
     def __init__(self) -> None:
-        self.heard, self.on = list[tuple[int, bool, int]](), False
+        self.heard, self.on, self.passed = list[tuple[int, bool, int]](), False, list[Passed]()
 
     def hear(self, wall_ns: int, fresh: bool, books: tuple[Rulebook, ...]) -> bool:
         self.heard.append((wall_ns, fresh, len(books)))
@@ -416,6 +420,39 @@
     assert ruled(Rules(), MACHINE_NAMES) == face.Ruled()
 
 
+def test_each_step_of_a_scheduled_change_is_a_record(link: RulesLink, member: Member) -> None:
+    clock, told, wall = Hand(), list[Body](), later(0)
+    ramped = row("a", 100, 200, ramp_in_ms=20_000, ramp_out_ms=40_000)
+    planned = schedule_book(ramped, row("b", 150, 400, customers=["hostel"]), row("c", 500, 501), base=BASE)
+    link.call("/kv/deleterange", rules.under(""))
+    assert link.begin(Version((0, 1), planned, digest(planned)))
+    one = Rulings(ruler(member.port, clock), MACHINE_NAMES, Timetable(8 * S, MACHINE_NAMES),
+                  wall=lambda: wall, tell=told.append)  # fmt: skip
+
+    def at(seconds: float) -> list[tuple[str, str, str, int]]:
+        nonlocal wall
+        wall = later(seconds)
+        told.clear()
+        one.granted(0)
+        steps = [read(write(Record("n1", "r1", 1, 1, 1, body))) for body in told]  # as it is kept
+        assert [one.body for one in steps if isinstance(one, Record)] == told
+        return [(body.change, body.old, body.new, body.part) for body in told if isinstance(body, ChangeStep)]
+
+    at(0)
+    rounds(one.ruler, clock, 1)
+    assert at(0) == [] and one.ruler.fresh()
+    assert at(60) == [("a", "PLANNED", "ARMED", 0)] and at(70) == []
+    assert at(100) == [("a", "ARMED", "UNDER_WAY", 0), ("b", "PLANNED", "ARMED", 0)]
+    assert isinstance(told[0], ChangeStep) and told[0].left_ms == 100_000.0 and told[0].confirmed
+    assert at(130) == [("a", "UNDER_WAY", "HOLDING", 1_000_000)]
+    assert at(170) == [("a", "HOLDING", "ENDING", 750_000), ("b", "ARMED", "HOLDING", 1_000_000)]
+    assert at(200) == [("a", "ENDING", "DONE", 0)]
+    one.ruler.reader.deadline = clock.now  # without contact from here on: none is begun
+    assert at(502) == [("b", "HOLDING", "DONE", 0), ("c", "PLANNED", "MISSED", 0)]
+    assert isinstance(told[-1], ChangeStep) and not told[-1].confirmed
+    one.leave()
+
+
 def test_a_share_is_of_what_this_backend_could_serve_as_it_is_measured_by_now(
     link: RulesLink, member: Member,
 ) -> None:  # fmt: skip
--- a/tests/schedule/test_timetable.py
+++ b/tests/schedule/test_timetable.py
@@ -26,7 +26,7 @@
 from ringshift.schedule.plan import Against, Terms, plan, withdraw
 from ringshift.schedule.planned import Drained, Frozen, HeldDown, Moved, Planned, moment
 from ringshift.schedule.service import Service
-from ringshift.schedule.timetable import Timetable, clause
+from ringshift.schedule.timetable import Passed, Timetable, clause
 from standins.fleet.emulated_rules import BASE, TERMS, B, World
 from tests.schedule.planning import EMPTY, book, later, row
 
@@ -74,6 +74,7 @@
     assert asked(one, 130, (gone,), fresh=False) == 500_000
     assert asked(one, 140, (gone,)) == 500_000  # walked back from here, by its ramp out of 40 s
     assert [asked(one, s, (gone,)) for s in (150, 160, 180)] == [375_000, 250_000, 0]
+    assert one.passed == [Passed("a", "ENDING", "WITHDRAWN", 0, 20 * S, True)]
     assert one.picture().ended == {"WITHDRAWN": 1}
 
 
@@ -125,6 +126,8 @@
     assert one.in_force()[0][1] == 600_000
     assert asked(one, 114, books) == 350_000
     assert asked(one, 80, books) == 0 and one.picture().states["a"][0] == "ARMED"
+    told = [(step.old, step.new, step.part) for step in one.passed]
+    assert told == [("UNDER_WAY", "PLANNED", 0), ("PLANNED", "ARMED", 0)]
     assert asked(one, 100, books) == 0 and asked(one, 110, books) == 250_000
     ahead = table()  # an hour ahead at first: all was over by its clock
     asked(ahead, 3_700, books)
