--- a/ringshift/cli/rulecheck.py
+++ b/ringshift/cli/rulecheck.py
@@ -56,8 +56,8 @@
     loose = lax(book)
     beside, found = by_itself(file, book) if path is None else against(file, book, path)
     refused = beside["refused"] or (STRICTLY if strict and loose else "")
-    told = {"file": file, "right": not refused, "digest": digest(book)} | parts | beside
-    told |= {"lax": list(map(laxity, loose)), "refused": refused}
+    told: dict[str, Any] = {"file": file, "right": not refused, "digest": digest(book)}
+    told |= parts | beside | {"lax": list(map(laxity, loose)), "refused": refused}
     if as_json:
         click.echo(json.dumps(told))
         return 1 if refused else 0
--- a/ringshift/cli/schedule.py
+++ b/ringshift/cli/schedule.py
@@ -65,7 +65,7 @@
         return reason.strip()
     if wish.withdrawn:
         return f"withdraws {listed(wish.withdrawn)}"
-    names = [one.name for one in (*wish.rows, *wish.timelines)]
+    names = [*(one.name for one in wish.rows), *(one.name for one in wish.timelines)]
     return f"planned {listed(names)}" if names else "states the world anew"
 
 
--- a/tests/rulebook/test_ruling.py
+++ b/tests/rulebook/test_ruling.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -487,7 +488,7 @@
     work = sharing.Dividing(stated, b"", BudgetLink(["127.0.0.1:9"], Hand(), 1.0), Hand())
     sink = logger.add(lambda message: told.append(message.record["message"]), level="WARNING")
     for wholes in ({"calls": 60.0}, {"calls": 10.0}, {"calls": 10.0}, {}, {"calls": 10.0}):
-        work.wholes = lambda now=wholes: now
+        work.wholes = partial(dict[str, float], wholes)
         work.rule()
     logger.remove(sink)
     assert work.divider.budget.whole == 50.0
