budget status tells ends and the divider; retries are refused on sockets

The status told a constant as a grant's end, none in its human form, and not who divides. The divider now writes beside the ledger how long each grant still counts, with the Unix time of the writing; nobody decides by either, and readers of older texts pass over them. The status tells the end as of the look and the holder from the lease's key. Tested: tests/test_shares.py asserts the want, the end and the divider of a backend at work, and the refusals.

--- a/ringshift/cli/budget.py
+++ b/ringshift/cli/budget.py
@@ -25,7 +25,9 @@
               help="The operators' TOML with [leases] and [[budgets]].")  # fmt: skip
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
 def status(names: tuple[str, ...], path: str, as_json: bool) -> None:
-    """Each budget's whole, who divides it, and every backend's want, use and grant.
+    """Each budget's whole, who divides it, and every backend's want, use, grant and its end.
+
+    A grant's end is told as of this look, by the Unix clocks of the divider's machine and of this one.
 
     Example: ringshift budget status database --settings fleet.toml --json
     """
@@ -57,7 +59,8 @@
 
 def look(link: Any, name: str, terms: Any) -> dict[str, Any]:
     held = link.read(name)
-    rows = held.ledger.rows if held.ledger else {}
+    rows, left = (held.ledger.rows, held.ledger.left) if held.ledger else ({}, {})
+    since = time.time() - held.at
     asks = {ask.backend: ask for ask in held.asks}
     backends = []
     for backend in sorted({*rows, *asks}):
@@ -66,20 +69,30 @@
             "backend": backend, "want": ask.want if ask else 0.0, "use": ask.use if ask else 0.0,
             "share": terms.safe + (grant.extra if grant else 0.0), "held": grant.held if grant else 0.0,
             "goes_by_round": ask.round if ask else 0,
-            # The keeper has no backend's clock: a grant ends so long after its ask was sent, at the latest.
-            "ends_within_ms": (terms.life - terms.margin) / 1e6 if grant and grant.extra else 0.0,
+            # As the divider counts it, which is never before the backend's own end; None: not told.
+            "ends_within_ms": within(left.get(backend), since) if held.at else None,
         })  # fmt: skip
     counted = terms.safe * terms.most + sum(grant.held for grant in rows.values())
     whole, number = (held.ledger.whole, held.ledger.round) if held.ledger else (terms.whole, 0)
     return {"budget": name, "unit": terms.unit.value, "whole": whole, "round": number, "counted": counted,
-            "most": terms.most, "safe": terms.safe, "backends": backends}  # fmt: skip
+            "divider": link.divider(name), "most": terms.most, "safe": terms.safe,
+            "backends": backends}  # fmt: skip
+
+
+def within(left: int | None, since: float) -> float:
+    """Milliseconds until what was granted `left` ns at a writing `since` seconds ago has ended; 0 if it
+    has."""
+    return max(round((left or 0) / 1e6 - since * 1000, 1), 0.0)
 
 
 def show(one: dict[str, Any]) -> None:
     state = f"round {one['round']}" if one["round"] else "not divided yet: every backend has its safe share"
     click.echo(f"{one['budget']}: whole {one['whole']:g} {one['unit']}, counted in use at most "
-               f"{one['counted']:g} (safe shares of {one['most']} included), {state}")  # fmt: skip
+               f"{one['counted']:g} (safe shares of {one['most']} included), {state}, divided by "
+               f"{one['divider'] or 'nobody now'}")  # fmt: skip
     for row in one["backends"]:
-        click.echo(f"  {row['backend']}: share {row['share']:g}, wants {row['want']:g}, uses {row['use']:g}"
+        ends = f", ends within {row['ends_within_ms'] / 1000:.1f} s" if row["ends_within_ms"] else ""
+        click.echo(f"  {row['backend']}: share {row['share']:g}{ends}, wants {row['want']:g}, "
+                   f"uses {row['use']:g}"
                    + (f", may still be using {row['held']:g} beyond the safe share"
                       if row["held"] > row["share"] - one["safe"] else ""))  # fmt: skip
--- a/ringshift/fleet/budget.py
+++ b/ringshift/fleet/budget.py
@@ -4,9 +4,9 @@
 lease of a fleet task (ringshift/fleet/lease.py); it reads what the backends ask for and writes one ledger.
 The `Share` runs at every backend: it asks, reads the ledger, and tells how much may be used now. Both talk
 through the keeper only (ringshift/wire/shares.py). Times are whole nanoseconds, each on its own process's
-clock; no time ever crosses from one clock to another. Source of the scheme: Doorman's global limits (shares
-granted as leases that are refreshed, a safe share without contact), with the lease rule of this program's
-leases.
+clock; nothing is decided by a time that crosses from one clock to another. Source of the scheme: Doorman's
+global limits (shares granted as leases that are refreshed, a safe share without contact), with the lease rule
+of this program's leases.
 
 **The rule.** A backend may always use its `safe` share. Beyond it, it uses its `extra` only until its own
 deadline: when it *sent* the ask that the grant answers, plus `life`, less the `margin`; and begins nothing
@@ -71,6 +71,8 @@
     rows: Mapping[str, Grant]
     life: int = 0
     """Of its grants, as the divider counts them: a backend told a longer one goes by this."""
+    left: Mapping[str, int] = field(default_factory=dict)
+    """Of each grant, as this was written, until it has surely ended; none decides by it."""
 
 
 # The division.
@@ -312,7 +314,9 @@
             if row.extra > 0:
                 row.add(number, row.extra, row.read_at + self.budget.counted)
         rows = {name: Grant(row.n, row.extra, max(row.held(), row.extra)) for name, row in self.rows.items()}
-        self.ledger = Ledger(number, self.budget.whole, rows, self.budget.life)
+        left = {name: max(until for _, _, until in row.out) - self.now
+                for name, row in self.rows.items() if row.out}  # fmt: skip
+        self.ledger = Ledger(number, self.budget.whole, rows, self.budget.life, left)
 
     def targets(self) -> dict[str, float]:
         """Each backend's fair part of the pool, beyond its safe share; none for one whose grant is ending."""
--- a/ringshift/lifecycle/sharing.py
+++ b/ringshift/lifecycle/sharing.py
@@ -27,7 +27,6 @@
 from ringshift.fleet.whole import raised, ruled
 from ringshift.interface import Granted, Unit
 from ringshift.lifecycle.holder import Hold, Holder, OwnClock, apart
-from ringshift.machine import Malformed
 from ringshift.records.schema import Body, ShareChange
 from ringshift.wire.keeper import KeeperLink
 from ringshift.wire.shares import BudgetLink
@@ -239,15 +238,19 @@
 def shares(path: str, name: str, seed: int, clock: Callable[[], int], operations: dict[str, int],
            tell: Tell | None) -> Shares | None:  # fmt: skip
     """What the operators' file says of budgets, begun; None where it names none. Raises Malformed."""
-    from ringshift.settings.operators import read_operators
+    from ringshift.settings.operators import read_operators, refused
 
     operators = read_operators(path)
     if not operators.budgets or operators.leases is None:
         return None
     budgets = [one.budget() for one in operators.budgets]
-    for budget in budgets:
+    for place, budget in enumerate(budgets):
         if budget.operation and budget.operation not in operations:
-            raise Malformed(f"{path}: budgets: {budget.name}: operation {budget.operation!r} is none of ours")
+            raise refused(path, "budgets", place, "operation", f"{budget.operation!r} is none of ours")
+        if budget.unit is Unit.RETRIES:
+            # A repeat is known by the end of the call before it, which no agent on sockets tells.
+            raise refused(path, "budgets", place, "unit", "'retries': no calls are told of on sockets, "
+                          "so nothing would be counted")  # fmt: skip
     terms, keepers = operators.leases.terms(), operators.leases.keepers
     backend = identity(name, Random())
     sharers = [Sharer(one, backend, keepers, clock, terms.answer_within, tell) for one in budgets]
--- a/ringshift/settings/operators.py
+++ b/ringshift/settings/operators.py
@@ -145,6 +145,12 @@
         raise Malformed(f"{path}: {where(text, str(wrong))}") from None
 
 
+def refused(path: str, table: str, place: int, field: str, told: str) -> Malformed:
+    """What one who read the file can't keep, of a field that is right in itself, with its line."""
+    text = Path(path).read_text(encoding="utf-8")
+    return Malformed(f"{path}: {where(text, f'{told} - at `$.{table}[{place}].{field}`')}")
+
+
 def where(text: str, wrong: str) -> str:
     """The line of the field that msgspec names by path, or by name where it is unknown."""
     told, _, path = wrong.partition(" - at `$")
--- a/ringshift/wire/shares.py
+++ b/ringshift/wire/shares.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import base64
+import time
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -39,9 +40,11 @@
         return None
 
 
-def write_ledger(ledger: Ledger) -> bytes:
+def write_ledger(ledger: Ledger, at: float = 0.0) -> bytes:
+    """`at`: Unix seconds, for those who look; 0 for not known. Older texts pass over it and `left`."""
     rows = {name: [grant.n, grant.extra, grant.held] for name, grant in ledger.rows.items()}
-    return orjson.dumps({"round": ledger.round, "whole": ledger.whole, "life": ledger.life, "rows": rows})
+    return orjson.dumps({"round": ledger.round, "whole": ledger.whole, "life": ledger.life, "rows": rows,
+                         "left": ledger.left, "at": at})  # fmt: skip
 
 
 def read_ledger(data: bytes) -> Ledger:
@@ -50,11 +53,18 @@
         told = orjson.loads(data)
         rows = {str(name): Grant(int(n), float(extra), float(held))
                 for name, (n, extra, held) in told["rows"].items()}  # fmt: skip
-        return Ledger(int(told["round"]), float(told["whole"]), rows, int(told["life"]))
+        left = {str(name): int(span) for name, span in told.get("left", {}).items()}
+        return Ledger(int(told["round"]), float(told["whole"]), rows, int(told["life"]), left)
     except (KeyError, TypeError, AttributeError) as wrong:
         raise ValueError(f"ledger: {wrong!r}") from None
 
 
+def written_at(data: bytes) -> float:
+    """Unix seconds at which a ledger was written, by its divider's clock; 0 where it does not say."""
+    at = orjson.loads(data).get("at", 0.0)
+    return float(at) if isinstance(at, int | float) else 0.0
+
+
 @dataclass(frozen=True)
 class Held:
     """All that the keeper has of one budget, read at one revision."""
@@ -63,6 +73,8 @@
     ledger: Ledger | None
     revision: int
     """At which the ledger was last written, 0 where there is none."""
+    at: float = 0.0
+    """When, in Unix seconds by its divider's clock; 0 for not known."""
 
 
 class BudgetLink(KeeperLink):
@@ -87,15 +99,21 @@
         prefix = self.prefix(name)
         end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
         body = {"key": b64(prefix.encode()), "range_end": b64(end.encode())}
-        asks, ledger, revision = list[Ask](), None, 0
+        asks, ledger, revision, at = list[Ask](), None, 0, 0.0
         for kv in self.call("/kv/range", body).get("kvs", []):
             key, value = base64.b64decode(kv["key"]).decode(), base64.b64decode(kv.get("value", ""))
             place = key.removeprefix(prefix)
             if place == "ledger":
-                ledger, revision = read_ledger(value), int(kv["mod_revision"])
+                ledger, revision, at = read_ledger(value), int(kv["mod_revision"]), written_at(value)
             elif place.startswith("asks/") and (ask := read_ask(place.removeprefix("asks/"), value)):
                 asks.append(ask)
-        return Held(asks, ledger, revision)
+        return Held(asks, ledger, revision, at)
+
+    def divider(self, name: str) -> str:
+        """Who holds the lease of this budget's divider, as its key has it, the name first; empty: nobody."""
+        key = f"/ringshift/tasks/budget-{name}".encode()
+        found = self.call("/kv/range", {"key": b64(key)}).get("kvs", [])
+        return base64.b64decode(found[0].get("value", "")).decode(errors="replace") if found else ""
 
     def write(self, name: str, task_key: bytes, token: int, revision: int, ledger: Ledger,
               gone: Iterable[str]) -> int:  # fmt: skip
@@ -103,7 +121,8 @@
         now."""
         prefix = self.prefix(name)
         key = b64(f"{prefix}ledger".encode())
-        writes: list[dict[str, Any]] = [{"request_put": {"key": key, "value": b64(write_ledger(ledger))}}]
+        data = b64(write_ledger(ledger, time.time()))
+        writes: list[dict[str, Any]] = [{"request_put": {"key": key, "value": data}}]
         for backend in list(gone)[:MOST_DELETED]:
             writes.append({"request_delete_range": {"key": b64(f"{prefix}asks/{backend}".encode())}})
         answer = self.call("/kv/txn", {
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,21 +3,25 @@
 from __future__ import annotations
 
 import json
+import re
 import signal
 import subprocess
 import sys
 import time
 import tomllib
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 
 import gevent
 import pytest
 
+from ringshift.cli.budget import within
 from ringshift.fleet.budget import Ask, Grant, Ledger
+from ringshift.lifecycle.sharing import shares
 from ringshift.machine import Malformed
 from ringshift.settings.operators import read_operators
-from ringshift.wire.shares import BudgetLink, read_ask, read_ledger
+from ringshift.wire.shares import BudgetLink, read_ask, read_ledger, write_ledger, written_at
 from standins.agent import Agent
 from standins.room import Room
 
@@ -61,6 +65,21 @@
     assert told in str(wrong.value), str(wrong.value)
 
 
+@pytest.mark.parametrize(("text", "told"), [
+    (GOOD.replace('"calls"', '"retries"'), "line 5: budgets.unit: 'retries': no calls are told"),
+    (GOOD + GOOD.replace(LEASES, "").replace("database", "b").replace('"calls"', '"retries"'), "line 11: "),
+    (GOOD.replace('"calls"', '"rate"\noperation = "cakes"'), "line 6: budgets.operation: 'cakes' is none"),
+])  # fmt: skip
+def test_a_budget_that_binds_nothing_on_sockets_is_refused_with_line_and_field(
+    tmp_path: Path, text: str, told: str,
+) -> None:  # fmt: skip
+    path = tmp_path / "fleet.toml"
+    path.write_text(text)
+    with pytest.raises(Malformed) as wrong:
+        shares(str(path), "n1", 1, time.monotonic_ns, {"look": 0}, None)
+    assert told in str(wrong.value), str(wrong.value)
+
+
 def test_asks_and_the_ledger_go_through_the_keeper_and_an_old_divider_writes_nothing(keeper: str) -> None:
     link = BudgetLink([keeper], time.monotonic_ns, 2.0)
     assert link.ask("database", Ask("n1.7.a", 1, 5.0, 2.0)) is None
@@ -76,6 +95,18 @@
     assert link.write("database", key, lease.token + 1, revision, Ledger(2, 20.0, {}), []) == 0
     assert link.write("database", key, lease.token, revision, Ledger(2, 20.0, {}), ["n1.7.a"])
     assert link.read("database").asks == []
+    assert link.divider("database") == "n1" and link.divider("other") == ""
+
+
+def test_an_end_is_told_as_of_the_look() -> None:
+    assert [within(4_000_000_000, since) for since in (0.0, 1.5, 9.0)] == [4000.0, 2500.0, 0.0]
+    assert within(None, 1.0) == 0.0
+    ledger = Ledger(3, 20.0, {"a": Grant(1, 4.0, 4.0)}, 8, {"a": 5})
+    data = write_ledger(ledger, 12.5)
+    assert read_ledger(data) == ledger and written_at(data) == 12.5
+    # One written by an older text says neither.
+    older = b'{"round": 3, "whole": 20.0, "life": 8, "rows": {"a": [1, 4.0, 4.0]}}'
+    assert read_ledger(older) == replace(ledger, left={}) and written_at(older) == 0.0
 
 
 @pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b'["x",1,1,1,1,1]', b'[1,"x",0,0,1,false]', b"\xff"])
@@ -122,8 +153,11 @@
         assert (told["whole"], told["counted"]) == (3.0, 3.0)
         (row,) = told["backends"]
         assert row["backend"].startswith("n3.") and row["share"] == 3.0 and row["use"] <= 3.0
+        # Wanted is what runs and what waits; the end is as of the look, a life of 4 s and the drift at most.
+        assert told["divider"].startswith("n3 ") and row["want"] > 3.0 and 0 < row["ends_within_ms"] <= 4040
         plain = subprocess.check_output(command[:-1], cwd=ROOT, text=True)
         assert plain.startswith("database: whole 3 calls, counted in use at most 3")
+        assert "divided by n3 " in plain and re.search(r"share 3, ends within [0-4]\.\d s, wants ", plain)
         for _ in range(20):
             for one in list(agent.running):
                 agent.finish(one)
