A share granted on keeps its later end in the decisions; a rate is proven

A rate was held on the bare module alone. Looked at in the program on sockets, a backend granted 18 a second began 4.2: the share's news went to the decisions only when its amount changed, so one granted again as it was ended at its first grant's end and fell to the safe share, of calls as well (on the safe side, yet most of the whole lay idle; members of the harness look at the share themselves and did not show it). The news goes out whenever amount or end changed.

--- a/ringshift/lifecycle/sharing.py
+++ b/ringshift/lifecycle/sharing.py
@@ -202,6 +202,7 @@
 
     def __init__(self, sharers: list[Sharer], dividers: Dividers, operations: dict[str, int]) -> None:
         self.sharers, self.dividers, self.last = sharers, dividers, 0
+        self.known: list[Granted | None] = [None] * len(sharers)  # what the decisions were last told
         self.keys = [(one, one.share.budget.unit, operations.get(one.share.budget.operation, -1))
                      for one in sharers]  # fmt: skip
 
@@ -211,16 +212,19 @@
             work.wholes = wholes
 
     def granted(self, now: int, controller: Controller) -> list[Granted]:
-        """Polls each; a share is told anew when it changed, and always at first: the safe one."""
+        """Polls each; a share is told anew when its amount or its end changed, and always at first: the safe
+        one. A share that is granted again as it was has a later end, or the decisions fall at the old one."""
         span, told = max(now - self.last, 1) / 1e9, list[Granted]()
-        for sharer, unit, operation in self.keys:
+        for place, (sharer, unit, operation) in enumerate(self.keys):
             use, waiting = controller.demand(unit, operation)
             if unit is not Unit.CALLS and self.last:
                 waiting /= span
-            if sharer.poll(use, waiting) or not self.last:
-                share, safe = sharer.share, sharer.share.budget.safe
-                until = share.ends - share.budget.longest
-                told.append(Granted(unit, safe + share.extra, until, safe, operation))
+            sharer.poll(use, waiting)
+            share, safe = sharer.share, sharer.share.budget.safe
+            news = Granted(unit, safe + share.extra, share.ends - share.budget.longest, safe, operation)
+            if news != self.known[place]:
+                self.known[place] = news
+                told.append(news)
         self.last = now
         return told
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -12,13 +12,18 @@
 from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import gevent
 import pytest
 
 from ringshift.cli.budget import within
-from ringshift.fleet.budget import Ask, Grant, Ledger
-from ringshift.lifecycle.sharing import shares
+from ringshift.control import Controller
+from ringshift.fleet.budget import Ask, Budget, Grant, Ledger, S
+from ringshift.fleet.share import News, Share
+from ringshift.interface import Granted, Unit
+from ringshift.lifecycle.sharing import Dividers, Sharer, Shares, shares
 from ringshift.machine import Malformed
 from ringshift.settings.operators import read_operators
 from ringshift.wire.shares import BudgetLink, read_ask, read_ledger, write_ledger, written_at
@@ -171,6 +176,58 @@
         assert [ask.leaving for ask in held.asks] == [True]
 
 
+def test_a_share_granted_again_as_it_was_is_told_with_its_later_end() -> None:
+    """Else the decisions fall to the safe share when the first grant ends, though it is granted on."""
+    terms = Budget("looks", Unit.RATE, 20, 2, 2, operation="look", longest=0)
+    share = Share("a", terms, 600_000_000)
+    told = shared(share, terms)
+    assert told.granted(1, CONTROL) == [Granted(Unit.RATE, 2.0, 0, 2.0, 0)]  # at first: the safe one
+    ends = []
+    for number in (1, 2, 3):
+        now = number * S
+        share.hear(News.TICK, now)
+        share.hear(News.LEDGER, now, Ledger(number, 20.0, {"a": Grant(number, 16.0, 16.0)}, 8 * S))
+        (news,) = told.granted(now, CONTROL)
+        assert (news.amount, told.granted(now, CONTROL)) == (18.0, [])
+        ends.append(news.until)
+    assert ends == [number * S + 8 * S - terms.margin - terms.longest for number in (1, 2, 3)]
+
+
+def shared(share: Share, terms: Budget) -> Shares:
+    """A process's shares with one that nobody asks for: the test hands it its news."""
+    sharer = cast(Sharer, SimpleNamespace(share=share, poll=lambda use, waiting: False))
+    return Shares([sharer], cast(Dividers, None), {terms.operation: 0})
+
+
+CONTROL = cast(Controller, SimpleNamespace(demand=lambda unit, operation: (0.0, 0.0)))
+
+
+def test_a_backend_begins_no_more_a_second_than_its_share_of_a_rate(tmp_path: Path, keeper: str) -> None:
+    """Of two that the fleet may have this is the only one: 18 of 20 a second are its own, 2 set aside."""
+    settings = tmp_path / "fleet.toml"
+    settings.write_text(
+        f'[leases]\nkeepers = ["{keeper}"]\nttl_s = 2\nmargin_ms = 200\nanswer_within_ms = 600\n'
+        '[[budgets]]\nname = "looks"\nunit = "rate"\noperation = "look"\nwhole = 20\nmost = 2\nsafe = 2\n'
+        "life_ms = 1500\nrefresh_ms = 200\nmargin_ms = 100\n"
+    )
+    agent = Agent(lambda job, kind, body: (0.0, "good", b"made"))
+    with Room(agent, environ={"RINGSHIFT_SETTINGS": str(settings), "RINGSHIFT_RECORDS": "lines"}) as room:
+        sidecar, began = room.serving(), time.monotonic()
+
+        def feed() -> None:
+            for request in range(1, 10_000):  # a hundred a second at the most
+                sidecar.send(sidecar.call(request))
+                gevent.sleep(0.01)
+
+        feeding = gevent.spawn(feed)
+        room.line('"new":18.0', 20)
+        granted, before = time.monotonic(), len(agent.launches)
+        assert before <= 18 * (granted - began) + 1.8 + 1
+        agent.until(lambda: len(agent.launches) >= before + 40)
+        assert len(agent.launches) - before <= 18 * (time.monotonic() - granted) + 1.8 + 1
+        feeding.kill()
+
+
 def test_the_backend_as_run_starts_it_has_no_part_in_budgets() -> None:
     """Off on the platform: without the operators' file nothing of it is imported and no thread is started."""
     line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
