--- a/standins/fleet/budgets.py
+++ b/standins/fleet/budgets.py
@@ -3,7 +3,8 @@
 As standins/fleet/harness.py, whose keeper, proxies and faults it plays; the processes are
 standins/fleet/member.py, the program's own share and divider with a made-up load, and beside the faults there
 are joins, leaves, a rolling replacement, and a partition of the divider with a third of the fleet. The whole
-may be lowered in service. The checker is standins/checkers/budgets.py.
+stays as it is: one that is lowered is emulated (tests/fleet/test_budget.py). The checker is
+standins/checkers/budgets.py.
 """
 
 from __future__ import annotations
