Retirement: the table that decided nothing in the program is gone

shed.SPECIFICATION said what becomes of an invocation and in which order with overload, but the program decides that in ringshift/control, from the lot that comes with the invocation; only tests read the table. It goes, with its test; the design note names the path that decides, whose cases with the door shut are in tests/test_ruled.py. What shed.py does decide, who is drawn, stays, and its property test now asks that.

--- a/ringshift/retirement/shed.py
+++ b/ringshift/retirement/shed.py
@@ -7,12 +7,14 @@
 
 What a step turns away (`Decided`) is decided once, for the fleet, with the callers warned to the floor named
 in it; so two backends at one edition never differ, whatever each knows of counts.
+
+This says who is drawn. What becomes of an invocation, and in which order with the door, is decided in
+ringshift/control (`Controller.on_arrived`, `Shares.ruled_out`) by the lot that is handed over with it.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import Enum, IntEnum
 
 import msgspec
 from xxhash import xxh3_64_intdigest
@@ -54,43 +56,6 @@
     """Callers with a lot below the share that were warned to the floor: no other is turned away."""
 
 
-class Fact(IntEnum):
-    """Of one invocation, judged once, by the step under which it was read."""
-
-    RUN = 1
-    REPEATED = 2
-    DRAWN = 3
-    OVERLOAD = 4
-    UNBOUND = 5
-    ABOVE = 6
-    EXEMPT = 7
-    SHORT = 8
-
-
-class Verdict(Enum):
-    SERVED = "served"
-    RETIRED = "retired"
-    """For good: told as terminal, reckoned apart from overload."""
-    OVERLOADED = "overloaded"
-
-
-# The first fact that holds decides: fact | verdict | reason
-SPECIFICATION = """
-RUN      | SERVED     | it was taken in before, has run or runs: no later step turns it away
-REPEATED | SERVED     | a keyed repeat of one that was served gets its result, after the end as well
-DRAWN    | RETIRED    | its lot is below the share: before overload is looked at, not on top of it
-OVERLOAD | OVERLOADED | for now: another time, or elsewhere, it may be served
-UNBOUND  | SERVED     | no step turns anyone away at this instant
-ABOVE    | SERVED     | its lot is not below the share
-EXEMPT   | SERVED     | its exemption has not ended
-SHORT    | SERVED     | it was not warned to the floor
-"""
-TABLE: dict[Fact, tuple[Verdict, str]] = {
-    Fact[row[0].strip()]: (Verdict[row[1].strip()], row[2].strip())
-    for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
-}
-
-
 class Exempt:
     """The exemptions of a timeline by caller, for the request path."""
 
@@ -120,25 +85,6 @@
             return NONE
         return lot(self.key, caller)
 
-    def judge(self, caller: int, now: int, run: bool = False, repeated: bool = False,
-              overload: bool = False) -> tuple[Verdict, str]:  # fmt: skip
-        """What becomes of an invocation read at `now`, and why: the whole table, for plans and checkers."""
-        return TABLE[self.fact(caller, now, run, repeated, overload)]
-
-    def fact(self, caller: int, now: int, run: bool, repeated: bool, overload: bool) -> Fact:
-        share = self.share(now)
-        holds = {
-            Fact.RUN: run,
-            Fact.REPEATED: repeated,
-            Fact.DRAWN: sheds(share, self.lot(caller, now)),
-            Fact.OVERLOAD: overload,
-            Fact.UNBOUND: not share,
-            Fact.ABOVE: not sheds(share, lot(self.key, caller)),
-            Fact.EXEMPT: self.exempt(caller, now),
-            Fact.SHORT: True,
-        }
-        return next(fact for fact in Fact if holds[fact])
-
 
 def shedding(timeline: Timeline, decided: Decided) -> Shedding:
     return Shedding(key(timeline), Exempt(timeline), decided)
--- a/tests/retirement/test_shed.py
+++ b/tests/retirement/test_shed.py
@@ -8,10 +8,7 @@
 from ringshift.retirement.conditions import WHOLE
 from ringshift.retirement.shed import (
     NONE,
-    TABLE,
     Decided,
-    Fact,
-    Verdict,
     key,
     lot,
     shedding,
@@ -23,7 +20,6 @@
 CALLERS = st.integers(0, 2**40)
 SHARES = st.integers(0, WHOLE)
 LOW = min(range(1_000), key=lambda caller: lot(KEY, caller))  # drawn first of a thousand
-HIGH = max(range(1_000), key=lambda caller: lot(KEY, caller))
 
 
 def decided(share: int, *callers: int, edition: int = 1, until: int = 0) -> Decided:
@@ -71,25 +67,6 @@
     assert lot(7, 42) == 691_770  # of this program's versions and machines: pinned
 
 
-def test_each_row_of_the_table_in_its_order() -> None:
-    exempt = timeline(exemptions=[{"caller": LOW, "until": "2026-07-01T00:00:00Z"}])
-    all_in, none = decided(WHOLE, LOW, HIGH), Decided()
-    mine = lot(KEY, LOW)
-    told = [
-        (shedding(LINE, all_in).judge(LOW, FIRST, run=True, overload=True), Fact.RUN),
-        (shedding(LINE, all_in).judge(LOW, END, repeated=True, overload=True), Fact.REPEATED),
-        (shedding(LINE, all_in).judge(LOW, FIRST, overload=True), Fact.DRAWN),
-        (shedding(exempt, all_in).judge(LOW, FIRST, overload=True), Fact.OVERLOAD),
-        (shedding(LINE, none).judge(LOW, END + DAY), Fact.UNBOUND),
-        (shedding(LINE, decided(mine, LOW)).judge(LOW, FIRST), Fact.ABOVE),
-        (shedding(exempt, all_in).judge(LOW, END + DAY), Fact.EXEMPT),
-        (shedding(LINE, decided(WHOLE, HIGH)).judge(LOW, END + DAY), Fact.SHORT),
-    ]
-    assert [found for found, _ in told] == [TABLE[fact] for _, fact in told]
-    assert [fact for _, fact in told] == list(Fact) == list(TABLE)
-    assert TABLE[Fact.DRAWN][0] is Verdict.RETIRED
-
-
 def test_an_exemption_ends_by_its_own_date_even_after_the_end() -> None:
     line = timeline(exemptions=[{"caller": LOW, "until": "2026-07-01T00:00:00Z"}])
     one = shedding(line, decided(WHOLE, LOW))
@@ -113,5 +90,5 @@
 def test_whoever_is_not_among_the_ready_is_never_turned_away(
     share: int, callers: frozenset[int], caller: int
 ) -> None:
-    told = shedding(LINE, decided(share, *callers)).judge(caller, END + DAY)[0]
-    assert told is Verdict.SERVED or (caller in callers and lot(KEY, caller) < share)
+    drawn = shedding(LINE, decided(share, *callers)).lot(caller, END + DAY)
+    assert not sheds(share, drawn) or (caller in callers and drawn == lot(KEY, caller))
