Rulebook: look-ups by index, whatever a clause turns away is told as ruled

An invocation walked all quotas, shares and changes in force, twice: its cost grew with their number. Moves, drains and quotas were recorded as overload, so a planned drain looked like one.

Throttle tells `ruled` apart from `final`; both are counted as `ruled` in the records, only the final reach a retirement's figures. What is final has no pause, and what is ruled is not wanted of a budget.

--- a/benchmarks/rulebook.py
+++ b/benchmarks/rulebook.py
@@ -1,4 +1,4 @@
-"""`python -m benchmarks.rulebook model|scale|look|book|lookup|ramp`: what the rulebook promises, and costs.
+"""`python -m benchmarks.rulebook model|scale|look|book|lookup|amounts|ramp`: promises and costs.
 
 model   Every state of the model (standins/checkers/rules_model.py) to a depth, for several budgets of faults.
 scale   EMULATED: readers, a publisher and the keeper in virtual time by the program's own client
@@ -7,9 +7,10 @@
 look    One look of a publisher at the keeper, in ms, by the number of readers.
 book    A document checked, digested, compared, written, read and taken in, in ms.
 lookup  One invocation judged, in ns, by the number of entries.
+amounts One invocation decided, in us of CPU, by the number of quotas.
 ramp    EMULATED: what a fleet of backends turns away of a retired operation, against the ramp's plan.
 
-Seeded; `--short` is a small run of the same. Times of `book` and `lookup` are of one process on one core.
+Seeded; `--short` is a small run of the same. `book`, `lookup` and `amounts` are of one process on one core.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 from typing import Any
 
 from benchmarks.leases import share as part_of
-from benchmarks.rulecosts import book, look, lookup
+from benchmarks.rulecosts import amounts, book, look, lookup
 
 Job = tuple[dict[str, int], dict[str, Any], str, int]  # faults, the model's words, where it begins, depth
 
@@ -195,7 +196,7 @@
 def main() -> int:
     raw = argparse.RawDescriptionHelpFormatter
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
-    parser.add_argument("what", choices=["model", "scale", "look", "book", "lookup", "ramp"])
+    parser.add_argument("what", choices=["model", "scale", "look", "book", "lookup", "amounts", "ramp"])
     parser.add_argument("--depth", type=int, default=7)
     parser.add_argument("--readers", type=int, nargs="+", default=[10, 100, 1000])
     parser.add_argument("--seeds", type=int, default=4)
@@ -216,6 +217,8 @@
         return ramp([5], 300, 2, 2) if told.short else ramp([10, 50], 1_000, told.seeds, told.workers)
     if told.what == "book":
         return book(400 if told.short else told.entries, 3 if told.short else 11)
+    if told.what == "amounts":
+        return amounts(*(([10, 100], 200, 2) if told.short else ([10, 1_000, 10_000], 5_000, 7)))
     sizes, count = ([10, 1_000], 1_000) if told.short else ([10, 1_000, 10_000, 100_000], 20_000)
     return lookup(sizes, count)
 
--- a/benchmarks/rulecosts.py
+++ b/benchmarks/rulecosts.py
@@ -1,5 +1,5 @@
 """What the rulebook's own steps cost on one core, for benchmarks/rulebook.py: a publisher's look, a document
-checked and taken in, one invocation judged."""
+checked and taken in, one invocation judged, one decided under many quotas."""
 
 from __future__ import annotations
 
@@ -132,3 +132,71 @@
         print(f"| {size:,} | {ns(judge.refused, named, 7)} | {ns(judge.refused, others, 7)} | "
               f"{ns(held.__contains__, indices, 7)} | {ns(plain.get, indices, 7)} |", flush=True)  # fmt: skip
     return 0
+
+
+def amounts(sizes: list[int], count: int, rounds: int = 7) -> int:
+    """The sizes take turns, so that what else runs on the machine falls on all; told is the least of each."""
+    worlds = {size: under(size) for size in sizes}
+    spent: dict[int, list[tuple[float, ...]]] = {size: [] for size in sizes}
+    for _ in range(rounds):
+        for size, controller in worlds.items():
+            spent[size].append(decided(controller, size, count))
+    print("| quotas | both look-ups of an invocation, us | an invocation from its arrival to its end, us | "
+          "beside: a walk of all quotas, twice, us |\n| --- | --- | --- | --- |")  # fmt: skip
+    for size in sizes:
+        looked, whole, walked = (min(one) for one in zip(*spent[size], strict=True))
+        print(f"| {size:,} | {looked:.1f} | {whole:.0f} | {walked:,.1f} |", flush=True)
+    return 0
+
+
+def under(size: int) -> Any:
+    """Decisions that have taken in so many quotas: half are of callers, half of customers."""
+    from ringshift import interface as face
+    from ringshift.control import Controller
+    from ringshift.rulebook.document import Quota, Rules
+    from ringshift.rulebook.indices import Names, ruled
+
+    customers = tuple(face.Customer(f"c{n}", 1e9) for n in range(size // 2))
+    look = face.Operation("look", face.Effect.IDEMPOTENT, 10**10, 0.0, 10**11, 1.0, 0.0, 10**9, False, 0.0)
+    machine = face.Machine(
+        cores=8, memory_kb=1e9, run_factor=1.0, entry_kb=1.0, cold=False, cold_speed=0.5, ramp=10**9,
+        fall_multiple=8.0, grace=10**9, tick=10**6, fleet=1, callers=9, halt=face.Halt.NONE,
+        advert=face.Advert.NONE, heeded=0, fresh=0, longest_pause=10**9, over_quota_share=0.1,
+        operations=(look,), customers=customers, gauges=(),
+        dependency=face.Dependency(face.Below.NONE, 1.0, 10**9, 0),
+    )  # fmt: skip
+    names = tuple(one.name for one in customers)
+    quotas = [Quota(of, one, 1e9) for of in ("callers", "customers")
+              for one in (map(str, range(size // 2)) if of == "callers" else names)]  # fmt: skip
+    controller = Controller(machine, 1)
+    controller.decide(10**12, [ruled(Rules(quotas=quotas), Names(("look",), names))])
+    return controller
+
+
+def decided(controller: Any, size: int, count: int) -> tuple[float, ...]:
+    """Microseconds of CPU an invocation, of callers and customers with a quota each."""
+    import random
+
+    from ringshift import interface as face
+    from ringshift.control.invocation import Inv
+
+    chance, now = random.Random(1), controller.now
+    came = [face.Arrived(n, 0, chance.randrange(size // 2), None, 0.0, 1.0, 1.0, False,
+                         chance.randrange(size // 2), 0, None) for n in range(count)]  # fmt: skip
+    invs = [Inv(one, controller.lines[0], now) for one in came]
+    marks = [time.process_time_ns()]
+    for inv in invs:
+        controller.ruled_out(inv, -1)
+        controller.outpaced(inv)
+    marks.append(time.process_time_ns())
+    for one in came:
+        now += 10**6
+        controller.decide(now, [one])
+        controller.decide(now, [face.Finished(one.inv, face.Outcome.SUCCEEDED, 10**6)])
+    marks.append(time.process_time_ns())
+    every, few = [one for ones in controller.rules.clauses[0].values() for one in ones], invs[:20]
+    for inv in few * 2:
+        assert sum(one.concerns(inv.who) for one in every) == 2
+    marks.append(time.process_time_ns())
+    spent = [(after - before) / 1e3 for before, after in zip(marks, marks[1:], strict=False)]
+    return spent[0] / count, spent[1] / count, spent[2] / len(few)
--- a/ringshift/control/controller.py
+++ b/ringshift/control/controller.py
@@ -46,7 +46,7 @@
             self.step_to(inv, News.LATE)
         elif (self.worth_rank(inv, news) < self.level(line) or inv.kb * self.machine.run_factor > self.room or
               (inv.over and self.open < 1.0) or (not self.warm and len(self.invs) > self.crowd()) or
-              self.rationed(face.Unit.RATE, news.operation) or self.outpaced(inv)):
+              self.rationed(face.Unit.RATE, news.operation) or (self.ruled and self.outpaced(inv))):
             self.step_to(inv, News.TURN)  # the rates were asked last: they take a token
         else:
             if news.customer >= 0:
--- a/ringshift/control/door.py
+++ b/ringshift/control/door.py
@@ -22,13 +22,13 @@
         """A door long half shut tells of a fleet without room: the next server would read it in vain, as what
         is beyond a share. By chance: one slow alone shuts its door as well, and others could run it."""
         self.within.add(self.now, not inv.over)
-        if self.rations and self.limited() < self.limit:
+        if self.rations and self.limited() < self.limit and not inv.ruled:
             inv.line.missed.add(self.now, 1.0)
         longest, late = self.machine.longest_pause, self.now + self.latest(inv) > inv.goal
         give_up = not self.leaving_at and (late or inv.over or self.random.random() > self.open**2)
         excess = max(round(self.wait() - CALM * min(map(self.patience, self.lines))), 0)
-        pause = longest if self.leaving_at else 0 if late else min(excess, longest)
-        self.out.append(face.Throttle(inv.id, pause, give_up or inv.final, inv.final))
+        pause = 0 if inv.final else longest if self.leaving_at else 0 if late else min(excess, longest)
+        self.out.append(face.Throttle(inv.id, pause, give_up or inv.final, inv.ruled or inv.final, inv.final))
 
     def end(self, inv: Inv) -> None:
         """An error is tried again in vain; an idempotent one may be turned away with the wish not to."""
--- a/ringshift/control/invocation.py
+++ b/ringshift/control/invocation.py
@@ -47,8 +47,7 @@
 TABLE: dict[tuple[State, News], tuple[State, list[str]]] = {
     (State[state], News[name]): (State[row[2].strip()], row[3].split())
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
-    for state in row[0].split() for name in row[1].split()
-}  # fmt: skip
+    for state in row[0].split() for name in row[1].split()}  # fmt: skip
 BEGUN = (RUNNING, ANSWERED, State.STANDING, State.CALLING)
 WEIGHTLESS = (HELD, State.WAITING)  # states that need a held invocation's memory, not a running one's
 PLAIN_NEWS = {face.Finished: News.ENDED, face.CallerGone: News.GONE, face.CallWanted: News.WANTS}
@@ -77,8 +76,8 @@
         self.goal = min(self.arrived + op.objective + stretch, self.due)
         line.hint.add(now, news.cost)
         self.size = news.cost * line.hint.count / line.hint.total if news.cost else 1.0
-        self.state, self.keyed_read, self.over, self.final = HELD, news.keyed_read, False, False
-        self.who = news.operation, news.customer, news.caller
+        self.state, self.keyed_read, self.over = HELD, news.keyed_read, False
+        self.who, self.ruled, self.final = (news.operation, news.customer, news.caller), False, False
         self.started = self.called = self.placed = self.call_by = self.calls = 0
 
 
--- a/ringshift/interface.py
+++ b/ringshift/interface.py
@@ -238,7 +238,7 @@
 @dataclass(frozen=True, slots=True)
 class Clause:
     """Of what it concerns, at most `rate` invocations a second begin here, and `away` millionths are to be
-    served elsewhere."""
+    served elsewhere. Of several rates for the same scope the lowest holds."""
 
     operations: Some = None
     customers: Some = None
@@ -248,8 +248,16 @@
 
     def concerns(self, who: tuple[int, int, int]) -> bool:
         """`who`: an invocation's operation, customer and caller."""
-        named = (self.operations, self.customers, self.callers)
-        return all(some is None or one in some for one, some in zip(who, named, strict=True))
+        return all(some is None or one in some for one, some in zip(who, self.scope, strict=True))
+
+    @property
+    def scope(self) -> tuple[Some, Some, Some]:
+        return self.operations, self.customers, self.callers
+
+
+Found = Mapping[tuple[int, int], Sequence[Clause]]
+"""Clauses by kind (0 operations, 1 customers, 2 callers) and index: whatever concerns an invocation is found
+under one of its three, or under (3, 0). Made by ringshift/rulebook/indices.py."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,7 +268,7 @@
 
     held_back: tuple[frozenset[int], frozenset[int], frozenset[int]] = (frozenset(), frozenset(), frozenset())
     let_through: tuple[Some, Some, Some] = (None, None, None)
-    clauses: tuple[Clause, ...] = ()
+    clauses: tuple[Found, ...] = ()
     shed: Mapping[int, int] = field(default_factory=dict)
 
 
@@ -287,6 +295,8 @@
     give_up: bool
     ruled: bool = False
     """By the fleet's rulebook, not for want of room: it is no sign of overload."""
+    final: bool = False
+    """By it and for good; otherwise elsewhere or later it may be served."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ringshift/lifecycle/ruling.py
+++ b/ringshift/lifecycle/ruling.py
@@ -30,7 +30,7 @@
 from ringshift.machine import Malformed
 from ringshift.records.schema import Body, RulesChange
 from ringshift.rulebook.document import Rulebook, Rules, read
-from ringshift.rulebook.indices import Names, ruled
+from ringshift.rulebook.indices import Names, found, ruled
 from ringshift.rulebook.meet import alone_of
 from ringshift.rulebook.reader import News, Reader
 from ringshift.rulebook.version import NOTHING, Row, Stamp, Version
@@ -194,6 +194,7 @@
         self.ruler, self.names, self.timetable, self.retiring = ruler, names, timetable, retiring
         self.tell, self.wall, self.first, self.measured = tell, wall, True, 0
         self.rules = ruler.rules()
+        self.taken = self.rules, names, ruled(self.rules, names)
         self.wholes: Mapping[str, float] = {}
         """Of budgets, as the rulebook has them by now; replaced whole, so that other threads may read it."""
 
@@ -216,9 +217,18 @@
         if not (changed or self.first):
             return []
         self.first = False
-        clauses = () if self.timetable is None else self.timetable.clauses()
-        shed = {} if self.retiring is None else self.retiring.shed()
-        return [ruled(self.rules, self.names, clauses, shed)]
+        clauses = () if self.timetable is None else found(self.timetable.clauses())
+        shed = {} if self.retiring is None else dict(self.retiring.shed())
+        one = self.in_indices()
+        return [replace(one, clauses=(*one.clauses, *clauses), shed=shed)]
+
+    def in_indices(self) -> face.Ruled:
+        """Of the rules, made once for each: a change on its ramp is told anew 50 times a second."""
+        rules, names, made = self.taken
+        if rules is not self.rules or names is not self.names:
+            made = ruled(self.rules, self.names)
+            self.taken = self.rules, self.names, made
+        return made
 
     def measure(self, now: int, controller: Controller) -> bool:
         """Of what this backend could serve a share may be allowed; whether that moved, where it counts."""
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -19,7 +19,7 @@
 from ringshift import interface as face
 from ringshift.control import Controller
 from ringshift.machine import NS_PER_MS
-from ringshift.records.watch import ERRORED, GONE, RULED, SUCCEEDED, THROTTLED, Unwatched, Watch
+from ringshift.records.watch import AWAY, ERRORED, GONE, RULED, SUCCEEDED, THROTTLED, Unwatched, Watch
 from ringshift.runtime.bounds import Bounds
 from ringshift.runtime.clock import Clock
 from ringshift.runtime.logs import counted
@@ -330,7 +330,7 @@
     def throttle(self, action: face.Throttle) -> None:
         inv = self.invocations.by_index[action.inv]
         data = calls.throttled(inv.request, self.fields, action.pause, action.give_up)
-        how = RULED if action.ruled else THROTTLED
+        how = RULED if action.final else AWAY if action.ruled else THROTTLED
         if inv.state is not Try.HELD:
             # On sockets a throttled answer promises that this try never ran.
             data, how = calls.errored(inv.request, self.fields), ERRORED
--- a/ringshift/records/schema.py
+++ b/ringshift/records/schema.py
@@ -62,7 +62,8 @@
     held: int = 0
     level: float = 0.0
     ruled: int = 0
-    """Turned away by the fleet's rulebook, which is no sign of overload and not in `throttled`."""
+    """Turned away by the fleet's rulebook, by name, lot, move, drain or quota: no sign of overload, not in
+    `throttled`."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ringshift/records/tally.py
+++ b/ringshift/records/tally.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ringshift.records.schema import MOST_STAMPS, Body, Counts, Second, Shedding, Stamp
-from ringshift.records.watch import ERRORED, GONE, RULED, SUCCEEDED, THROTTLED
+from ringshift.records.watch import AWAY, ERRORED, GONE, RULED, SUCCEEDED, THROTTLED
 
 if TYPE_CHECKING:
     from ringshift.control import Controller
@@ -36,7 +36,7 @@
 
     def clear(self) -> None:
         self.arrived = self.launched = self.ran = self.ran_ns = self.failed_runs = 0
-        self.ends = [0] * (RULED + 1)
+        self.ends = [0] * (AWAY + 1)
 
 
 class Tally:
@@ -102,7 +102,7 @@
             Counts(name, row.arrived, row.ends[SUCCEEDED], row.ends[THROTTLED], row.ends[ERRORED],
                    row.ends[GONE], row.launched, row.ran, round(row.ran_ns / MS, 3), row.failed_runs,
                    view.held[index] if view else 0, round(view.levels[index], 3) if view else 0.0,
-                   row.ends[RULED])
+                   row.ends[RULED] + row.ends[AWAY])
             for index, (name, row) in enumerate(zip(self.names, self.rows, strict=True))
         )  # fmt: skip
         most = sorted(self.stamps.items(), key=lambda one: (-one[1][1], one[0]))[:MOST_STAMPS]
--- a/ringshift/records/watch.py
+++ b/ringshift/records/watch.py
@@ -9,7 +9,8 @@
     from ringshift.wire.news import Called
 
 # How an invocation ended for its caller; a place in the counts of a second.
-SUCCEEDED, THROTTLED, ERRORED, GONE, RULED = range(5)  # RULED: turned away by the fleet's rulebook
+# RULED: turned away by the fleet's rulebook for good; AWAY: by it, to be served elsewhere or later.
+SUCCEEDED, THROTTLED, ERRORED, GONE, RULED, AWAY = range(6)
 
 
 class Watch(Protocol):
--- a/ringshift/rulebook/indices.py
+++ b/ringshift/rulebook/indices.py
@@ -11,8 +11,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from ringshift import interface as face
 from ringshift.rulebook.document import Of, Rules
@@ -35,9 +37,13 @@
     def indices(self, of: Of, entries: Iterable[str]) -> frozenset[int]:
         if of == "callers":
             return frozenset(filter(lambda one: one >= 0, map(number, entries)))
-        names = {"operations": self.operations, "customers": self.customers}.get(of, ())
-        wanted = frozenset(entries)
-        return frozenset(index for index, name in enumerate(names) if name in wanted)
+        known = self.numbers.get(of, {})
+        return frozenset(known[one] for one in entries if one in known)
+
+    @cached_property
+    def numbers(self) -> dict[Of, dict[str, int]]:
+        return {"operations": {name: n for n, name in enumerate(self.operations)},
+                "customers": {name: n for n, name in enumerate(self.customers)}}  # fmt: skip
 
 
 def number(entry: str) -> int:
@@ -45,10 +51,24 @@
     return int(entry) if entry.isascii() and entry.isdigit() and len(entry) < 20 else -1
 
 
-def ruled(rules: Rules, names: Names, clauses: Sequence[face.Clause] = (),
-          shed: Mapping[int, int] | None = None) -> face.Ruled:  # fmt: skip
-    """`clauses` and `shed`: of scheduled changes and of retirements, beside what the rules say. Time and room
-    are linear in the rules; what comes out is judged by look-ups."""
+def found(clauses: Iterable[face.Clause]) -> tuple[face.Found, ...]:
+    """Indexed by what they name, so that whoever judges an invocation looks at few of them: by callers, where
+    none is named by customers, then by operations; (3, 0) has those that name nobody. None for no clauses.
+
+    There are more callers than customers, and more of these than operations: this order leaves fewest under
+    one key. What is found under it and concerns another invocation names the same caller (or customer) with
+    other operations or customers: shares have one for each operation, changes those in force by then."""
+    by = defaultdict[tuple[int, int], list[face.Clause]](list)
+    for one in clauses:
+        kind = next((kind for kind in (2, 1, 0) if one.scope[kind] is not None), 3)
+        for index in (one.scope[kind] or ()) if kind < 3 else (0,):
+            by[kind, index].append(one)
+    return (dict(by),) if by else ()
+
+
+def ruled(rules: Rules, names: Names) -> face.Ruled:
+    """What the rules say, without scheduled changes and retirements. Time and room are linear in the rules;
+    what comes out is judged by look-ups."""
     held, through = dict.fromkeys(KINDS, NOTHING), dict[Of, frozenset[int]]()
     closed = False
     for one in rules.lists:
@@ -63,8 +83,8 @@
     return face.Ruled(
         held_back=(held["operations"], held["customers"], held["callers"]),
         let_through=(through.get("operations"), through.get("customers"), through.get("callers")),
-        clauses=(*quotas(rules, names), *shares(rules, names), *clauses), shed=dict(shed or {}),
-    )  # fmt: skip
+        clauses=found((*quotas(rules, names), *shares(rules, names))),
+    )
 
 
 def clause(of: Of, entry: str, names: Names, rate: float) -> face.Clause | None:
--- a/ringshift/schedule/timetable.py
+++ b/ringshift/schedule/timetable.py
@@ -16,7 +16,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from functools import partial
+from functools import lru_cache, partial
 from heapq import heapify, heappop
 
 from ringshift.interface import Clause
@@ -211,7 +211,8 @@
     return of(away=part) if does.place == names.place else None
 
 
-def indices(named: Named, known: Sequence[str]) -> frozenset[int] | None:
+@lru_cache(maxsize=1024)  # the same object on each step of a ramp, so that a look-up by it compares nothing
+def indices(named: Named, known: tuple[str, ...]) -> frozenset[int] | None:
     if isinstance(named, All):
         return None
     return frozenset(n for n, name in enumerate(known) if name in named)
--- a/tests/retirement/test_program.py
+++ b/tests/retirement/test_program.py
@@ -14,7 +14,7 @@
 from ringshift.lifecycle.ramping import GONE_AFTER, Ramping
 from ringshift.lifecycle.retiring import Line, Retiring
 from ringshift.records.schema import Body, RampStep
-from ringshift.records.watch import ERRORED, GONE, RULED, SUCCEEDED, THROTTLED
+from ringshift.records.watch import AWAY, ERRORED, GONE, RULED, SUCCEEDED, THROTTLED
 from ringshift.retirement.figures import Figures
 from ringshift.retirement.position import Position
 from ringshift.retirement.shed import Decided, key, lot
@@ -154,7 +154,7 @@
 def test_figures_are_of_answers_that_tell_of_the_two_operations(world: World) -> None:
     world.told(STEP)
     caller = min(LOW)
-    for how in (SUCCEEDED, ERRORED, THROTTLED, GONE, RULED):
+    for how in (SUCCEEDED, ERRORED, THROTTLED, GONE, RULED, AWAY):
         world.retiring.ended(3, caller, how)
         world.retiring.ended(5, caller, how)
         world.retiring.ended(4, caller, how)
--- a/tests/rulebook/test_ruling.py
+++ b/tests/rulebook/test_ruling.py
@@ -356,7 +356,7 @@
     assert isinstance(second, face.Ruled) and planned.heard == [(1, False, 0), (1, False, 0), (1, True, 1)]
     wall = 3
     (third,) = told.granted(0, None)
-    assert isinstance(third, face.Ruled) and third.clauses == (face.Clause(away=250_000),)
+    assert isinstance(third, face.Ruled) and third.clauses == ({(3, 0): [face.Clause(away=250_000)]},)
     assert (told.lot(1, 9), told.lot(0, 9)) == (7, -1) and told.fields(1, 9) == {"Deprecation": "@1"}
     told.answered(1, 9)
     told.ended(1, 9, 3)
@@ -409,13 +409,13 @@
         Portion("places", "south", 0.1), Portion("customers", "a", 0.25),
     ]), MACHINE_NAMES)  # fmt: skip
     some = frozenset
-    assert out.clauses == (
-        face.Clause(customers=some({1}), rate=2.0), face.Clause(callers=some({17}), rate=0.5),
-        face.Clause(operations=some({1}), rate=1.0), face.Clause(rate=10.0),
-        face.Clause(operations=some({1}), rate=10.0), face.Clause(customers=some({0}), rate=0.0),
-        face.Clause(operations=some({0}), customers=some({1}), rate=25.0),
-        face.Clause(operations=some({1}), customers=some({1}), rate=5.0),
-    )  # fmt: skip
+    assert out.clauses == ({
+        (0, 1): [face.Clause(some({1}), rate=1.0), face.Clause(some({1}), rate=10.0)],
+        (1, 0): [face.Clause(customers=some({0}), rate=0.0)],
+        (1, 1): [face.Clause(customers=some({1}), rate=2.0), face.Clause(some({0}), some({1}), rate=25.0),
+                 face.Clause(some({1}), some({1}), rate=5.0)],
+        (2, 17): [face.Clause(callers=some({17}), rate=0.5)], (3, 0): [face.Clause(rate=10.0)],
+    },)  # fmt: skip
     back = ruled(Rules(lists=[Listing("places", "held_back", ["north"])]), MACHINE_NAMES)
     assert back.let_through == (frozenset(), None, None)
     assert ruled(Rules(), MACHINE_NAMES) == face.Ruled()
@@ -465,12 +465,13 @@
     (first,) = told.granted(1 * S, controller)
     capacity = ruling.capacities(1 * S, controller)
     assert isinstance(first, face.Ruled) and told.wholes == {"calls": 7.0}
-    assert first.clauses == (face.Clause(operations=frozenset({1}), rate=0.5 * capacity[1]),)
+    assert first.clauses == ({(0, 1): [face.Clause(frozenset({1}), rate=0.5 * capacity[1])]},)
     for _ in range(50):
         controller.lines[1].run.add(2 * S, 4 * S)  # its runs take far longer of late
     assert told.granted(2 * S, controller) == []
     (second,) = told.granted(1 * S + ruling.CAPACITY_EVERY, controller)
-    assert isinstance(second, face.Ruled) and second.clauses[0].rate < first.clauses[0].rate / 2
+    assert isinstance(second, face.Ruled)
+    assert second.clauses[0][0, 1][0].rate < first.clauses[0][0, 1][0].rate / 2
     told.leave()
 
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -25,7 +25,7 @@
 from ringshift.records.schema import Dropped, Ended, Greeted, Record, Second, Shedding
 from ringshift.records.tally import REMEMBERED, Tally, peek
 from ringshift.records.text import TextLog
-from ringshift.records.watch import SUCCEEDED, THROTTLED
+from ringshift.records.watch import AWAY, SUCCEEDED, THROTTLED
 from ringshift.settings.operators import read_operators
 from ringshift.store.carriers import Carrier, Lines
 from ringshift.store.incident import Incident
@@ -259,7 +259,10 @@
     for throttled in (0, 5, 1, 0, 0, 0, 0, 0):
         tally.rows[1].ends[THROTTLED] = throttled
         tally.rows[1].ends[SUCCEEDED] = 50
-        told += [one for one in tally.cut(S, None) if isinstance(one, Shedding)]
+        tally.rows[0].ends[AWAY] = 60  # a drain is none
+        beat, *others = tally.cut(S, None)
+        told += [one for one in others if isinstance(one, Shedding)]
+        assert isinstance(beat, Second) and [one.ruled for one in beat.counts] == [60, 0]
     assert told == [Shedding("order", True), Shedding("order", False)]
 
 
