Owner: a test of how what the rulebook turns away reaches the records

Need: the records' counts and a retirement's figures hang on one line of the owner. Result: tests/test_owner.py passes.

--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -18,6 +18,7 @@
 from ringshift.interface import Effect
 from ringshift.lifecycle.program import PHASES, Happening, Phase
 from ringshift.owner import GAUGES_IN, QUIET, Owner
+from ringshift.records.watch import AWAY, RULED
 from ringshift.runtime import logs
 from ringshift.runtime.bounds import CONNECTION, IN_HAND, MIB, NEWS, OWN, Budget, bounds
 from ringshift.runtime.clock import Clock
@@ -213,6 +214,16 @@
     assert isinstance(arrived, face.Arrived) and (arrived.unread, arrived.patience) == (30 * MS, 2970 * MS)
 
 
+def test_a_drain_and_a_name_held_back_are_counted_apart(monkeypatch: pytest.MonkeyPatch) -> None:
+    played, seen = Played(), list[int]()
+    monkeypatch.setattr(played.owner.watch, "answered", lambda operation, how: seen.append(how))
+    drain = face.Ruled(clauses=({(3, 0): [face.Clause(away=10**6)]},))
+    for request, rules in enumerate((drain, face.Ruled(let_through=(None, None, frozenset())))):
+        played.owner.inputs.append(rules)
+        played.step(played.call(request))
+    assert seen == [AWAY, RULED]
+
+
 def test_a_clock_set_back_moves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     clock = Clock()
     before = clock.now()
