A retirement's edition is fetched once by a backend, not at each refresh

With each state its holder now writes a head of a hundred bytes, with a digest of what backends read of the state. A refresh reads the head, and of the state and of its own row the revisions alone (`keys_only`, as etcd publishes it); `ringshift/retirement/holding.py`, a table, says whether the state has to be fetched. Not judged by revisions or by the edition's number: a keeper restored from an older copy gives both a second time. Under a holder of an older program, which writes no head, all fetch each time as before. The keeper stand-in answers `keys_only`, `count_only` and `min_mod_revision`, with `count` of the whole range, as published.

--- a/benchmarks/rulebook.py
+++ b/benchmarks/rulebook.py
@@ -1,4 +1,4 @@
-"""`python -m benchmarks.rulebook model|scale|look|book|lookup|amounts|ramp`: promises and costs.
+"""`python -m benchmarks.rulebook WHAT`: what the rulebook and its retirements promise, and cost.
 
 model   Every state of the model (standins/checkers/rules_model.py) to a depth, for several budgets of faults.
 scale   EMULATED: readers, a publisher and the keeper in virtual time by the program's own client
@@ -9,6 +9,7 @@
 lookup  One invocation judged, in ns, by the number of entries.
 amounts One invocation decided, in us of CPU, by the number of quotas.
 ramp    EMULATED: what a fleet of backends turns away of a retired operation, against the ramp's plan.
+refresh EMULATED: what one backend of a retirement reads at each refresh, in kB, and its own part of it in ms.
 
 Seeded; `--short` is a small run of the same. `book`, `lookup` and `amounts` are of one process on one core.
 """
@@ -23,6 +24,7 @@
 from typing import Any
 
 from benchmarks.leases import share as part_of
+from benchmarks.rampcosts import refresh
 from benchmarks.rulecosts import amounts, book, look, lookup
 
 Job = tuple[dict[str, int], dict[str, Any], str, int]  # faults, the model's words, where it begins, depth
@@ -196,7 +198,8 @@
 def main() -> int:
     raw = argparse.RawDescriptionHelpFormatter
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
-    parser.add_argument("what", choices=["model", "scale", "look", "book", "lookup", "amounts", "ramp"])
+    parser.add_argument("what", choices=["model", "scale", "look", "book", "lookup", "amounts", "ramp",
+                                         "refresh"])  # fmt: skip
     parser.add_argument("--depth", type=int, default=7)
     parser.add_argument("--readers", type=int, nargs="+", default=[10, 100, 1000])
     parser.add_argument("--seeds", type=int, default=4)
@@ -215,6 +218,8 @@
         return look([10] if told.short else told.readers, 5 if told.short else 50)
     if told.what == "ramp":
         return ramp([5], 300, 2, 2) if told.short else ramp([10, 50], 1_000, told.seeds, told.workers)
+    if told.what == "refresh":
+        return refresh([0, 100] if told.short else [0, 1_024, 16_384], 5 if told.short else 51)
     if told.what == "book":
         return book(400 if told.short else told.entries, 3 if told.short else 11)
     if told.what == "amounts":
--- a/ringshift/lifecycle/retiring.py
+++ b/ringshift/lifecycle/retiring.py
@@ -2,8 +2,9 @@
 
 `Retiring` is for whoever judges invocations, all in its one thread, like `Ruler` beside it
 (ringshift/lifecycle/ruling.py): it follows the timelines of the rulebook acted by, polled, and has one thread
-for the keeper's blocking calls. What it decides lies in ringshift/retirement: `Follower` says by which step
-it acts, `Shedding` who is turned away, `Warned` what is counted. The ramp's holder is in `ramping.py`.
+for the keeper's blocking calls. What it decides lies in ringshift/retirement: `Holding` says whether a step
+has to be fetched, `Follower` by which it acts, `Shedding` who is turned away, `Warned` what is counted. The
+ramp's holder is in `ramping.py`.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from ringshift.retirement import warn
 from ringshift.retirement.figures import Tally
 from ringshift.retirement.follow import Follower
+from ringshift.retirement.holding import Holding
 from ringshift.retirement.shed import NONE, Shedding, key, shedding
 from ringshift.retirement.timeline import Timeline, ns
 from ringshift.retirement.warn import Warned
@@ -63,6 +65,7 @@
         self.name, self.backend = timeline.name, backend
         self.lives, self.created, self.n, self.next_put, self.under_way = 1, 0, 0, 0, False
         self.follower = Follower(key(timeline), fresh)
+        self.holding = Holding()  # of the keeper's thread alone
         self.warned = Warned()
         self.tally = Tally(timeline.conditions.fresh, now)
         self.timelines: tuple[Timeline, ...] = ()
@@ -155,7 +158,8 @@
         while (order := self.orders.get()) is not None:
             answer = None
             with suppress(Exception):  # whatever a client raises: not answered, and put again later
-                answer = self.link.put(order.line.name, order.process, order.row, order.created)
+                answer = self.link.put(order.line.name, order.process, order.row, order.created,
+                                       order.line.holding)  # fmt: skip
             self.answers.put(Order(order.line, order.process, order.row, order.created, order.sent, answer))
 
     # In the caller's one thread.
--- a/ringshift/wire/retiring.py
+++ b/ringshift/wire/retiring.py
@@ -2,10 +2,11 @@
 
 Under `/ringshift/retire/NAME/` lie `rows/BACKEND`, what one backend tells; `state`, the ramp's position, read
 by every backend; `counts`, the warnings of backends that are no more, read by the ramp's holder only, so that
-a refresh stays small; `word`, an operator's pause. A backend's refresh is one transaction: its row put, the
-state read. What the holder writes holds only while the lease's key is at its token, and `state`, `counts` and
-`word` are as it read them: so the keeper is the fence, a holder that was stalled writes nothing, and no step
-overtakes a pause that was there before it.
+a refresh stays small; `word`, an operator's pause. `/ringshift/retire-heads/NAME` is the state's head,
+written with it. A backend's refresh is one transaction: its row put, the head read; the state is fetched by
+another call where it is not held (ringshift/retirement/holding.py). What the holder writes holds only while
+the lease's key is at its token, and `state`, `counts` and `word` are as it read them: so the keeper is the
+fence, a holder that was stalled writes nothing, and no step overtakes a pause that was there before it.
 
 **A warning is counted once.** A row's counts are all of its backend's, so one that is put again adds nothing.
 The row of a backend that is no more is added to `counts` and deleted in one transaction, which compares the
@@ -24,7 +25,8 @@
 import msgspec
 
 from ringshift.retirement.figures import Figures
-from ringshift.retirement.position import Position
+from ringshift.retirement.holding import Holding, Seen
+from ringshift.retirement.position import Head, Position, head_of
 from ringshift.retirement.warn import Counted, Counts
 from ringshift.wire.keeper import KeeperLink, b64
 
@@ -83,6 +85,14 @@
         return None
 
 
+def read_head(data: bytes) -> str:
+    """Its digest; empty for what is no head: then the state is fetched."""
+    try:
+        return msgspec.json.decode(data, type=Head).digest
+    except ValueError:
+        return ""
+
+
 def found(response: dict[str, Any]) -> list[dict[str, Any]]:
     kvs: list[dict[str, Any]] = response["response_range"].get("kvs", [])
     return kvs
@@ -92,8 +102,13 @@
     return base64.b64decode(kv.get("value", ""))
 
 
-def ranged(key: str) -> dict[str, Any]:
-    return {"request_range": {"key": b64(key.encode())}}
+def ranged(key: str, keys_only: bool = False) -> dict[str, Any]:
+    """`keys_only`: with the revisions, without the value."""
+    return {"request_range": {"key": b64(key.encode()), **({"keys_only": True} if keys_only else {})}}
+
+
+def revision(kvs: list[dict[str, Any]], name: str = "mod_revision") -> int:
+    return int(kvs[0][name]) if kvs else 0
 
 
 def put(key: str, data: bytes) -> dict[str, Any]:
@@ -116,21 +131,33 @@
     def prefix(name: str) -> str:
         return f"/ringshift/retire/{name}/"
 
-    def put(self, name: str, backend: str, row: Row, created: int) -> Answer:
+    @staticmethod
+    def head(name: str) -> str:
+        """Not beside the state: whoever looks for all retirements finds heads, and no more."""
+        return f"/ringshift/retire-heads/{name}"
+
+    def put(self, name: str, backend: str, row: Row, created: int, holding: Holding | None = None) -> Answer:
         """The row put, where it is at its create revision `created` still (0: nowhere yet). Where one is
-        there although `created` is 0, an earlier first was put: its revision is answered, nothing is put."""
-        prefix = self.prefix(name)
+        there although `created` is 0, an earlier first was put: its revision is answered, nothing is put.
+        `holding`: what this backend has of the state; where that is not current, it is fetched as well."""
+        holding, prefix = holding or Holding(), self.prefix(name)
         key = f"{prefix}rows/{backend}"
-        reads = [ranged(f"{prefix}state"), ranged(key)]
+        reads = [ranged(self.head(name)), ranged(f"{prefix}state", True), ranged(key, True)]
         answer = self.call("/kv/txn", {
             "compare": [{"key": b64(key.encode()), "result": "EQUAL", "target": "CREATE",
                          "create_revision": str(created)}],
             "success": [put(key, msgspec.json.encode(row)), *reads], "failure": reads,
         })  # fmt: skip
-        state, mine = (found(one) for one in answer["responses"][-2:])
-        there = int(mine[0]["create_revision"]) if mine else 0
-        position = msgspec.json.decode(value(state[0]), type=Position) if state else None
-        return Answer(there if answer.get("succeeded") or not created else 0, position)
+        named, state, mine = (found(one) for one in answer["responses"][-3:])
+        said = read_head(value(named[0])) if named else ""
+        if holding.told(Seen(revision(state), revision(named), said)):
+            holding.come(self.position(name))
+        there = revision(mine, "create_revision")
+        return Answer(there if answer.get("succeeded") or not created else 0, holding.position)
+
+    def position(self, name: str) -> Position | None:
+        kvs = self.call("/kv/range", {"key": b64(f"{self.prefix(name)}state".encode())}).get("kvs", [])
+        return msgspec.json.decode(value(kvs[0]), type=Position) if kvs else None
 
     def read(self, name: str) -> Held:
         prefix = self.prefix(name)
@@ -165,6 +192,7 @@
         writes = list[dict[str, Any]]()
         if position is not None:
             writes.append(put(f"{prefix}state", msgspec.json.encode(position)))
+            writes.append(put(self.head(name), msgspec.json.encode(head_of(position))))
         if counts is not None:
             writes.append(put(f"{prefix}counts", msgspec.json.encode(dict(counts))))
         for backend in gone:
--- a/standins/keeper/server.py
+++ b/standins/keeper/server.py
@@ -32,7 +32,8 @@
 
 MEMBER = "10276657743932975437"
 BYTES = ("key", "value", "range_end")
-INTS = ("lease", "create_revision", "mod_revision", "version", "ID", "TTL", "start_revision")
+INTS = ("lease", "create_revision", "mod_revision", "version", "ID", "TTL", "start_revision",
+        "min_mod_revision")  # fmt: skip
 STREAM_EVERY = 0.5  # seconds between a watch's looks at the store when nothing woke it; a bound, not a pace
 
 
@@ -149,8 +150,8 @@
     # The gateway's calls: each takes the decoded body and gives the answer before encoding.
 
     def range(self, body: dict[str, Any]) -> dict[str, Any]:
-        kvs = self.change(lambda: self.store.range(self.clock.now(), body["key"], body.get("range_end", b"")))
-        return {"kvs": [kv.told() for kv in kvs], "count": len(kvs)} if kvs else {}
+        told: dict[str, Any] = self.change(lambda: self.store.ranged(self.clock.now(), body))
+        return {name: value for name, value in told.items() if value}  # the gateway leaves out what is empty
 
     def put(self, body: dict[str, Any]) -> dict[str, Any]:
         now = self.clock.now()
--- a/standins/keeper/store.py
+++ b/standins/keeper/store.py
@@ -126,6 +126,16 @@
             return [self.kvs[key]] if key in self.kvs else []
         return [kv for name, kv in sorted(self.kvs.items()) if key <= name and (end == b"\0" or name < end)]
 
+    def ranged(self, now: int, request: dict[str, Any]) -> dict[str, Any]:
+        """The answer to a RangeRequest. As published, `count` is of all keys of the range, whatever
+        `min_mod_revision` leaves out of `kvs`."""
+        found = self.range(now, request["key"], request.get("range_end", b""))
+        least = request.get("min_mod_revision", 0)
+        kvs = [] if request.get("count_only") else [kv.told() for kv in found if kv.mod_revision >= least]
+        if request.get("keys_only"):
+            kvs = [{name: told for name, told in kv.items() if name != "value"} for kv in kvs]
+        return {"kvs": kvs, "count": len(found)}
+
     def txn(self, now: int, compares: list[dict[str, Any]], success: list[dict[str, Any]],
             failure: list[dict[str, Any]]) -> tuple[bool, list[dict[str, Any]]]:  # fmt: skip
         """Compares, then the writes of one side, as one step at one revision."""
@@ -165,9 +175,7 @@
             for kv in gone:
                 self.delete_key(kv.key)
             return {"response_delete_range": {"deleted": len(gone)}}
-        got = request["request_range"]
-        kvs = self.range(now, got["key"], got.get("range_end", b""))
-        return {"response_range": {"kvs": [kv.told() for kv in kvs], "count": len(kvs)}}
+        return {"response_range": self.ranged(now, request["request_range"])}
 
     def put(self, now: int, key: bytes, value: bytes, lease: int = 0) -> None:
         self.txn(now, [], [{"request_put": {"key": key, "value": value, "lease": lease}}], [])
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -151,6 +151,32 @@
     assert store.revision == 3  # a refused transaction writes nothing
 
 
+def test_a_range_tells_keys_alone_or_what_changed_since_and_counts_all(member: Member) -> None:
+    """Fields of etcd's RangeRequest, as published: `count` is of the range, whatever was left out of it."""
+    client = member.client
+    for name in "abcd":
+        client.put(f"/r/{name}", name * 9)
+    since = int(client.get("/r/c", metadata=True)[0][1]["mod_revision"])
+    whole = {"key": b64("/r/"), "range_end": b64("/r0")}
+
+    def told(**more: Any) -> tuple[list[tuple[str, bool]], int]:
+        answer = client.post(client.get_url("/kv/range"), json={**whole, **more})
+        inner = {"compare": [], "success": [{"request_range": {**whole, **more}}], "failure": []}
+        within = client.transaction(inner)["responses"][0]["response_range"]
+        assert answer.get("kvs", []) == within.get("kvs", [])
+        kvs = [(base64.b64decode(kv["key"]).decode(), "value" in kv) for kv in answer.get("kvs", [])]
+        assert all(int(kv["mod_revision"]) > 0 for kv in answer.get("kvs", []))
+        return kvs, int(answer["count"])
+
+    assert told() == ([(f"/r/{name}", True) for name in "abcd"], 4)
+    assert told(keys_only=True) == ([(f"/r/{name}", False) for name in "abcd"], 4)
+    assert told(min_mod_revision=str(since)) == ([("/r/c", True), ("/r/d", True)], 4)
+    assert told(min_mod_revision=str(since + 2)) == ([], 4)
+    assert told(count_only=True) == ([], 4)
+    client.delete("/r/d")
+    assert told(min_mod_revision=str(since), keys_only=True) == ([("/r/c", False)], 3)
+
+
 def test_a_restart_compacts_history_and_renews_leases_from_its_own_now() -> None:
     store = Store()
     lease, _ = store.grant(0, 10)
