The holder of a ramp reads what changed since its last look, not all rows each second

A ramp's holder read all rows, the state and the counts of the whole fleet each second, while a backend's row changes each 5 s and the others hardly ever.

A look now asks for what was written since the one before (`min_mod_revision`) and sees by `count` whether keys went. Falling revisions are not enough to show that of a keeper restored from an older copy, as they may have risen past the last look's by the next: each look writes a mark in the transaction that reads, and compares the mark of the look before; where it is not there, that transaction reads all.

It costs one small write a look at the keeper.

--- a/benchmarks/rulebook.py
+++ b/benchmarks/rulebook.py
@@ -10,6 +10,7 @@
 amounts One invocation decided, in us of CPU, by the number of quotas.
 ramp    EMULATED: what a fleet of backends turns away of a retired operation, against the ramp's plan.
 refresh EMULATED: what one backend of a retirement reads at each refresh, in kB, and its own part of it in ms.
+rows    EMULATED: the same of the holder of a ramp, at each look, by the number of backends.
 
 Seeded; `--short` is a small run of the same. `book`, `lookup` and `amounts` are of one process on one core.
 """
@@ -24,7 +25,7 @@
 from typing import Any
 
 from benchmarks.leases import share as part_of
-from benchmarks.rampcosts import refresh
+from benchmarks.rampcosts import looks, refresh
 from benchmarks.rulecosts import amounts, book, look, lookup
 
 Job = tuple[dict[str, int], dict[str, Any], str, int]  # faults, the model's words, where it begins, depth
@@ -199,7 +200,7 @@
     raw = argparse.RawDescriptionHelpFormatter
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
     parser.add_argument("what", choices=["model", "scale", "look", "book", "lookup", "amounts", "ramp",
-                                         "refresh"])  # fmt: skip
+                                         "refresh", "rows"])  # fmt: skip
     parser.add_argument("--depth", type=int, default=7)
     parser.add_argument("--readers", type=int, nargs="+", default=[10, 100, 1000])
     parser.add_argument("--seeds", type=int, default=4)
@@ -220,6 +221,8 @@
         return ramp([5], 300, 2, 2) if told.short else ramp([10, 50], 1_000, told.seeds, told.workers)
     if told.what == "refresh":
         return refresh([0, 100] if told.short else [0, 1_024, 16_384], 5 if told.short else 51)
+    if told.what == "rows":
+        return looks([10], 3, 100) if told.short else looks(told.readers, 15, 16_384)
     if told.what == "book":
         return book(400 if told.short else told.entries, 3 if told.short else 11)
     if told.what == "amounts":
--- a/ringshift/lifecycle/ramping.py
+++ b/ringshift/lifecycle/ramping.py
@@ -1,13 +1,15 @@
 """The ramp of a retirement, decided by one process of the fleet at a time, under the lease of a fleet task.
 
-`Ramping` is the doing of the task `retire-NAME`: it reads what all backends tell, asks the ramp
-(ringshift/retirement/ramp.py), and writes what it answers in one transaction with its token, and with it the
-counts of backends that are no more. Each position that landed is one record, with what it was decided on.
-`Ramps` runs a holder for each timeline of the rulebook, in threads of their own.
+`Ramping` is the doing of the task `retire-NAME`: it reads what all backends tell, as much of it
+as ringshift/retirement/sight.py asks for, asks the ramp (ringshift/retirement/ramp.py), and writes what it
+answers in one transaction with its token, and with it the counts of backends that are no more. Each position
+that landed is one record, with what it was decided on. `Ramps` runs a holder for each timeline of the
+rulebook, in threads of their own.
 """
 
 from __future__ import annotations
 
+import secrets
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -25,10 +27,11 @@
 from ringshift.retirement.position import Position
 from ringshift.retirement.ramp import Ramp
 from ringshift.retirement.shed import key
+from ringshift.retirement.sight import Sight
 from ringshift.retirement.timeline import Phase, Timeline
 from ringshift.retirement.warn import Counts
 from ringshift.wire.keeper import KeeperLink
-from ringshift.wire.retiring import MOST_FOLDED, Held, RetireLink
+from ringshift.wire.retiring import MOST_FOLDED, Held, Kept, RetireLink, held
 
 PACE = 1_000 * MS  # between two looks: a step is planned by the hour, and a row comes each second
 GONE_AFTER = 10  # times the freshness of a figure, after which a silent backend is taken as no more
@@ -49,6 +52,7 @@
 
     def begin(self) -> None:
         """Nothing of before counts: not what stood for how long, not which rows were seen to change."""
+        self.sight = Sight[Kept](secrets.token_hex(8))
         self.ramp: Ramp | None = None
         self.sent: Position | None = None  # written, and not known whether it landed
         self.rows: Freshness | None = None
@@ -73,7 +77,7 @@
             raise OSError(str(wrong)) from None
 
     def look(self, hold: Hold) -> None:
-        held = self.link.read(self.name)
+        held = self.read()
         own = hold.now()
         if self.offset is None:  # a wall clock that is set anew must not make a dwell time pass
             self.offset = self.wall() - own
@@ -86,6 +90,14 @@
         elif hold.may():
             self.write(hold, held, position, gone)
 
+    def read(self) -> Held:
+        """What changed since the last look, and once more where that tells too little: then all."""
+        for _ in range(2):
+            ask = self.sight.ask()
+            if self.sight.heard(ask, self.link.look(self.name, ask)):
+                return held(self.sight.known)
+        raise ValueError(f"{self.name}: the keeper told all, and it was not taken")
+
     def found(self, held: Held, hold: Hold) -> Ramp:
         """The ramp at the position that the keeper holds. Where that is not the one known here, all that
         stood begins anew; but a write of ours whose answer was lost is found here, and recorded."""
@@ -139,6 +151,8 @@
         self.sent = position
         landed = self.link.write(self.name, self.task_key, hold.token, held, position, counts, gone)
         self.sent = None
+        if landed:
+            self.sight.went(f"rows/{name}" for name in gone)
         if position is not None:
             hold.write("ramped", token=hold.token, edition=position.decided.edition, phase=position.phase,
                        landed=landed)  # fmt: skip
--- a/ringshift/wire/retiring.py
+++ b/ringshift/wire/retiring.py
@@ -6,7 +6,9 @@
 written with it. A backend's refresh is one transaction: its row put, the head read; the state is fetched by
 another call where it is not held (ringshift/retirement/holding.py). What the holder writes holds only while
 the lease's key is at its token, and `state`, `counts` and `word` are as it read them: so the keeper is the
-fence, a holder that was stalled writes nothing, and no step overtakes a pause that was there before it.
+fence, a holder that was stalled writes nothing, and no step overtakes a pause that was there before it. It
+reads what changed since its last look, whose mark is `/ringshift/retire-looks/NAME`
+(ringshift/retirement/sight.py).
 
 **A warning is counted once.** A row's counts are all of its backend's, so one that is put again adds nothing.
 The row of a backend that is no more is added to `counts` and deleted in one transaction, which compares the
@@ -27,6 +29,7 @@
 from ringshift.retirement.figures import Figures
 from ringshift.retirement.holding import Holding, Seen
 from ringshift.retirement.position import Head, Position, head_of
+from ringshift.retirement.sight import Ask, Told
 from ringshift.retirement.warn import Counted, Counts
 from ringshift.wire.keeper import KeeperLink, b64
 
@@ -75,6 +78,9 @@
     word_revision: int = 0
 
 
+Kept = Row | Position | Word | dict[int, Counted] | None
+
+
 def read_row(backend: str, data: bytes) -> Row | None:
     """None for what is no row: whoever wrote it is not counted."""
     try:
@@ -85,6 +91,29 @@
         return None
 
 
+def kept(key: str, data: bytes) -> Kept:
+    """One key's value, by its name under the retirement's; None for what nobody reads."""
+    if key.startswith("rows/"):
+        return read_row(key.removeprefix("rows/"), data)
+    if key == "counts":
+        return msgspec.json.decode(data, type=dict[int, Counted])
+    if key == "state":
+        return msgspec.json.decode(data, type=Position)
+    return msgspec.json.decode(data, type=Word) if key == "word" else None
+
+
+def held(keys: Mapping[str, tuple[int, Kept]]) -> Held:
+    rows = {key.removeprefix("rows/"): one for key, one in keys.items() if key.startswith("rows/") and one[1]}
+    position, counts, word = (keys.get(one, (0, None)) for one in ("state", "counts", "word"))
+    return Held(
+        {name: row for name, (_, row) in rows.items() if isinstance(row, Row)},
+        {name: revision for name, (revision, _) in rows.items()},
+        position[1] if isinstance(position[1], Position) else None, position[0],
+        counts[1] if isinstance(counts[1], dict) else {}, counts[0],
+        word[1] if isinstance(word[1], Word) else Word(), word[0],
+    )  # fmt: skip
+
+
 def read_head(data: bytes) -> str:
     """Its digest; empty for what is no head: then the state is fetched."""
     try:
@@ -159,27 +188,38 @@
         kvs = self.call("/kv/range", {"key": b64(f"{self.prefix(name)}state".encode())}).get("kvs", [])
         return msgspec.json.decode(value(kvs[0]), type=Position) if kvs else None
 
+    @classmethod
+    def under(cls, name: str, since: int = 0) -> dict[str, Any]:
+        """All keys of a retirement, of which those are told that were written at `since` or later."""
+        prefix = cls.prefix(name)
+        span = {"key": b64(prefix.encode()), "range_end": b64(f"{prefix[:-1]}0".encode())}  # '0' follows '/'
+        return {"request_range": {**span, **({"min_mod_revision": str(since)} if since else {})}}
+
     def read(self, name: str) -> Held:
-        prefix = self.prefix(name)
-        place, end = f"{prefix}rows/", f"{prefix}rows0"  # '0' follows '/'
-        rows_range = {"request_range": {"key": b64(place.encode()), "range_end": b64(end.encode())}}
-        singles = [ranged(prefix + one) for one in ("state", "counts", "word")]
-        answer = self.call("/kv/txn", {"compare": [], "failure": [], "success": [rows_range, *singles]})
-        rows, revisions = dict[str, Row](), dict[str, int]()
-        listed, state, counts, word = (found(one) for one in answer["responses"])
-        for kv in listed:
-            backend = base64.b64decode(kv["key"]).decode(errors="replace").removeprefix(place)
-            if row := read_row(backend, value(kv)):
-                rows[backend], revisions[backend] = row, int(kv["mod_revision"])
-        return Held(
-            rows, revisions,
-            msgspec.json.decode(value(state[0]), type=Position) if state else None,
-            int(state[0]["mod_revision"]) if state else 0,
-            msgspec.json.decode(value(counts[0]), type=dict[int, Counted]) if counts else {},
-            int(counts[0]["mod_revision"]) if counts else 0,
-            msgspec.json.decode(value(word[0]), type=Word) if word else Word(),
-            int(word[0]["mod_revision"]) if word else 0,
-        )  # fmt: skip
+        answer = self.call("/kv/txn", {"compare": [], "failure": [], "success": [self.under(name)]})
+        return held(self.keys(name, found(answer["responses"][0])))
+
+    def look(self, name: str, ask: Ask) -> Told[Kept]:
+        """The ramp holder's: what `ask` says, and its mark written, in one transaction."""
+        key = f"/ringshift/retire-looks/{name}"
+        expects = {"key": b64(key.encode()), "result": "EQUAL", "target": "VALUE",
+                   "value": b64(ask.expects.encode())}  # fmt: skip
+        mark = put(key, ask.mark.encode())
+        answer = self.call("/kv/txn", {
+            "compare": [expects] if ask.since else [], "success": [mark, self.under(name, ask.since)],
+            "failure": [mark, self.under(name)],
+        })  # fmt: skip
+        whole = not ask.since or not answer.get("succeeded")
+        count = int(answer["responses"][1]["response_range"].get("count", 0))
+        keys = self.keys(name, found(answer["responses"][1]))
+        return Told(int(answer["header"]["revision"]), count, keys, whole)
+
+    def keys(self, name: str, kvs: list[dict[str, Any]]) -> dict[str, tuple[int, Kept]]:
+        prefix, out = self.prefix(name), dict[str, tuple[int, Kept]]()
+        for kv in kvs:
+            key = base64.b64decode(kv["key"]).decode(errors="replace").removeprefix(prefix)
+            out[key] = int(kv["mod_revision"]), kept(key, value(kv))
+        return out
 
     def write(self, name: str, task_key: bytes, token: int, held: Held, position: Position | None = None,
               counts: Counts | None = None, gone: Iterable[str] = ()) -> bool:  # fmt: skip
--- a/tests/retirement/test_program.py
+++ b/tests/retirement/test_program.py
@@ -18,10 +18,11 @@
 from ringshift.retirement.figures import Figures
 from ringshift.retirement.position import Position
 from ringshift.retirement.shed import Decided, key, lot
+from ringshift.retirement.sight import Ask, Told
 from ringshift.retirement.timeline import Timeline
 from ringshift.retirement.warn import Counted
 from ringshift.rulebook.document import Rulebook, Rules
-from ringshift.wire.retiring import Answer, Held, RetireLink, Row, Word
+from ringshift.wire.retiring import Answer, Held, Kept, RetireLink, Row, Word
 from tests.retirement.made import ANNOUNCED, DARK, FIRST, LINE, WARNED, S, timeline
 
 KEY = key(LINE)
@@ -170,8 +171,12 @@
     def __init__(self) -> None:
         self.held, self.lose, self.refuse, self.writes = Held(), False, False, 0
 
-    def read(self, name: str) -> Held:
-        return self.held
+    def look(self, name: str, ask: Ask) -> Told[Kept]:
+        one, keys = self.held, dict[str, tuple[int, Kept]]()
+        keys |= {f"rows/{name}": (one.revisions.get(name, 0), row) for name, row in one.rows.items()}
+        keys |= {"word": (one.word_revision, one.word), "counts": (one.counts_revision, dict(one.counts))}
+        keys |= {"state": (one.revision, one.position)} if one.position else {}
+        return Told(1, len(keys), keys, True)
 
     def write(self, name: str, task_key: bytes, token: int, held: Held, position: Position | None = None,
               counts: Any = None, gone: Any = ()) -> bool:  # fmt: skip
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -13,7 +13,7 @@
     "rulebook model": "nothing", "rulebook scale": "| 10 | 4 |", "rulebook look": "| 10 |",
     "rulebook book": "| digest |", "rulebook lookup": "| 1,000 |", "rulebook ramp": "| 5 | 100% |",
     "schedule": "| 1,000 |", "schedule --dense": "| 300 |", "schedule --timetable": "| 1,000 | 10 |",
-    "rulebook refresh": "| 100 |",
+    "rulebook refresh": "| 100 |", "rulebook rows": "| 10 |",
     "ruling": "| full |", "keepers": "etcd3gw", "rules scripts": "wrong: contradiction | 0",
     "same": "actions, all the same",
 }  # fmt: skip
