What the keeper has of a withdrawn retirement goes once no backend can act by it

State, counts, rows and an operator's word of a timeline that was withdrawn, or ended and dropped, stayed at the keeper for ever; and where nobody held the ramp when its timeline went, nobody wrote the withdrawal.

A row doesn't tell who may act: that of a backend cut off was long added up as of one that is no more. The one transaction compares the lease, what was read, and the rulebook's head, so no proposal is overtaken.

A backend that operators had the rulebook forget and that lives acts on by a decision whose keys went. So one number stays, for all names: the highest edition that went. A ramp that finds nothing begins above it: no edition is two decisions, and with its first answer that backend takes the new one.

--- a/ringshift/lifecycle/ramping.py
+++ b/ringshift/lifecycle/ramping.py
@@ -13,16 +13,18 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
-from typing import IO
+from random import Random
+from typing import IO, TypeVar
 
 from loguru import logger
 
 from ringshift.fleet.lease import MS, LeaseTerms
 from ringshift.fleet.placement import Placement
+from ringshift.lifecycle.clearing import Clearing, agreed
 from ringshift.lifecycle.holder import Hold, Holder, OwnClock, apart
 from ringshift.lifecycle.sharing import Tell
 from ringshift.records.schema import RampStep
-from ringshift.retirement import warn
+from ringshift.retirement import clearing, warn
 from ringshift.retirement.judge import Freshness, Seen
 from ringshift.retirement.position import Position
 from ringshift.retirement.ramp import Ramp
@@ -32,7 +34,9 @@
 from ringshift.retirement.warn import Counts
 from ringshift.wire.keeper import KeeperLink
 from ringshift.wire.retiring import MOST_FOLDED, Held, Kept, RetireLink, held
+from ringshift.wire.rules import RulesLink
 
+Link = TypeVar("Link", bound=KeeperLink)
 PACE = 1_000 * MS  # between two looks: a step is planned by the hour, and a row comes each second
 GONE_AFTER = 10  # times the freshness of a figure, after which a silent backend is taken as no more
 
@@ -43,9 +47,9 @@
 
     def __init__(self, name: str, timeline: Timeline | None, holder: str, link: RetireLink,
                  tell: Tell | None = None, wall: Callable[[], int] = time.time_ns,
-                 pace: int = PACE) -> None:  # fmt: skip
+                 pace: int = PACE, rules: RulesLink | None = None) -> None:  # fmt: skip
         self.name, self.timeline, self.holder, self.link, self.tell = name, timeline, holder, link, tell
-        self.task_key = f"/ringshift/tasks/retire-{name}".encode()
+        self.rules, self.task_key = rules, f"/ringshift/tasks/retire-{name}".encode()
         self.wall, self.pace, self.done = wall, pace, False
         self.pause = (0, 0)  # fault tests: (rung, ns): stands still after the last look before that step
         self.begin()
@@ -58,6 +62,7 @@
         self.rows: Freshness | None = None
         self.silent: dict[str, tuple[int, int]] = {}  # backend -> its row's number, when first seen with it
         self.offset: int | None = None
+        self.cleared: int | None = None
 
     def taken(self, token: int, now: int) -> None:
         self.begin()
@@ -86,7 +91,7 @@
         counts = warn.fold(held.counts, [row.warned for row in rows], self.lots)
         position = ramp.look(own + self.offset, seen, counts, held.word.paused)
         if position is None and not gone:
-            self.done = ramp.timeline is None
+            self.done = ramp.timeline is None and self.led_out(hold, held, own + self.offset)
         elif hold.may():
             self.write(hold, held, position, gone)
 
@@ -101,7 +106,7 @@
     def found(self, held: Held, hold: Hold) -> Ramp:
         """The ramp at the position that the keeper holds. Where that is not the one known here, all that
         stood begins anew; but a write of ours whose answer was lost is found here, and recorded."""
-        position = held.position or Position()
+        position = held.position or self.unwritten()
         if self.ramp is None:
             self.ramp = Ramp(self.timeline, position)
         elif self.ramp.position != position:
@@ -112,6 +117,34 @@
         self.ramp.timeline, self.sent = self.timeline, None
         return self.ramp
 
+    def unwritten(self) -> Position:
+        """Where the keeper has nothing, editions begin above all that were cleared."""
+        if self.cleared is None:
+            self.cleared = self.link.cleared()[0]
+        return clearing.begun(self.cleared, self.lots)
+
+    def led_out(self, hold: Hold, held: Held, now: int) -> bool:
+        """Whether nothing is left to do for a timeline that is not in the rulebook: what the keeper has of it
+        goes, or it is put down when to look again."""
+        if self.rules is None:
+            return True
+        one, head = agreed(self.rules), self.link.heads().get(self.name)
+        if head is None and not self.sight.known:
+            return True
+        position = clearing.left(held.position, head, now)
+        rows = {name: row.figures for name, row in held.rows.items()}
+        finding = clearing.judge(self.name, one, position, rows, now)
+        if not hold.may():
+            return False
+        logger.bind(kind="retirement").info(f"retirement {self.name}: its keys: {finding.name.lower()}")
+        if clearing.clears(finding):
+            before, revision = self.link.cleared()
+            edition = clearing.highest(before, position, rows)
+            return self.link.clear(self.name, self.task_key, hold.token, held, one.revision, edition,
+                                   revision)  # fmt: skip
+        later = clearing.written(finding, position, head, now)
+        return later is None or self.link.name_head(self.name, self.task_key, hold.token, later)
+
     @property
     def lots(self) -> int:
         return key(self.timeline) if self.timeline is not None else 0
@@ -177,40 +210,69 @@
 
     def __init__(self, name: str, terms: LeaseTerms, keepers: list[str], clock: OwnClock, seed: int,
                  tell: Tell | None = None, wall: Callable[[], int] = time.time_ns, pace: int = PACE,
-                 history: IO[bytes] | None = None) -> None:  # fmt: skip
+                 history: IO[bytes] | None = None, clears: bool = False) -> None:  # fmt: skip
         self.name, self.terms, self.keepers, self.clock, self.seed = name, terms, keepers, clock, seed
         self.tell, self.wall, self.pace, self.history = tell, wall, pace, history
-        self.pause = (0, 0)
+        self.pause, self.left = (0, 0), False
         self.placement = Placement(())
         self.running: dict[str, tuple[Ramping, Holder, threading.Thread]] = {}
-        self.began = 0
+        self.began, self.lock = 0, threading.Lock()
+        self.clearing: Clearing | None = None
+        if clears:
+            self.clearing = Clearing(self.link(RetireLink), self.link(RulesLink), self.followed,
+                                     self.lead_out, wall, Random(seed))  # fmt: skip
+            self.clearing.thread.start()
+
+    def link(self, of: type[Link]) -> Link:
+        return of(self.keepers, self.clock.now, self.terms.answer_within / 1e9)
 
     def tend(self, timelines: Mapping[str, Timeline]) -> None:
         """The timelines of the rulebook acted by, by name. Whoever holds the ramp of one that is gone from
         there writes that down and lets go; the others let go at once."""
+        with self.lock:
+            self.forget()
+            self.placement.tasks = tuple(sorted(f"retire-{name}" for name in {*timelines, *self.running}))
+            for name, (work, holder, _) in self.running.items():
+                work.timeline = timelines.get(name)
+                if work.timeline is None and not holder.permitted:
+                    holder.leave()
+            for name, timeline in timelines.items():
+                if name not in self.running:
+                    self.begin(name, timeline)
+
+    def lead_out(self, name: str) -> None:
+        """In the thread of whoever found that nobody does. A timeline that comes back meanwhile is led on."""
+        with self.lock:
+            self.forget()
+            if name not in self.running and not self.left:
+                self.placement.tasks = (*self.placement.tasks, f"retire-{name}")
+                self.begin(name, None)
+
+    def followed(self) -> set[str]:
+        with self.lock:
+            self.forget()
+            return set(self.running)
+
+    def forget(self) -> None:
         self.running = {name: one for name, one in self.running.items() if one[2].is_alive()}
-        self.placement.tasks = tuple(sorted(f"retire-{name}" for name in {*timelines, *self.running}))
-        for name, (work, holder, _) in self.running.items():
-            work.timeline = timelines.get(name)
-            if work.timeline is None and not holder.permitted:
-                holder.leave()
-        for name, timeline in timelines.items():
-            if name not in self.running:
-                self.begin(name, timeline)
-
-    def begin(self, name: str, timeline: Timeline) -> None:
-        task, within = f"retire-{name}", self.terms.answer_within / 1e9
+
+    def begin(self, name: str, timeline: Timeline | None) -> None:
+        task = f"retire-{name}"
         self.began += 1
-        link = RetireLink(self.keepers, self.clock.now, within)
-        work = Ramping(name, timeline, self.name, link, self.tell, self.wall, self.pace)
+        rules = None if self.clearing is None else self.link(RulesLink)
+        work = Ramping(name, timeline, self.name, self.link(RetireLink), self.tell, self.wall, self.pace,
+                       rules)  # fmt: skip
         work.pause = self.pause
-        keeper = KeeperLink(self.keepers, self.clock.now, within)
-        holder = Holder(self.name, task, self.terms, keeper, work, self.clock, self.seed + self.began,
-                        self.history, self.tell, self.placement)  # fmt: skip
+        holder = Holder(self.name, task, self.terms, self.link(KeeperLink), work, self.clock,
+                        self.seed + self.began, self.history, self.tell, self.placement)  # fmt: skip
         self.running[name] = work, holder, apart(holder)
 
     def leaving(self) -> None:
         """The notice to leave: the leases are let go at once, each by its own thread."""
+        with self.lock:
+            self.left = True
+        if self.clearing is not None:
+            self.clearing.ended.set()
         for _, holder, _ in self.running.values():
             holder.leave()
 
--- a/ringshift/lifecycle/ruling.py
+++ b/ringshift/lifecycle/ruling.py
@@ -295,7 +295,8 @@
     ruler = Ruler(reader, backend, leases.keepers, clock, reading.answer_within, tell,
                   partial(keep, Path(reading.head_start)) if reading.head_start else None,
                   lambda version: unfit(version.book, late, time.time_ns()))  # fmt: skip
-    ramps = Ramps(name, leases.terms(), leases.keepers, OwnClock(time.monotonic_ns()), seed, tell)
+    ramps = Ramps(name, leases.terms(), leases.keepers, OwnClock(time.monotonic_ns()), seed, tell,
+                  clears=True)  # fmt: skip
     retired = Retired(backend, operations, ruler.books, leases.keepers, clock, reading.answer_within,
                       reading.warn, ramps)  # fmt: skip
     return Rulings(ruler, names, Scheduled(late, names), retired, tell=tell)
--- a/ringshift/retirement/position.py
+++ b/ringshift/retirement/position.py
@@ -42,6 +42,8 @@
     phase: str = Phase.PLANNED.name
     since: int = 0
     """When the phase began, ns since the epoch."""
+    again: int = 0
+    """Of one that is withdrawn: not to be looked at before (clearing.py)."""
 
 
 def digest(position: Position | None) -> str:
--- a/ringshift/wire/retiring.py
+++ b/ringshift/wire/retiring.py
@@ -32,7 +32,9 @@
 from ringshift.retirement.sight import Ask, Told
 from ringshift.retirement.warn import Counted, Counts
 from ringshift.wire.keeper import KeeperLink, b64
+from ringshift.wire.rules import at_revision as at_rules
 
+HEADS, CLEARED = "/ringshift/retire-heads/", "/ringshift/retire-cleared"
 MOST_FOLDED = 60  # rows in one transaction: a compare and a write each, and etcd takes 128 of either
 MOST_NAME = 200  # characters of a backend's name
 MOST_ROW = 512 * 1024  # bytes
@@ -114,12 +116,12 @@
     )  # fmt: skip
 
 
-def read_head(data: bytes) -> str:
-    """Its digest; empty for what is no head: then the state is fetched."""
+def read_head(data: bytes) -> Head:
+    """Without a digest for what is no head: then the state is fetched."""
     try:
-        return msgspec.json.decode(data, type=Head).digest
+        return msgspec.json.decode(data, type=Head)
     except ValueError:
-        return ""
+        return Head("")
 
 
 def found(response: dict[str, Any]) -> list[dict[str, Any]]:
@@ -163,7 +165,18 @@
     @staticmethod
     def head(name: str) -> str:
         """Not beside the state: whoever looks for all retirements finds heads, and no more."""
-        return f"/ringshift/retire-heads/{name}"
+        return HEADS + name
+
+    @staticmethod
+    def mark(name: str) -> str:
+        return f"/ringshift/retire-looks/{name}"
+
+    def heads(self) -> dict[str, Head]:
+        """Of all retirements that the keeper has anything of."""
+        span = {"key": b64(HEADS.encode()), "range_end": b64(f"{HEADS[:-1]}0".encode())}  # '0' follows '/'
+        kvs = self.call("/kv/range", span).get("kvs", [])
+        return {base64.b64decode(kv["key"]).decode(errors="replace").removeprefix(HEADS): read_head(value(kv))
+                for kv in kvs}  # fmt: skip
 
     def put(self, name: str, backend: str, row: Row, created: int, holding: Holding | None = None) -> Answer:
         """The row put, where it is at its create revision `created` still (0: nowhere yet). Where one is
@@ -178,7 +191,7 @@
             "success": [put(key, msgspec.json.encode(row)), *reads], "failure": reads,
         })  # fmt: skip
         named, state, mine = (found(one) for one in answer["responses"][-3:])
-        said = read_head(value(named[0])) if named else ""
+        said = read_head(value(named[0])).digest if named else ""
         if holding.told(Seen(revision(state), revision(named), said)):
             holding.come(self.position(name))
         there = revision(mine, "create_revision")
@@ -188,12 +201,17 @@
         kvs = self.call("/kv/range", {"key": b64(f"{self.prefix(name)}state".encode())}).get("kvs", [])
         return msgspec.json.decode(value(kvs[0]), type=Position) if kvs else None
 
+    @classmethod
+    def span(cls, name: str) -> dict[str, str]:
+        """All keys of a retirement but its head and its mark."""
+        prefix = cls.prefix(name)
+        return {"key": b64(prefix.encode()), "range_end": b64(f"{prefix[:-1]}0".encode())}  # '0' follows '/'
+
     @classmethod
     def under(cls, name: str, since: int = 0) -> dict[str, Any]:
         """All keys of a retirement, of which those are told that were written at `since` or later."""
-        prefix = cls.prefix(name)
-        span = {"key": b64(prefix.encode()), "range_end": b64(f"{prefix[:-1]}0".encode())}  # '0' follows '/'
-        return {"request_range": {**span, **({"min_mod_revision": str(since)} if since else {})}}
+        least = {"min_mod_revision": str(since)} if since else {}
+        return {"request_range": {**cls.span(name), **least}}
 
     def read(self, name: str) -> Held:
         answer = self.call("/kv/txn", {"compare": [], "failure": [], "success": [self.under(name)]})
@@ -201,7 +219,7 @@
 
     def look(self, name: str, ask: Ask) -> Told[Kept]:
         """The ramp holder's: what `ask` says, and its mark written, in one transaction."""
-        key = f"/ringshift/retire-looks/{name}"
+        key = self.mark(name)
         expects = {"key": b64(key.encode()), "result": "EQUAL", "target": "VALUE",
                    "value": b64(ask.expects.encode())}  # fmt: skip
         mark = put(key, ask.mark.encode())
@@ -226,9 +244,7 @@
         """Whether it was written; not where the lease is another's by now, or what it was decided on changed
         since `held` was read. Rows may have, but for those of `gone`: they go, added up in `counts`."""
         prefix = self.prefix(name)
-        compares = [*self.fence(task_key, token), at_revision(f"{prefix}state", held.revision),
-                    at_revision(f"{prefix}counts", held.counts_revision),
-                    at_revision(f"{prefix}word", held.word_revision)]  # fmt: skip
+        compares = self.unchanged(name, task_key, token, held)
         writes = list[dict[str, Any]]()
         if position is not None:
             writes.append(put(f"{prefix}state", msgspec.json.encode(position)))
@@ -241,6 +257,38 @@
         answer = self.call("/kv/txn", {"compare": compares, "success": writes, "failure": []})
         return bool(answer.get("succeeded"))
 
+    def unchanged(self, name: str, task_key: bytes, token: int, held: Held) -> list[dict[str, Any]]:
+        prefix = self.prefix(name)
+        return [*self.fence(task_key, token), at_revision(f"{prefix}state", held.revision),
+                at_revision(f"{prefix}counts", held.counts_revision),
+                at_revision(f"{prefix}word", held.word_revision)]  # fmt: skip
+
+    def cleared(self) -> tuple[int, int]:
+        """The highest edition of all retirements whose keys went, and the revision of its key; 0 for none."""
+        kvs = self.call("/kv/range", {"key": b64(CLEARED.encode())}).get("kvs", [])
+        return (msgspec.json.decode(value(kvs[0]), type=int) if kvs else 0), revision(kvs)
+
+    def clear(self, name: str, task_key: bytes, token: int, held: Held, rules: int, highest: int,
+              cleared: int) -> bool:  # fmt: skip
+        """Whether all that the keeper has of it went, and `highest` is written instead, for all names; not
+        where the lease is another's by now, or what it was decided on changed: `rules` and `cleared` are the
+        revisions of the rulebook's head and of the number's key. A backend that told of it all the same finds
+        its row gone, and begins another from nothing."""
+        compares = [*self.unchanged(name, task_key, token, held), at_rules("head", rules),
+                    at_revision(CLEARED, cleared)]  # fmt: skip
+        gone = {"request_delete_range": self.span(name)}
+        writes = [gone, deleted(self.head(name)), deleted(self.mark(name)),
+                  put(CLEARED, msgspec.json.encode(highest))]  # fmt: skip
+        return bool(self.call("/kv/txn", {"compare": compares, "success": writes, "failure": []})
+                    .get("succeeded"))  # fmt: skip
+
+    def name_head(self, name: str, task_key: bytes, token: int, head: Head) -> bool:
+        """The head alone is written, of a ramp that is withdrawn: whoever still follows it fetches its state
+        at each refresh."""
+        answer = self.call("/kv/txn", {"compare": self.fence(task_key, token), "failure": [],
+                                       "success": [put(self.head(name), msgspec.json.encode(head))]})
+        return bool(answer.get("succeeded"))
+
     @staticmethod
     def fence(task_key: bytes, token: int) -> list[dict[str, Any]]:
         return [{"key": b64(task_key), "result": "EQUAL", "target": "CREATE", "create_revision": str(token)}]
--- a/tests/retirement/test_program.py
+++ b/tests/retirement/test_program.py
@@ -178,6 +178,9 @@
         keys |= {"state": (one.revision, one.position)} if one.position else {}
         return Told(1, len(keys), keys, True)
 
+    def cleared(self) -> tuple[int, int]:
+        return 0, 0
+
     def write(self, name: str, task_key: bytes, token: int, held: Held, position: Position | None = None,
               counts: Any = None, gone: Any = ()) -> bool:  # fmt: skip
         if self.refuse:
