A rate's emulated fleet asks the decisions' tokens; rows of the clearing name marks

Need: tokens of a rate are the decisions' own table now (`Shares`), and a reader's row names versions by number and digest; two stand-ins and their tests were written against the forms before. Change: those two follow.

--- a/standins/fleet/emulated_clearing.py
+++ b/standins/fleet/emulated_clearing.py
@@ -71,8 +71,9 @@
         """Each reader with contact names the version in force as the lowest that it goes by."""
         told = self.rules.read().told
         assert told is not None
+        row = Row(1, high=told.in_force.mark, floor=told.in_force.stamp)
         for name in self.lines.keys() - self.away:
-            self.rules.confirm(name, Row(1, stamp=told.in_force.stamp, floor=told.in_force.stamp))
+            self.rules.confirm(name, row)
 
     def lead(self, timeline: Timeline | None) -> None:
         """Another holder takes the lease; None: to lead out."""
--- a/standins/fleet/emulated_rate.py
+++ b/standins/fleet/emulated_rate.py
@@ -1,7 +1,7 @@
 """The emulated fleet of standins/fleet/emulated.py with a budget of a rate: invocations a second of one kind.
 
 Its backends take in their shares as the program hands them on (ringshift/lifecycle/sharing.py: `Granted`),
-and ask the decisions' own tokens (ringshift/control/shares.py: `Ration`) before each beginning. The world
+and ask the decisions' own tokens (ringshift/control/shares.py) before each beginning. The world
 notes when each began and every rise of a share, so that any window can be held against what it may have
 begun: the whole times its length, and the bursts. A bucket holds a tenth of a second of its share, one token
 at the least; it may be full when the window begins, and a share that rises may fill it up to its new size.
@@ -12,18 +12,25 @@
 from bisect import bisect_left
 from dataclasses import dataclass, field
 
-from ringshift.control.shares import BURST, Ration
+from ringshift.control.shares import BURST, Shares
 from ringshift.fleet.budget import S
 from ringshift.fleet.share import News
 from ringshift.interface import Granted, Unit
 from standins.fleet.emulated import Backend, World
 
 
+class Tokens(Shares):
+    """The decisions' tokens without the rest of them: no lines, no invocations."""
+
+    def __init__(self) -> None:
+        self.rations, self.tries, self.paces, self.now = {}, {}, {}, 0
+
+
 @dataclass
 class Bucket:
     """A backend's tokens, as it may use them."""
 
-    ration: Ration
+    tokens: Tokens
     looked: int = 0
     owed: float = 0.0  # of what comes, less than one
     rates: list[tuple[int, float]] = field(default_factory=list)  # (true time, rate from then on)
@@ -46,7 +53,7 @@
         name, now = one.share.backend, one.now(self.now)
         bucket = self.buckets.get(name)
         if bucket is None:
-            bucket = self.buckets[name] = Bucket(Ration(self.granted_to(one)), self.now)
+            bucket = self.buckets[name] = Bucket(Tokens(), self.now)
         if self.chance(0.3, 20_000_000):
             one.demand = self.demand(self.random)
         span, bucket.looked = self.now - bucket.looked, self.now
@@ -56,12 +63,13 @@
         bucket.owed -= tries
         one.share.wants(now, 0.0, tries * S / max(span, 1))
         self.heard(one, one.share.hear(News.TICK, now))
-        bucket.ration.news = self.granted_to(one)
-        rate = bucket.ration.amount(now)
+        bucket.tokens.now = now
+        bucket.tokens.on_granted(self.granted_to(one))
+        rate = bucket.tokens.bound(Unit.RATE, 0)
         if not bucket.rates or bucket.rates[-1][1] != rate:
             bucket.rates.append((self.now, rate))
         for _ in range(tries):
-            if bucket.ration.take(now):
+            if not bucket.tokens.rationed(Unit.RATE, 0):
                 self.began.append(self.now)
 
     @staticmethod
--- a/tests/fleet/test_rate.py
+++ b/tests/fleet/test_rate.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ringshift.control.shares import Ration
+from ringshift.control.shares import Shares
 from ringshift.fleet.budget import MS, Budget, S
 from ringshift.interface import Unit
 from standins.fleet.emulated import Trouble
@@ -51,11 +51,12 @@
 
 def test_the_windows_are_not_blind(monkeypatch: pytest.MonkeyPatch) -> None:
     """Tokens of twice the share are seen; so is a grant kept without contact, as the rest divide it anew."""
-    monkeypatch.setattr(Ration, "amount", lambda self, now: 2 * self.news.amount)
+    bound = Shares.bound
+    monkeypatch.setattr(Shares, "bound", lambda self, *unit: 2 * bound(self, *unit))
     twice = RateWorld(TERMS, 1, Trouble(), demand=lambda random: 500.0)
     twice.run(10 * S)
     monkeypatch.undo()
-    # The world's word of rates is the ration's own: the bursts it allows are twice as large as well.
+    # The world's word of rates is the decisions' own: the bursts it allows are twice as large as well.
     assert twice.beyond(5 * S)
     cut = Trouble(cuts=0.2, failovers=0.02, lasting=15 * S)
     with planted("no_fall"):
--- a/tests/rulebook/test_commands.py
+++ b/tests/rulebook/test_commands.py
@@ -228,7 +228,7 @@
 ) -> None:  # fmt: skip
     link = RulesLink([place.keeper], time.monotonic_ns, 5.0)
     for name in ("a.1", "b.2", "c.3"):
-        link.call("/kv/put", {"key": key(f"absent/{name}"), "value": b64(write_row(Row(1, (0, 1))))})
+        link.call("/kv/put", {"key": key(f"absent/{name}"), "value": b64(write_row(Row(1, (0, 1, "d"))))})
     forget = ["rules", "forget", "--settings", place.settings]
     assert command(forget) == 2 and command([*forget, "b.2", "nobody"]) == 1
     assert command([*forget, "--absent"]) == 1  # there is no terminal to ask at
