--- a/ringshift/lifecycle/ramping.py
+++ b/ringshift/lifecycle/ramping.py
@@ -181,15 +181,17 @@
             if one.rung == self.pause[0] and one != self.ramp.position.decided:
                 pause, self.pause = self.pause[1], (0, 0)
                 time.sleep(pause / 1e9)  # fault tests: a pause after the last look, a GC's or VM's
-        self.sent = position
-        landed = self.link.write(self.name, self.task_key, hold.token, held, position, counts, gone)
+        self.sent, landed = position, None
+        try:
+            landed = self.link.write(self.name, self.task_key, hold.token, held, position, counts, gone)
+        finally:  # None: no answer came, and what came of it is told by the next look
+            if position is not None:
+                hold.write("ramped", token=hold.token, edition=position.decided.edition, phase=position.phase,
+                           landed=landed)  # fmt: skip
         self.sent = None
         if landed:
             self.sight.went(f"rows/{name}" for name in gone)
-        if position is not None:
-            hold.write("ramped", token=hold.token, edition=position.decided.edition, phase=position.phase,
-                       landed=landed)  # fmt: skip
-            if landed:
+            if position is not None:
                 self.landed(self.ramp, position, hold)
 
     def landed(self, ramp: Ramp, position: Position, hold: Hold) -> None:
