--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -138,6 +138,8 @@
         if self.is_publisher(number) and self.holders[number] is process and not self.ending:
             self.holders[number] = None  # by its own order
             gevent.spawn_later(RESTARTED, self.restart_holder, number)
+        elif number == 0 and self.closed and not self.ending:  # told to leave while it lay stopped
+            gevent.spawn_later(RESTARTED, self.restart_holder, number)
         ident = self.idents.pop(gevent.getcurrent(), "")
         if ident and not self.is_publisher(number):
             self.dead.append(ident)
@@ -174,7 +176,7 @@
         for order in self.terms.orders:
             at, by, words = order.split(maxsplit=2)
             gevent.sleep(max(0.0, began + int(at) / 1000 - time.monotonic()))
-            if not self.ending:
+            if not self.ending and not self.closed:  # one that comes late must not follow the last order
                 self.tell(int(by), words)
 
     # Faults.
