Configuration: sites with keyed operations or a dependency start and serve on sockets

At fault: two refusals in read_told; a keyed operation was refused the same way.

Change: on sockets calls are part of the agent's runs, so the machine has no dependency there; a keyed operation is held to a non-idempotent one's rules, as no key reaches the program.

--- a/ringshift/lifecycle/configuration.py
+++ b/ringshift/lifecycle/configuration.py
@@ -5,7 +5,7 @@
 import ipaddress
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -79,6 +79,24 @@
     return new
 
 
+def as_told_on_sockets(machine: Machine) -> Machine:
+    """The machine as this protocol shows it.
+
+    Requests carry no idempotency key, so two tries of one keyed invocation look like two invocations: such an
+    operation is held to what a non-idempotent one is, run at most once a try and never turned away once it
+    may have run. Calls at a dependency are part of the runs of the agent: nothing is heard of them.
+    """
+    operations = tuple(
+        replace(
+            operation,
+            effect=Effect.NON_IDEMPOTENT if operation.effect is Effect.TOKENED else operation.effect,
+            calls=False,
+        )
+        for operation in machine.operations
+    )
+    return replace(machine, operations=operations, dependency=replace(machine.dependency, kind=Below.NONE))
+
+
 def read_told(told: Mapping[str, Any], environ: Mapping[str, str]) -> Backend:
     limits = maybe(told, "limits", "configuration", dict, {})
     env = need(told, "settings", "configuration", dict)
@@ -86,10 +104,6 @@
         machine = read_machine(env)
     except ValueError as wrong:
         raise Malformed(f"settings: {wrong}") from None
-    if any(op.effect is Effect.TOKENED for op in machine.operations):
-        raise Malformed("settings: classes: effect: keyed: requests on sockets carry no token")
-    if machine.dependency.kind is not Below.NONE:
-        raise Malformed("settings: extra: below: the agent of this protocol places no calls")
     for limit in ("memory_mb", "sockets"):
         if maybe(limits, limit, "limits", float, 1.0) <= 0:
             raise Malformed(f"limits: {limit}: must be above 0")
@@ -105,6 +119,6 @@
             round(maybe(limits, "memory_mb", "limits", float, 192.0) * MIB),
             maybe(limits, "sockets", "limits", int, 1024),
         ),
-        machine=machine,
+        machine=as_told_on_sockets(machine),
         deep_checks=bool(env["extra"].get("real_checks", False)),
     )
