A launch that may run is never sent twice; runs whose end is lost are given up

Read against the protocol and a model of the link, owner.py and wire/agent.py had these faults: - on_sampled sent again whatever no sample had proven read. A non-idempotent run that went on over the break and ended while the launch was under way ran twice. Now only what was never written is sent again (`launch` says so), and idempotent invocations. - a run whose end never comes (beyond the notices kept, a restarted agent, a launch that was never read) held its core and memory for ever: four of them and a server of four cores ran nothing. give_runs_up frees what nobody waits for, the longest client timeout after the new link told all it held. - Agent.read passed over numbers up to the last one read: all outcomes of a restarted agent, which counts from 1, were lost. Numbers are compared on one link; over links an outcome counts for a job in hand. - a sample asked on the new link before its greeting was handled counted as a proof for the link before, and a tag never asked for as one too; one of other digits (superscript two) ended the program by a ValueError. - outcomes and refusals of an id in hand that was never launched were taken for it.

Excluded: parts of a command at the start of the next link (each has its own outbox), a second answer.

--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -42,7 +42,7 @@
 class Commands(Protocol):
     """The agent, as far as the owner speaks to it. Never waits."""
 
-    def launch(self, job: str, operation: str, body: bytes) -> None: ...
+    def launch(self, job: str, operation: str, body: bytes) -> bool: ...
     def freeze(self, job: str) -> None: ...
     def sample(self, ref: str) -> None: ...
     def exercise(self, ref: str) -> None: ...
@@ -102,7 +102,8 @@
         self.sampled_for: dict[str, int] = {}  # sample -> the module's timer that waits for it
         self.checks: dict[str, tuple[Door, int]] = {}
         self.mark = self.confirmed = 0
-        self.barrier = ""  # the sample whose answer comes after all notices that a new link still had to tell
+        self.barrier = 0  # the sample whose answer comes after all notices that a new link still had to tell
+        self.longest = max(op.client_timeout for op in machine.operations)
         self.health, self.fields = (True, False), dict[str, str]()
         self.inputs: list[face.Input] = []
         self.leaving_at = self.left = self.heard = self.again_from = 0
@@ -247,7 +248,7 @@
         else:
             logger.info("agent's link made anew")
             self.again_from = self.confirmed
-            self.barrier = self.sample()
+            self.barrier = int(self.sample())
             for ref in self.checks:
                 self.agent.exercise(ref)  # lost with the link it would answer bad after a second
 
@@ -265,15 +266,38 @@
     def on_sampled(self, item: news.Sampled) -> None:
         self.watch.sampled(item.gauges)
         self.end_timer(item.ref, item.gauges)
-        if item.ref.isdigit():
-            self.confirmed = max(self.confirmed, int(item.ref))
-        if item.ref == self.barrier:
-            # All that ended meanwhile has been told: what is neither that nor known to have been read is
-            # sent again.
-            self.barrier = ""
-            for inv in self.invocations:
-                if inv.launched and self.again_from <= inv.mark < int(item.ref):
-                    self.launch(inv)
+        ref = int(item.ref) if item.ref.isascii() and item.ref.isdigit() and len(item.ref) < 19 else 0
+        if not max(self.barrier, 1) <= ref <= self.mark:
+            return  # until the barrier, an answer on this link tells nothing of what the last one took along
+        self.confirmed = max(self.confirmed, ref)
+        if ref == self.barrier:
+            self.barrier = 0
+            self.repeat_launches(ref)
+            self.timer(self.clock.now() + self.longest, self.give_runs_up, ref)
+
+    def repeat_launches(self, before: int) -> None:
+        """All that ended meanwhile has been told: what is neither that nor known to have been read is sent
+        again. Its run may end as it is on its way, and then it would run twice: what must not is sent again
+        only if it was never sent."""
+        for inv in list(self.invocations):
+            if not (inv.launched and self.again_from <= inv.mark < before):
+                continue
+            if inv.unsent and inv.over:
+                self.on_run_ended(news.RunEnded(inv.job, "gone", 0, b""))
+            elif inv.unsent or self.machine.operations[inv.operation].effect is face.Effect.IDEMPOTENT:
+                self.launch(inv)
+
+    def give_runs_up(self, before: int) -> None:
+        """Long after a new link told all it held, runs of before that nobody waits for are taken to be over:
+        their ends were lost, with a restarted agent or beyond the notices that it keeps, or they never
+        began. They would count against memory and cores for ever."""
+        left = [inv for inv in self.invocations if inv.launched and inv.mark < before]
+        for inv in left:
+            if inv.over:
+                counted.warn("run given up", "its end was not told")
+                self.on_run_ended(news.RunEnded(inv.job, "gone", 0, b""))
+        if not all(inv.over for inv in left):
+            self.timer(self.clock.now() + self.longest, self.give_runs_up, before)
 
     def end_timer(self, ref: str, gauges: Any) -> None:
         name = self.sampled_for.pop(ref, None)
@@ -283,7 +307,7 @@
     def on_run_ended(self, item: news.RunEnded) -> None:
         inv = self.invocations.by_job.get(item.job)
         outcome = OUTCOMES.get(item.state)
-        if inv is None or outcome is None:
+        if inv is None or not inv.launched or outcome is None:
             counted.warn("outcome that belongs to nothing in hand", item.state)
             return
         inv.launched = False
@@ -301,7 +325,7 @@
     def on_command_refused(self, item: news.CommandRefused) -> None:
         counted.warn("agent refused a command", item.command)
         inv = self.invocations.by_job.get(item.job)
-        if item.command == "launch" and inv is not None:
+        if item.command == "launch" and inv is not None and inv.launched:
             # An id or body that the agent does not know is a bad client's: told to the module as an errored
             # run, enough of them turned readiness bad for all.
             self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
@@ -319,7 +343,8 @@
     def launch(self, inv: Invocation) -> None:
         self.watch.launched(inv.operation)
         self.invocations.launch(inv, self.mark)
-        self.agent.launch(inv.job, self.machine.operations[inv.operation].name, inv.body)
+        taken = self.agent.launch(inv.job, self.machine.operations[inv.operation].name, inv.body)
+        inv.unsent = taken is False
 
     def start(self, action: face.Start) -> None:
         self.launch(self.invocations.by_index[action.inv])
--- a/ringshift/store/invocations.py
+++ b/ringshift/store/invocations.py
@@ -32,6 +32,13 @@
     launched: bool = False
     mark: int = 0
     """The last sample asked for before its launch: an answer to a later one proves the launch was read."""
+    unsent: bool = False
+    """Nothing of its launch was ever written: the only proof that it never ran."""
+
+    @property
+    def over(self) -> bool:
+        """Whether nobody waits for it any more."""
+        return self.state in (Try.ANSWERED, Try.GONE)
 
 
 class Invocations:
@@ -63,7 +70,7 @@
 
     def answer(self, inv: Invocation, data: bytes) -> bool:
         """The one way out for a final answer: true for the first, whose caller is there."""
-        if inv.state in (Try.ANSWERED, Try.GONE):
+        if inv.over:
             return False
         inv.state = Try.ANSWERED
         del self.by_request[inv.door, inv.request]
--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -31,7 +31,7 @@
 class Agent:
     def __init__(self, address: tuple[str, int], random: Random) -> None:
         self.address, self.random = address, random
-        self.read_up_to = 0
+        self.read_up_to = self.read_on_link = 0
         self.outbox: Outbox | None = None
         self.sock: socket.socket | None = None
         self.connected = False
@@ -43,15 +43,21 @@
 
     # Called by the owner: never waits. Without a link a command is dropped; the owner repeats what matters.
 
-    def say(self, **fields: Any) -> None:
-        if self.outbox is not None and not self.outbox.put(orjson.dumps(fields) + b"\n"):
-            # Commands can't be left out one by one: the link is made anew and what matters is repeated.
-            with suppress(OSError):
-                self.outbox.sock.shutdown(socket.SHUT_RDWR)
-            self.outbox = None
-
-    def launch(self, job: str, operation: str, body: bytes) -> None:
-        self.say(type="launch", job=job, kind=operation, data=b64encode(body).decode())
+    def say(self, **fields: Any) -> bool:
+        """False where not a byte of it is written, now or later."""
+        if self.outbox is None:
+            return False
+        if taken := self.outbox.put(orjson.dumps(fields) + b"\n"):
+            return taken
+        # Commands can't be left out one by one: the link is made anew and what matters is repeated.
+        with suppress(OSError):
+            self.outbox.sock.shutdown(socket.SHUT_RDWR)
+        self.outbox = None
+        return False
+
+    def launch(self, job: str, operation: str, body: bytes) -> bool:
+        """False where the agent can't have read it; otherwise it may run."""
+        return self.say(type="launch", job=job, kind=operation, data=b64encode(body).decode())
 
     def freeze(self, job: str) -> None:
         self.say(type="freeze", job=job)
@@ -101,7 +107,7 @@
 
     def talk(self, sock: socket.socket) -> bool:
         """Until the link ends; whether the agent greeted."""
-        greeted = False
+        greeted, self.read_on_link = False, 0
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         outbox = Outbox(sock, UNSENT, Budget(UNSENT))
@@ -145,9 +151,13 @@
             raise Malformed(f"type {kind!r}")
         number = maybe(fields, "n", str(kind), int, 0)
         if number:
-            if number <= self.read_up_to:
-                return None  # told again after a new link
-            self.read_up_to = number
+            if number <= self.read_on_link:
+                return None  # told twice
+            if number <= self.read_up_to and not self.read_on_link:
+                # All that it told before was asked to be left out: its process is another one, which counts
+                # from 1. What it told already belongs to nothing in hand.
+                counted.warn("agent counts its notices anew", f"{number} after {self.read_up_to}")
+            self.read_up_to = self.read_on_link = number
         return NOTICES[kind](fields)
 
 
