Repeats: never behind a run that is over or stopped, nor past the window

store/results.py and owner.py, each seen with repeat and other news in one batch or in the order named: - reuse found no entry where the original failed, was stopped or was evicted in the batch in which the repeat was read: the repeat waited for nothing until its due time. It is throttled at once, as it never ran. - halt stopped a run whose caller had left though repeats waited for it, which failed with it. It goes on for them, and is stopped once none waits. Behind a run told to stop nothing waits any more: it runs itself. - a result's window began when its end was read; one that lay unread served that much longer.

Excluded: eviction of what others wait for, keyed classes (decisions unchanged).

--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -314,7 +314,9 @@
         good = outcome is face.Outcome.SUCCEEDED
         if outcome is not face.Outcome.MOOT:
             self.watch.ran(inv.operation, item.took, outcome is not face.Outcome.ERRORED)
-        self.end_repeats(self.results.ended(inv.index, self.clock.now(), item.result if good else None),
+        # Not when its end was read: a result that lay unread for long is that much older.
+        at = min(self.clock.now(), inv.began + item.took)
+        self.end_repeats(self.results.ended(inv.index, at, item.result if good else None),
                          item.result if good else None)  # fmt: skip
         if good:
             self.succeed(inv, item.result)
@@ -342,7 +344,7 @@
 
     def launch(self, inv: Invocation) -> None:
         self.watch.launched(inv.operation)
-        self.invocations.launch(inv, self.mark)
+        self.invocations.launch(inv, self.mark, self.clock.now())
         taken = self.agent.launch(inv.job, self.machine.operations[inv.operation].name, inv.body)
         inv.unsent = taken is False
 
@@ -350,7 +352,11 @@
         self.launch(self.invocations.by_index[action.inv])
 
     def halt(self, action: face.Halted) -> None:
-        self.agent.freeze(self.invocations.by_index[action.inv].job)
+        inv = self.invocations.by_index[action.inv]
+        if inv.state is Try.GONE and self.results.awaited(action.inv):
+            return  # its caller left, but repeats wait for its end; asked again while it runs
+        self.results.stopped(action.inv)
+        self.agent.freeze(inv.job)
 
     def throttle(self, action: face.Throttle) -> None:
         inv = self.invocations.by_index[action.inv]
@@ -384,7 +390,12 @@
 
     def reuse(self, action: face.Reuse) -> None:
         inv = self.invocations.by_index[action.inv]
-        kept = self.results.reuse(inv)
+        try:
+            kept = self.results.reuse(inv)
+        except KeyError:  # failed, stopped or evicted in this very batch: this try never ran
+            self.answer(inv, calls.throttled(inv.request, self.fields, 0, False), THROTTLED)
+            self.inputs.append(face.Finished(inv.index, face.Outcome.MOOT, 0))
+            return
         if kept is not None:
             self.end_repeats([inv], kept)
 
--- a/ringshift/store/invocations.py
+++ b/ringshift/store/invocations.py
@@ -34,6 +34,8 @@
     """The last sample asked for before its launch: an answer to a later one proves the launch was read."""
     unsent: bool = False
     """Nothing of its launch was ever written: the only proof that it never ran."""
+    began: int = 0
+    """When it was first launched."""
 
     @property
     def over(self) -> bool:
@@ -63,8 +65,8 @@
         self.by_job[job] = self.by_index[inv.index] = self.by_request[door, request] = inv
         return inv
 
-    def launch(self, inv: Invocation, mark: int) -> None:
-        inv.launched, inv.mark = True, mark
+    def launch(self, inv: Invocation, mark: int, now: int = 0) -> None:
+        inv.launched, inv.mark, inv.began = True, mark, inv.began or now
         if inv.state is Try.HELD:
             inv.state = Try.LAUNCHED
 
--- a/ringshift/store/results.py
+++ b/ringshift/store/results.py
@@ -53,15 +53,25 @@
             self.size += ENTRY
 
     def reuse(self, inv: Invocation) -> bytes | None:
-        """The kept result, or None where it waits for the run to end."""
-        entry = self.entries.get((inv.operation, inv.item))
-        if entry is None:
-            return None
+        """The kept result, or None where it waits for the run to end. KeyError: neither is there any more."""
+        entry = self.entries[inv.operation, inv.item]
         if entry.ended:
             return entry.result
         entry.waiting.append(inv)
         return None
 
+    def awaited(self, index: int) -> bool:
+        """Whether somebody still waits for the end of this run."""
+        key = self.keys.get(index)
+        return key is not None and any(not inv.over for inv in self.entries[key].waiting)
+
+    def stopped(self, index: int) -> None:
+        """Its run is told to stop, and no more of them are to wait for that."""
+        key = self.keys.get(index)
+        if key is not None and not self.entries[key].ended:
+            self.entries[key].until = 0
+            self.forget(index)
+
     def ended(self, index: int, now: int, result: bytes | None) -> list[Invocation]:
         """A run ended, with its result where it went well; those that waited for it."""
         key = self.keys.get(index)
