A withdrawal whose reason the keeper can't take is refused at once, not tried for 30 s

Cause: Publishing.withdraw had no look at the version's size as publish has; the ValueError of write_version came up within Publishing.do, where whatever a client raises counts as a write that was not answered: proposed again and again until its time was over, then told as 'the keeper did not answer: reason: 1001 characters'. Found on reading for what may end a publisher. Change: one check (check_size) for both, before any write; the command ends with its one line. Result: tests/rulebook/test_publishing.py and test_commands.py 56 passed; with the two files as before both new tests fail (the command's last line: 'ringshift rules status tells what stands at the keeper', after 30 s).

--- a/ringshift/cli/rules.py
+++ b/ringshift/cli/rules.py
@@ -208,6 +208,8 @@
     except PublicationError as wrong:
         raise click.ClickException(f"{wrong}. `ringshift rules show VERSION` and `publish` bring any kept "
                                    "version back") from None  # fmt: skip
+    except ValueError as wrong:  # a version that the keeper couldn't take
+        raise click.ClickException(str(wrong)) from None
     return ended(outcome, progress)
 
 
--- a/ringshift/lifecycle/publishing.py
+++ b/ringshift/lifecycle/publishing.py
@@ -76,6 +76,14 @@
     return None
 
 
+def check_size(wish: Wish) -> None:
+    """Raises ValueError, naming the field, for a version that the keeper couldn't take. In `Publishing.do` it
+    would count as a write that was not answered, and be tried again until the errand's time is over."""
+    from ringshift.wire.rules import write_version
+
+    write_version(Version(NOTHING, wish.book, digest(wish.book), wish.author, wish.reason))
+
+
 class Publishing:
     """`clock`: this process's own, monotonic, in ns. `on(kind, fields)` hears each step, for histories and
     progress: "state" (state, stamp, digest, why), "waiting" (readers, ended, acked), "do" (effect, stamp,
@@ -101,11 +109,8 @@
         (what it proposed stands). `base`: the version that the book was made from; where another is in force
         when the proposal is made, it is BEATEN. Raises PublicationError where it may not be published in one
         step (ringshift/rulebook/steps.py), ValueError where the keeper couldn't take it."""
-        from ringshift.wire.rules import write_version
-
-        kept = as_kept(book)
-        write_version(Version(NOTHING, kept, digest(kept), author, reason))  # refused here, before any look
-        wish = Wish(kept, author, reason, undoes, base)
+        wish = Wish(as_kept(book), author, reason, undoes, base)
+        check_size(wish)  # refused here, before any look
         return self.run(Errand(self.terms, State.PUBLISHING, wish, self.memory), within)
 
     def settle(self, within: int = WITHIN) -> Outcome:
@@ -114,7 +119,8 @@
 
     def withdraw(self, author: str = "", reason: str = "", within: int = WITHIN) -> Outcome:
         """Takes back what is proposed; with nothing proposed, publishes the book before the one in force
-        anew, under a number of its own. Raises PublicationError where none is kept."""
+        anew, under a number of its own. Raises PublicationError where none is kept, ValueError where the
+        keeper couldn't take that version."""
         end = self.clock() + within
         while (found := self.ask(self.with_versions)) is None:
             if self.clock() >= end:
@@ -128,6 +134,7 @@
         else:
             wish = undoing(told.in_force, found[1], author, reason)
             wish = replace(wish, book=as_kept(undone(told.in_force.book, wish.book, time.time_ns())))
+            check_size(wish)
             errand = Errand(self.terms, State.PUBLISHING, wish, self.memory, found[1])
         return self.run(errand, end - self.clock())
 
--- a/tests/rulebook/test_commands.py
+++ b/tests/rulebook/test_commands.py
@@ -199,6 +199,16 @@
     assert json.loads(capsys.readouterr().out)["in_force"]["number"] == "0.6"
 
 
+def test_a_withdrawal_whose_reason_is_too_long_ends_with_one_line(
+    place: Place, capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    assert command(place.publish(str(place.folder / "first.toml"))) == 0
+    assert command(place.publish(place.file("more.toml", MORE))) == 0
+    capsys.readouterr()
+    assert command(["rules", "withdraw", "--reason", "x" * 1001, "--settings", place.settings]) == 1
+    assert capsys.readouterr().err.splitlines()[-1].endswith("reason: 1001 characters, more than 1000")
+
+
 def test_what_alone_admits_beyond_the_rules_and_a_whole_that_is_raised_are_warned_of(
     place: Place, capsys: pytest.CaptureFixture[str],
 ) -> None:  # fmt: skip
--- a/tests/rulebook/test_publishing.py
+++ b/tests/rulebook/test_publishing.py
@@ -116,6 +116,17 @@
         assert (outcome.state, outcome.done) == (State.NOTHING, False)
 
 
+def test_a_withdrawal_whose_reason_is_too_long_is_refused_before_anything_is_written() -> None:
+    """Refused by the write, it counted as one that was not answered, and was tried for all of its time."""
+    room = started("a")
+    assert room.publishing().publish(book("y")).in_force
+    before, began = room.link().read(), room.now
+    room.heard.clear()
+    with pytest.raises(ValueError, match="reason: 1001 characters, more than 1000"):
+        room.publishing().withdraw("anna", "x" * 1001)
+    assert room.link().read().head == before.head and room.now == began and room.heard == []
+
+
 @pytest.mark.parametrize("place", PLACES)
 def test_of_two_publishers_at_once_exactly_one_lands_and_the_other_is_told(place: str) -> None:
     room = started("a", "b")
