--- a/standins/fleet/publisher.py
+++ b/standins/fleet/publisher.py
@@ -154,6 +154,8 @@
         held, end = None, time.monotonic() + self.limit / 1e9
         while held is None and time.monotonic() < end:
             held = self.publishing.ask(self.link.read)
+            if held is None:
+                self.publishing.wait(self.publishing.every / 1e9)
         if held is None or held.told is None:
             raise OSError("the keeper does not answer")
         book = drawn(word, random, held.told.in_force.book)
