Agent's link: a notice of a type that is not known is left out, the link goes on

Seen: cardiff-quiz on the text that takes its settings serves nothing; the log of tells 'not a notice: type request' and the link made anew about every 25 ms: the agent tells the same notice again on each new link. At fault: Agent.read took an unknown type for bytes that are no notice, and before its number was noted. Change: its number counts as read, its kind is counted in the log, the link stays; bytes that are no object with a type still end it.

Result: the new test fails without it (no answer in 10 s), passes with it.

--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -24,6 +24,7 @@
 UNSENT = 1024 * 1024  # bytes of commands
 FIRST_WAIT, LONGEST_WAIT = 0.02, 1.0  # seconds between two tries to connect
 CONNECTING = 2.0
+LONGEST_SHOWN = 40  # characters of an unknown type in a log line
 
 Fields = Mapping[str, Any]
 
@@ -146,10 +147,8 @@
             raise Malformed(repr(bytes(line[:80]))) from None
         if not isinstance(fields, dict):
             raise Malformed(repr(bytes(line[:80])))
-        kind = fields.get("type")
-        if kind not in NOTICES:
-            raise Malformed(f"type {kind!r}")
-        number = maybe(fields, "n", str(kind), int, 0)
+        kind = need(fields, "type", "notice", str)
+        number = maybe(fields, "n", kind, int, 0)
         if number:
             if number <= self.read_on_link:
                 return None  # told twice
@@ -158,6 +157,10 @@
                 # from 1. What it told already belongs to nothing in hand.
                 counted.warn("agent counts its notices anew", f"{number} after {self.read_up_to}")
             self.read_up_to = self.read_on_link = number
+        if kind not in NOTICES:
+            # Told again on each new link, it would end every one of them and nothing would ever be run.
+            counted.warn("agent tells what this program does not know", f"type {kind[:LONGEST_SHOWN]!r}")
+            return None
         return NOTICES[kind](fields)
 
 
--- a/tests/crossings/test_agent_link.py
+++ b/tests/crossings/test_agent_link.py
@@ -382,3 +382,21 @@
         played.turn(after=50 * MS)
     assert all(agent.runs[order] <= 1 for order in orders) and not list(played.owner.invocations)
     assert all(len(played.status(request)) <= 1 for request in range(1, 41))
+
+
+def test_a_notice_of_an_unknown_type_ends_nothing_and_is_not_asked_for_again() -> None:
+    """It ended the link, was told again on the next one, and so no run was ever heard of."""
+    with Room() as room:
+        sidecar, agent = room.serving(), room.agent
+        sidecar.send(sidecar.call(1) + sidecar.call(2))
+        agent.until(lambda: len(agent.launches) == 2)
+        agent.notify(type="unheard-of", job=job(1))
+        agent.finish(job(2), result=b"two")
+        assert sidecar.answer(2).body == b"two"
+        agent.finish(job(1), result=b"one")
+        assert sidecar.answer(1).body == b"one"
+        assert "'unheard-of'" in room.line("agent tells what this program does not know")
+        agent.cut_link(b"")
+        sidecar.send(sidecar.call(3))
+        agent.until(lambda: bool(agent.launched(job(3))))
+        assert [c["n"] for c in agent.commands if c["type"] == "subscribe"] == [0, 3]
