--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -49,6 +49,7 @@
         self.editions = dict[int, int]()  # decision of the ramp by which a backend acts
         self.dead = list[str]()  # readers whose process is no more
         self.closed, self.starting = False, False
+        self.under_start = set[int]()  # slots whose process is being started just now
         self.acting = dict[int, str]()  # what a backend said last that it acts by
         self.last = ""  # the last version of all, once in force
         self.copy_at = folder / "keeper-copy.json"
@@ -79,6 +80,14 @@
         return path
 
     def start_holder(self, number: int) -> subprocess.Popen[bytes]:
+        self.under_start.add(number)
+        try:
+            return self.started(number, self.command(number), told=self.is_publisher(number))
+        finally:
+            self.under_start.discard(number)
+            self.changed.set()
+
+    def command(self, number: int) -> list[str]:
         script, publisher = self.terms, self.is_publisher(number)
         name = f"{'p' if publisher else 'h'}{number}"
         skew = script.skew_ppm[number % len(script.skew_ppm)] if script.skew_ppm else 0
@@ -97,7 +106,7 @@
             argv += ["--slow-answers-ms", str(script.slow_answers_ms[number % len(script.slow_answers_ms)])]
         if script.lose_acks_ms and not publisher:
             argv += ["--lose-acks-ms", str(script.lose_acks_ms[number % len(script.lose_acks_ms)])]
-        return self.started(number, argv, told=publisher)
+        return argv
 
     def start_all(self) -> None:
         for number in range(self.script.holders):
@@ -215,7 +224,9 @@
             super().restart_keeper()
 
     def restart_holder(self, number: int) -> None:
-        if not (self.closed and 0 < number < self.terms.publishers):
+        # Starting a process gives way to other greenlets: a second one of its slot would write its settings
+        # anew while the first reads them.
+        if number not in self.under_start and not (self.closed and 0 < number < self.terms.publishers):
             super().restart_holder(number)
 
     def join(self) -> None:
@@ -246,6 +257,7 @@
         for process in self.holders[1 : self.terms.publishers]:
             if process is not None:
                 self.wait_for(partial(gone, process), 2 * script.limit_ms / 1000)
+        self.wait_for(lambda: 0 not in self.under_start, CLOSING)
         if self.holders[0] is None or self.holders[0].poll() is not None:
             self.holders[0] = self.start_holder(0)
             self.ready[0].wait()
--- a/tests/rulebook/test_publisher_process.py
+++ b/tests/rulebook/test_publisher_process.py
@@ -20,6 +20,8 @@
 from standins.checkers.leases import lines
 from standins.fleet.proxy import UP, Proxy
 from standins.fleet.publisher import Publisher
+from standins.fleet.rules import RulesFleet
+from standins.fleet.rulescript import RulesScript
 from standins.room import ROOT
 from tests.test_keeper import Member
 
@@ -213,3 +215,37 @@
             ended.get()
         server.stop()
     assert 2 <= len(came) <= 1000 // 200 + 1
+
+
+def test_a_publisher_that_is_being_started_as_the_end_begins_is_not_started_twice(tmp_path: Path) -> None:
+    """Its restart gives way within `Popen`; a second one would write the settings that the first reads."""
+    fleet = RulesFleet(RulesScript(1, holders=1, seconds=5.0), tmp_path)
+    fleet.holders, fleet.addresses = [None], ["127.0.0.1:1"]
+    fleet.ready[0] = Event()
+    fleet.ready[0].set()
+    started, goes = list[int](), Event()
+
+    def slow(number: int, argv: list[str], told: bool = False) -> subprocess.Popen[bytes]:
+        started.append(number)
+        goes.wait()
+        return subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE)
+
+    fleet.started = slow  # type: ignore[method-assign]
+    fleet.close = lambda: setattr(fleet, "last", "0.2")  # type: ignore[method-assign]
+    with gevent.Timeout(WITHIN):
+        first = gevent.spawn(fleet.restart_holder, 0)
+        gevent.idle()  # it is within `started` now
+        assert started == [0] and fleet.holders == [None]
+        again, ending = gevent.spawn(fleet.restart_holder, 0), gevent.spawn(fleet.closing)
+        gevent.idle()
+        goes.set()
+        first.get()
+        again.get()
+        ending.get()
+        assert started == [0]
+        process = fleet.holders[0]
+        assert process is not None
+        process.kill()
+        process.wait(10)
+    fleet.resource_log.close()
+    fleet.faults_log.close()
