Keyed operations on sockets: one try of a key runs in its window, repeats get its outcome

Excluded: a second launch of the same try (each id is launched once). At fault: calls.read dropped the key, and the store of repeats knew reads only.

Change: store/keyed.py links tries by operation and key from the first reading on, for the window; what failed, was stopped or lost its end is never run again in it; the module's own rules for keyed repeats, written long ago, act on sockets too. Keys in hand are bounded by what an entry counts for, results by bytes.

--- a/ringshift/lifecycle/configuration.py
+++ b/ringshift/lifecycle/configuration.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from ringshift.interface import Below, Effect, Machine
+from ringshift.interface import Below, Machine
 from ringshift.machine import Malformed, maybe, need, ns, read_machine
 from ringshift.runtime.bounds import MIB, Bounds, bounds
 
@@ -82,18 +82,9 @@
 def as_told_on_sockets(machine: Machine) -> Machine:
     """The machine as this protocol shows it.
 
-    Requests carry no idempotency key, so two tries of one keyed invocation look like two invocations: such an
-    operation is held to what a non-idempotent one is, run at most once a try and never turned away once it
-    may have run. Calls at a dependency are part of the runs of the agent: nothing is heard of them.
+    Calls at a dependency are part of the runs of the agent: nothing is heard of them and none can be placed.
     """
-    operations = tuple(
-        replace(
-            operation,
-            effect=Effect.NON_IDEMPOTENT if operation.effect is Effect.TOKENED else operation.effect,
-            calls=False,
-        )
-        for operation in machine.operations
-    )
+    operations = tuple(replace(operation, calls=False) for operation in machine.operations)
     return replace(machine, operations=operations, dependency=replace(machine.dependency, kind=Below.NONE))
 
 
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -24,6 +24,7 @@
 from ringshift.runtime.clock import Clock
 from ringshift.runtime.logs import counted
 from ringshift.store.invocations import Invocation, Invocations, Try
+from ringshift.store.keyed import ENTRY_BYTES, KeyedOperation, KeyedResults, RunFailed
 from ringshift.store.results import Results
 from ringshift.wire import calls, news
 from ringshift.wire.news import Door, News
@@ -83,12 +84,27 @@
         pass
 
 
+def keyed_operations(machine: face.Machine) -> dict[int, KeyedOperation]:
+    """The operations whose tries carry an idempotency key."""
+    return {
+        index: KeyedOperation(operation.window, operation.client_timeout)
+        for index, operation in enumerate(machine.operations)
+        if operation.effect is face.Effect.TOKENED
+    }
+
+
+def entry_kb(machine: face.Machine, bounds: Bounds) -> float:
+    """What a kept entry counts against the machine's memory, so that the module keeps no more of them than
+    this program can hold."""
+    return max(machine.entry_kb, machine.memory_kb * ENTRY_BYTES / bounds.results)
+
+
 class Owner:
     def __init__(self, machine: face.Machine, bounds: Bounds, deep_checks: bool, seed: int, clock: Clock,
                  agent: Commands, ready: Callable[[bool], None],
                  idle: Callable[[int], None], watch: Watch | None = None) -> None:  # fmt: skip
         # Whom to turn away where the program itself holds too much is the module's to say.
-        self.machine = replace(machine, in_hand=bounds.in_hand)
+        self.machine = replace(machine, in_hand=bounds.in_hand, entry_kb=entry_kb(machine, bounds))
         self.deep_checks, self.seed, self.clock = deep_checks, seed, clock
         self.agent, self.ready, self.idle = agent, ready, idle
         self.watch = watch or Unwatched()
@@ -97,6 +113,7 @@
         self.queue: Queue[News] = Queue(bounds.news)
         self.controller: Controller | None = None
         self.invocations, self.results = Invocations(), Results(machine.fresh, bounds.results)
+        self.keyed = KeyedResults(keyed_operations(machine), bounds.results)
         self.timers: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.order, self.refs = count(), count(1)
         self.sampled_for: dict[str, int] = {}  # sample -> the module's timer that waits for it
@@ -157,7 +174,7 @@
             CARRY_OUT[type(action)](self, action)
         for index in self.controller.forgotten:
             inv = self.invocations.drop(index)
-            self.end_repeats(self.results.dropped(index), None)
+            self.end_repeats(self.results.dropped(index) + self.keyed.dropped(index), None)
             if inv is not None and inv.state in (Try.HELD, Try.LAUNCHED):
                 counted.warn("invocation forgotten without an answer", "errored")
                 self.answer(inv, calls.errored(inv.request, self.fields), ERRORED)
@@ -196,7 +213,7 @@
             item.door.send(item.request, calls.errored(item.request, self.fields, 400))
             return
         inv = self.invocations.add(item.job, item.operation, item.body, item.door, item.request,
-                                   item.item, item.caller)  # fmt: skip
+                                   item.item, item.caller, item.key)  # fmt: skip
         unread = self.clock.since(item.came)
         self.watch.arrived(item, unread)
         self.inputs.append(face.Arrived(
@@ -204,10 +221,17 @@
             patience=None if item.allow is None else max(item.allow - unread, 0),
             cost=0.0, kb=item.kb, rank=item.rank, keyed_read=bool(item.item),
             caller=item.caller, unread=unread,
-            repeats=self.results.original(inv, self.clock.now()),
+            repeats=self.original(inv, unread),
             lot=self.rulings.lot(item.operation, item.caller),
         ))  # fmt: skip
 
+    def original(self, inv: Invocation, unread: int) -> int | None:
+        """Of which invocation this one is a repeat."""
+        now = self.clock.now()
+        if self.keyed.concerns(inv.operation):
+            return self.keyed.original(inv, now, unread)
+        return self.results.original(inv, now)
+
     def on_checked(self, item: news.Checked) -> None:
         good, stored = self.health
         if not good or stored or not item.deep or not self.deep_checks or self.controller is None:
@@ -295,6 +319,7 @@
         for inv in left:
             if inv.over:
                 counted.warn("run given up", "its end was not told")
+                self.keyed.may_have_run(inv.index)
                 self.on_run_ended(news.RunEnded(inv.job, "gone", 0, b""))
         if not all(inv.over for inv in left):
             self.timer(self.clock.now() + self.longest, self.give_runs_up, before)
@@ -316,8 +341,9 @@
             self.watch.ran(inv.operation, item.took, outcome is not face.Outcome.ERRORED)
         # Not when its end was read: a result that lay unread for long is that much older.
         at = min(self.clock.now(), inv.began + item.took)
-        self.end_repeats(self.results.ended(inv.index, at, item.result if good else None),
-                         item.result if good else None)  # fmt: skip
+        waiting = self.results.ended(inv.index, at, item.result if good else None)
+        waiting += self.keyed.ended(inv.index, outcome, item.result)
+        self.end_repeats(waiting, item.result if good else None)
         if good:
             self.succeed(inv, item.result)
         elif outcome is face.Outcome.ERRORED:
@@ -353,7 +379,7 @@
 
     def halt(self, action: face.Halted) -> None:
         inv = self.invocations.by_index[action.inv]
-        if inv.state is Try.GONE and self.results.awaited(action.inv):
+        if inv.state is Try.GONE and (self.results.awaited(action.inv) or self.keyed.awaited(action.inv)):
             return  # its caller left, but repeats wait for its end; asked again while it runs
         self.results.stopped(action.inv)
         self.agent.freeze(inv.job)
@@ -383,19 +409,26 @@
         self.idle(action.after)
 
     def remember(self, action: face.Remember) -> None:
-        self.results.keep(self.invocations.by_index[action.inv], self.clock.now() + action.ttl)
+        inv, until = self.invocations.by_index[action.inv], self.clock.now() + action.ttl
+        self.results.keep(inv, until)
+        self.keyed.keep(inv, until)
 
     def forget(self, action: face.Forget) -> None:
         self.results.forget(action.inv)
+        self.keyed.forget(action.inv)
 
     def reuse(self, action: face.Reuse) -> None:
         inv = self.invocations.by_index[action.inv]
         try:
-            kept = self.results.reuse(inv)
+            store = self.keyed if self.keyed.concerns(inv.operation) else self.results
+            kept = store.reuse(inv)
         except KeyError:  # failed, stopped or evicted in this very batch: this try never ran
             self.answer(inv, calls.throttled(inv.request, self.fields, 0, False), THROTTLED)
             self.inputs.append(face.Finished(inv.index, face.Outcome.MOOT, 0))
             return
+        except RunFailed:
+            self.end_repeats([inv], None)
+            return
         if kept is not None:
             self.end_repeats([inv], kept)
 
--- a/ringshift/store/invocations.py
+++ b/ringshift/store/invocations.py
@@ -28,6 +28,8 @@
     request: int
     item: str = ""
     caller: int = -1
+    key: str = ""
+    """The idempotency key, empty where none was told."""
     state: Try = Try.HELD
     launched: bool = False
     mark: int = 0
@@ -59,8 +61,8 @@
         return len(self.by_request)
 
     def add(self, job: str, operation: int, body: bytes, door: Door, request: int,
-            item: str = "", caller: int = -1) -> Invocation:  # fmt: skip
-        inv = Invocation(self.next, job, operation, body, door, request, item, caller)
+            item: str = "", caller: int = -1, key: str = "") -> Invocation:  # fmt: skip
+        inv = Invocation(self.next, job, operation, body, door, request, item, caller, key)
         self.next += 1
         self.by_job[job] = self.by_index[inv.index] = self.by_request[door, request] = inv
         return inv
--- a/ringshift/wire/calls.py
+++ b/ringshift/wire/calls.py
@@ -14,6 +14,7 @@
 CALL, CHECK = "/call/", "/ping"
 SUCCEEDED, THROTTLED, ERRORED = 200, 429, 500
 MOST_KB = 2000.0
+LONGEST_KEY = 128  # characters of an idempotency key
 PLAIN_NUMBER = re.compile(r"-?[0-9]+(\.[0-9]+)?([eE][+-]?[0-9]+)?").fullmatch
 Fields = Mapping[str, str]
 
@@ -69,9 +70,18 @@
         rank=number(params, "HTTP_X_PRECEDENCE", 0.0, 1.0),
         caller=int(number(params, "HTTP_X_SENDER", 0.0, 2.0**53)),
         sent=sent(params) if "HTTP_X_SENT_TIME" in params else None,
+        key=idempotency_key(params),
     )
 
 
+def idempotency_key(params: Fields) -> str:
+    """The key that all tries of one invocation share, empty where none is told."""
+    key = params.get("HTTP_X_UNIQUE", "")
+    if len(key) > LONGEST_KEY:
+        raise Wrong(f"HTTP_X_UNIQUE longer than {LONGEST_KEY} characters")
+    return key
+
+
 def sent(params: Fields) -> int:
     """Beyond the protocol: a sender may tell its own clock too. The door time is the machine's."""
     return round(number(params, "HTTP_X_SENT_TIME", 0.0, 1e15) * NS_PER_MS)
--- a/ringshift/wire/news.py
+++ b/ringshift/wire/news.py
@@ -30,6 +30,8 @@
     caller: int
     sent: int | None = None
     """When it was sent by the sender's own clock, where that is told: ties clocks in the records."""
+    key: str = ""
+    """The idempotency key that all tries of it share; empty where none is told."""
 
 
 @dataclass(frozen=True, slots=True)
