Keyed operations: a copied key with another body is another invocation

At fault: KeyedResults knew a try by operation and key alone. Change: a digest of the body belongs to the key. Excluded: answering 400, as a copied key that came first would then have refused the genuine try.

--- a/ringshift/store/keyed.py
+++ b/ringshift/store/keyed.py
@@ -9,13 +9,29 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import NamedTuple
 
 from ringshift.interface import Outcome
 from ringshift.store.invocations import Invocation
 
 ENTRY_BYTES = 1024  # of one beside its result: two tables, its key, and the time it outlives its window
 
-Key = tuple[int, str]
+DIGEST_BYTES = 16  # of a body
+
+
+class Key(NamedTuple):
+    """What tries of one invocation share. A key that comes with another body is another invocation: whoever
+    copied it must neither be served nor hold it."""
+
+    operation: int
+    key: str
+    digest: bytes
+
+
+def key_of(inv: Invocation) -> Key:
+    """The key of a try, its body included."""
+    return Key(inv.operation, inv.key, blake2b(inv.body, digest_size=DIGEST_BYTES).digest())
 
 
 class RunFailed(Exception):
@@ -62,7 +78,7 @@
         if not inv.key:
             return None
         self.expire(now)
-        key = (inv.operation, inv.key)
+        key = key_of(inv)
         entry = self.entries.get(key)
         if entry is not None and now - unread < entry.until:
             return entry.index
@@ -83,7 +99,7 @@
 
         Raises KeyError where no try holds the key any more, RunFailed where there is no result to serve.
         """
-        entry = self.entries[inv.operation, inv.key]
+        entry = self.entries[key_of(inv)]
         if entry.failed:
             raise RunFailed
         if entry.result is None:
@@ -135,7 +151,7 @@
         """Entries go once what reached the machine in their window must have been read or given up."""
         for key in list(self.entries):
             entry = self.entries[key]
-            if now < entry.until + self.operations[key[0]].client_timeout or entry.waiting:
+            if now < entry.until + self.operations[key.operation].client_timeout or entry.waiting:
                 return
             self.remove(key)
 
--- a/tests/crossings/test_keyed_repeats.py
+++ b/tests/crossings/test_keyed_repeats.py
@@ -173,6 +173,24 @@
         assert not room.agent.launched(job(2)) and not room.agent.launched(job(4))
 
 
+def test_a_copied_key_with_another_body_is_neither_served_nor_holds_it() -> None:
+    """A bad client was given the result of the request whose key it had copied."""
+    with Room(settings=KEYED) as room:
+        sidecar, agent = room.serving(), room.agent
+        sidecar.send(sidecar.call(1, body=b"copied", HTTP_X_UNIQUE="a" * 32))
+        agent.until(lambda: bool(agent.launched(job(1))))
+        sidecar.send(sidecar.call(2, HTTP_X_UNIQUE="a" * 32))
+        agent.until(lambda: bool(agent.launched(job(2))))
+        agent.finish(job(2), result=b"genuine")
+        assert sidecar.answer(2).body == b"genuine"
+        sidecar.send(sidecar.call(3, body=b"copied too", HTTP_X_UNIQUE="a" * 32))
+        agent.until(lambda: bool(agent.launched(job(3))))
+        agent.notify(type="refusal", state="launch", job=job(3))
+        assert sidecar.answer(3).status == 500
+        sidecar.send(sidecar.call(4, HTTP_X_UNIQUE="a" * 32))
+        assert sidecar.answer(4).body == b"genuine"
+
+
 def test_a_key_longer_than_its_bound_fails_its_request_alone() -> None:
     with Room(Agent(lambda job, kind, body: (0.0, "good", b"made")), settings=KEYED) as room:
         sidecar = room.serving()
