Every orderly end of a connection is a half-close in the step that found it at rest

Cause: `Connection.close` killed the reader, whose `end` closed the socket one turn of the loop after the look for unread bytes. What came between lay unread: the kernel reset the connection and took along answers not yet delivered; the reader might also still run it. Without KEEP_CONN the connection closed with other requests open. Answers still in the outbox of a slow reader ended with the process.

Change: `half_close` does shutdown(SHUT_WR) in the step of the last look, then the reader discards (0.2 s, 1 MiB; 50 ms and 8 at once for room) to the other side's end. `leave` half-closes at the first moment of rest, also right after an answer; not while a read is half handed on (`taking`). 20 ms before the end nothing more is read, what was read is answered, half-sent requests get a 429 (they never ran), and the send buffer grows so that the kernel has all answers. `abort` stays for peers that don't read, bugs and passed bounds.

--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -7,6 +7,7 @@
 import termios
 import time
 from collections.abc import Callable, Iterator, Mapping
+from contextlib import suppress
 
 import gevent
 from gevent import socket
@@ -23,6 +24,7 @@
 KERNELS_PART = 128 * 1024  # bytes of them that the kernel may hold, which otherwise grows to megabytes
 LOOKS = 4  # after which one who sent half a request, or none at all, is given up: an end is owed in 3 s
 LAST_READ = 0.2  # seconds for the other side's end, as unread bytes would reset what was written
+MOST_DISCARDED = 1024 * 1024  # bytes read to no end in that time; a flood beyond it may be reset
 Post = Callable[[News], None]
 
 
@@ -35,11 +37,15 @@
         self.decoder = fastcgi.Decoder(buffer, coming)
         self.outbox = Outbox(sock, UNREAD_ANSWERS, unread)
         self.finishing: set[int] = set()  # requests after whose answer the connection closes
-        self.ended = self.spoken = False
+        self.ended = self.spoken = self.taking = False
+        self.leaving = False  # half-closes at the first moment of rest
+        self.deaf = False  # what still comes is never run
         self.looks = self.records = 0
         """How often the sweep has found it without one whole request, or at the same cut record."""
         self.touched = time.monotonic()
-        self.answered = Event()
+        self.half_closed = Event()
+        self.lingering: gevent.Greenlet[..., None] | None = None
+        self.outbox.empty.rawlink(self.flushed)
         self.reader = gevent.spawn(self.run)
 
     # Called by the owner and the sweep: never waits.
@@ -50,18 +56,55 @@
         self.decoder.close(request)
         self.touched = time.monotonic()
         self.write(data)
-        self.answered.set()
         if request in self.finishing:
-            gevent.spawn(self.hang_up)
+            self.finishing.discard(request)
+            self.leaving = True
+        if self.leaving:
+            self.leave()
 
     def write(self, data: bytes) -> None:
         if not self.outbox.put(data):
             counted.warn("sidecar does not read its answers", "connection closed")
-            self.close()
+            self.abort()
 
-    def close(self) -> None:
+    def abort(self) -> None:
+        """Closes at once, whatever is unread: for one that does not read its answers, and past all bounds."""
         self.reader.kill(block=False)
 
+    def half_close(self, seconds: float = LAST_READ) -> None:
+        """The one orderly end, in the step that found the connection at rest: nothing that comes later is
+        run.
+        A lingering close: the reader discards what crosses until the other side's end, as a close over unread
+        bytes would reset the connection and take along answers that are not delivered yet."""
+        self.deaf = True
+        self.half_closed.set()
+        self.lingering = gevent.spawn_later(seconds, self.abort)
+        with suppress(OSError):  # reset by the other side, which the reader finds too
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def leave(self) -> None:
+        """Half-closes now or, as it is called again after each answer, at the first moment of rest."""
+        self.leaving = True
+        if self.at_rest:
+            self.half_close()
+
+    def flushed(self, _: Event) -> None:
+        if self.leaving:
+            self.leave()
+
+    def stop_reading(self) -> None:
+        """Before the kill: what is unread or half sent crosses the close, what was read is answered first.
+        Answers to a slow reader go to the kernel, which delivers them when this process is gone."""
+        if self.half_closed.is_set():
+            return
+        self.deaf = True
+        with suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD_ANSWERS + KERNELS_PART)
+        for request in list(self.decoder.coming):
+            del self.decoder.coming[request]
+            self.send(request, calls.throttled(request, {}, 0, False))
+        self.leave()
+
     @property
     def idle(self) -> bool:
         return not self.decoder.open and self.outbox.empty.is_set()
@@ -70,14 +113,20 @@
     def half_sent(self) -> bool:
         return bool(self.decoder.coming) or self.decoder.partial
 
+    @property
+    def at_rest(self) -> bool:
+        """Nothing is owed, and nothing has come that would still be taken."""
+        if self.ended or self.half_closed.is_set() or self.taking or not self.idle:
+            return False
+        return self.deaf or not (self.half_sent or self.unread())
+
     def unread(self) -> bool:
         """Bytes lie in the kernel that no one has read: closing now would reset the connection."""
         size = fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, b"\0\0\0\0")
         return bool(struct.unpack("i", size)[0])
 
     def quiet(self, seconds: float) -> bool:
-        still = self.idle and not self.half_sent and time.monotonic() > self.touched + seconds
-        return still and not self.unread()
+        return self.idle and time.monotonic() > self.touched + seconds and self.at_rest
 
     def look(self) -> None:
         """A client that says nothing, or not all, or goes on without end, is given up: silence was borne for
@@ -91,8 +140,11 @@
         waits = not self.spoken or (self.decoder.partial and self.decoder.records == self.records)
         self.records = self.decoder.records
         self.looks = self.looks + 1 if waits else 0
-        if self.looks > LOOKS and self.idle:
-            self.close()
+        if self.looks <= LOOKS or not self.idle or self.taking or self.deaf:
+            return
+        # What is unread is read first, but once only: a flood has always more.
+        if self.looks > LOOKS + 1 or not self.unread():
+            self.half_close()
 
     def fail_coming(self, why: str, *some: int) -> None:
         for request in some or list(self.decoder.coming):
@@ -119,7 +171,10 @@
 
     def read(self) -> None:
         try:
-            while size := self.sock.recv_into(self.decoder.space()):
+            while not self.deaf:
+                size = self.sock.recv_into(self.decoder.space())
+                if self.deaf or not size:  # deaf since it began to wait: these bytes crossed the close
+                    break
                 self.touched = time.monotonic()
                 self.take(size)
                 gevent.sleep(0)  # a read that finds bytes never waits: a flood would leave no one a turn
@@ -127,26 +182,33 @@
             counted.warn("bytes that are not FastCGI", str(wrong))
         # Nothing more is read, yet what came whole is still answered: the sidecar may have closed its sending
         # side only.
+        self.deaf = True
         self.fail_coming("connection ended within a request")
-        while not (self.idle or self.outbox.broken):
-            self.answered.clear()
-            (self.answered if self.decoder.open else self.outbox.empty).wait()
-        self.sock.shutdown(socket.SHUT_WR)
-        self.sock.settimeout(LAST_READ)
-        for _ in range(64):
-            if not self.sock.recv_into(self.decoder.view):
-                break
+        self.leave()
+        self.half_closed.wait()
+        self.discard()
+
+    def discard(self) -> None:
+        """What comes after the half-close, to the other side's end; in time it is bounded by `half_close`."""
+        left = MOST_DISCARDED
+        while left > 0 and (size := self.sock.recv_into(self.decoder.view)):
+            left -= size
+            gevent.sleep(0)
 
     def take(self, size: int) -> None:
         """All of it before the first word to the owner, which may wait: other connections read into the same
         buffer meanwhile."""
         news: list[News] = []
+        self.taking = True
         try:
             for message in self.decoder.took(size):
                 news += self.handle(message)
         finally:
             for item in news:
                 self.post(item)
+            self.taking = False
+        if self.leaving:
+            self.leave()
 
     def handle(self, message: fastcgi.Message) -> Iterator[News]:
         if isinstance(message, fastcgi.Request):
@@ -162,15 +224,13 @@
             # The specification wants its end told; as an answer that is none of the three.
             self.decoder.close(message.id)
             self.write(fastcgi.end(message.id))
+            if message.id in self.finishing:
+                self.finishing.discard(message.id)
+                self.leaving = True
             yield CallerLeft(self, message.id)
         else:
             self.write(message.data)
-            if message.close:
-                gevent.spawn(self.hang_up)
-
-    def hang_up(self) -> None:
-        self.outbox.empty.wait()
-        self.close()
+            self.leaving = self.leaving or message.close
 
     def end(self) -> None:
         if self.ended:
@@ -178,6 +238,9 @@
         self.ended = True
         for request in self.decoder.open - set(self.decoder.coming):
             self.post(CallerLeft(self, request))
+        if self.lingering is not None:
+            self.lingering.kill(block=False)
+        self.outbox.empty.unlink(self.flushed)
         self.outbox.close()
         self.decoder.hold(0)
         self.sock.close()
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -18,6 +18,9 @@
 
 SWEEP = 0.5  # seconds between two looks at all connections
 CROSSING = 0.05  # seconds within which a request may cross a close
+FOR_ROOM = 0.005  # seconds that one may take to end before the next one is made to
+MOST_FOR_ROOM = 8  # connections that end at once so that others have room
+LAST_ANSWERS = 0.02  # seconds before the end in which nothing more is read, only answered
 BACKLOG = 1024
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -70,16 +73,23 @@
 
     def make_room(self, why: str) -> None:
         """The connection that has been idle longest goes, and before it any that never asked: hundreds of
-        silent ones must not cost the sidecars theirs. With none, new ones wait in the kernel's queue. The
-        limit is waited for, never spun on."""
-        for connection in sorted(self.connections, key=lambda one: (one.spoken, one.touched)):
-            if connection.quiet(CROSSING):
-                connection.close()
-                break
-        else:
+        silent ones must not cost the sidecars theirs. Those that end keep their places for a while, so that
+        the next ones follow soon, few at once. With none, new ones wait in the kernel's queue. The limit is
+        waited for, never spun on."""
+        ending = sum(connection.half_closed.is_set() for connection in self.connections)
+        if ending < MOST_FOR_ROOM and self.end_one():
+            ending += 1
+        if not ending:
             counted.warn("no room for a connection", why)
         self.room.clear()
-        self.room.wait(CROSSING)
+        self.room.wait(FOR_ROOM if 0 < ending < MOST_FOR_ROOM else CROSSING)
+
+    def end_one(self) -> bool:
+        for connection in sorted(self.connections, key=lambda one: (one.spoken, one.touched)):
+            if connection.quiet(CROSSING):
+                connection.half_close(CROSSING)
+                return True
+        return False
 
     def sweep(self) -> None:
         while True:
@@ -91,11 +101,11 @@
         for connection in list(self.connections):
             connection.look()
             if self.idle_after and connection.quiet(self.idle_after):
-                connection.close()
+                connection.half_close()
 
     def close(self, seconds: float) -> None:
         """Loses nothing that the kernel accepted: what waits to be accepted is, and a connection closes only
-        once nothing is open on it and nothing has come for a while, as its unread bytes would reset it."""
+        once nothing is open on it and nothing has come for a while, or in the last moments."""
         self.accepting.kill()
         self.sweeping.kill()
         self.sock.settimeout(0.0)
@@ -103,10 +113,22 @@
             while True:
                 self.add(self.sock.accept()[0])
         self.sock.close()
+        gevent.sleep(0)  # their readers begin
         until = time.monotonic() + seconds
-        while self.connections and time.monotonic() < until:
-            last = time.monotonic() > until - CROSSING  # what then crosses is sent again by the sidecar
+        while self.connections and (left := until - time.monotonic()) > 0:
             for connection in list(self.connections):
-                if connection.quiet(0.0 if last else CROSSING):
-                    connection.close()
-            gevent.sleep(CROSSING / 10)
+                self.end(connection, left)
+            gevent.sleep(min(left, CROSSING / 10))
+        for connection in list(self.connections):
+            connection.abort()
+        gevent.sleep(0)
+
+    def end(self, connection: Connection, left: float) -> None:
+        """Callers that never pause leave no quiet moment: theirs end right after an answer, and at the very
+        last unread, so that none who asks on is read and then left without its answer."""
+        if left < LAST_ANSWERS:
+            connection.stop_reading()
+        elif left < CROSSING:
+            connection.leave()
+        elif connection.quiet(CROSSING):
+            connection.half_close()
