A flood is read once between two looks at the sockets, not dozens of times

Cause: after each read the reader gave up its turn by `gevent.sleep(0)`. gevent runs callbacks, new ones among them, for up to 50 at a time before it polls: a flood whose bytes are always there was read 50 times (800 KB) while nobody else's bytes were even seen. Seen in the order of all reads, with a flood of padding: 50 of its reads before the other one's ("assert 50 <= 4"). Floods whose answers block hid it.

--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
+from gevent.socket import wait_read
 from loguru import logger
 
 from ringshift.runtime.bounds import Budget
@@ -177,7 +178,9 @@
                     break
                 self.touched = time.monotonic()
                 self.take(size)
-                gevent.sleep(0)  # a read that finds bytes never waits: a flood would leave no one a turn
+                # A read that finds bytes never waits, and gevent runs dozens of turns (`sleep(0)`) before it
+                # looks at sockets again: a flood would be read all that time and nobody else.
+                wait_read(self.sock.fileno())
         except fastcgi.NotFastCGI as wrong:
             counted.warn("bytes that are not FastCGI", str(wrong))
         # Nothing more is read, yet what came whole is still answered: the sidecar may have closed its sending
@@ -193,7 +196,7 @@
         left = MOST_DISCARDED
         while left > 0 and (size := self.sock.recv_into(self.decoder.view)):
             left -= size
-            gevent.sleep(0)
+            wait_read(self.sock.fileno())
 
     def take(self, size: int) -> None:
         """All of it before the first word to the owner, which may wait: other connections read into the same
