A notice to drain before the program listens ends it with status 0

Seen: SIGTERM and SIGINT were taken from Program.run on only (lifecycle/program.py); during the imports and the reading of the configuration they ended the process by the signal, a crash to whoever reads its status.

--- a/ringshift/lifecycle/entry.py
+++ b/ringshift/lifecycle/entry.py
@@ -48,9 +48,11 @@
 
 def run() -> int:
     logs.set_up("-")
-    # Before the file is read, as what replaces it after that is told by this alone; unheeded it would end us.
-    replaced = Event()
-    gevent.signal_handler(signal.SIGHUP, replaced.set)
+    # Before the file is read, as what replaces it after that is told by this alone; unheeded it would end us,
+    # and so would a notice to drain.
+    told, replaced = Event(), Event()
+    for number, event in ((signal.SIGTERM, told), (signal.SIGINT, told), (signal.SIGHUP, replaced)):
+        gevent.signal_handler(number, event.set)
     try:
         backend = read_backend()
         logs.set_up(backend.name)
@@ -58,7 +60,7 @@
     except Malformed as wrong:
         logger.error("{}", wrong)
         return 2
-    program = Program(backend, replaced, recording.watch)
+    program = Program(backend, told, replaced, recording.watch)
     shares = rules = None
     status = 1
     try:
--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -71,8 +71,8 @@
 
 
 class Program:
-    def __init__(self, backend: Backend, replaced: Event, watch: Watch) -> None:
-        self.replaced, self.words = replaced, watch
+    def __init__(self, backend: Backend, told: Event, replaced: Event, watch: Watch) -> None:
+        self.told, self.replaced, self.words = told, replaced, watch
         self.backend, self.phase, self.done = backend, Phase.STARTING, Event()
         self.clock, random = Clock(), Random(backend.seed)
         self.announcer = Announcer(backend.announce, backend.name, watch.mark)
@@ -84,22 +84,30 @@
         """The exit status."""
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.to, Happening.TOLD)
+        gevent.idle()  # signals that came since the start are heard before anyone can connect
+        if self.told.is_set():
+            self.to(Happening.TOLD)
+        if self.phase is Phase.STARTING and not self.listen():
+            return 1
+        self.done.wait()
+        return 0 if self.phase is Phase.CLOSED else 1
+
+    def listen(self) -> bool:
+        """Whether the address could be had; all that runs begins with it."""
         operations = {op.name: index for index, op in enumerate(self.backend.machine.operations)}
         try:
             self.sidecars = Sidecars(self.backend.listen, operations, self.owner.post, self.backend.bounds)
         except OSError as wrong:
             host, port = self.backend.listen
             logger.error("listen: {}:{} can't be bound: {}", host, port, wrong.strerror)
-            return 1
-        if self.phase is Phase.STARTING:
-            logger.info("listening on {}:{}", *self.sidecars.sock.getsockname())
-            self.to(Happening.LISTENS)
-            owner, agent = gevent.spawn(self.owner.run), self.agent.start(self.owner.post)
-            watch = gevent.spawn(self.watch)
-            for greenlet in (owner, agent, watch, self.sidecars.accepting, self.sidecars.sweeping):
-                greenlet.link_exception(self.broken)
-        self.done.wait()
-        return 0 if self.phase is Phase.CLOSED else 1
+            return False
+        logger.info("listening on {}:{}", *self.sidecars.sock.getsockname())
+        self.to(Happening.LISTENS)
+        owner, agent = gevent.spawn(self.owner.run), self.agent.start(self.owner.post)
+        watch = gevent.spawn(self.watch)
+        for greenlet in (owner, agent, watch, self.sidecars.accepting, self.sidecars.sweeping):
+            greenlet.link_exception(self.broken)
+        return True
 
     def to(self, event: Happening) -> None:
         step = PHASES.get((self.phase, event))
