A greeting after the notice to drain opens nothing

Seen: told to drain before the agent greeted, the owner is settled and the program closes. A greeting while a busy connection still kept it open made the controller (Owner.on_greeted) with a notice of that moment: its grace began anew, and what came after the true grace was run.

Such a greeting is passed over: all stays turned away, as it has been since the notice. Owner.left is gone, as nothing else read it.

Without: test_a_greeting_after_the_notice_runs_nothing: KeyError: 1 (launched, no answer).

--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -123,7 +123,7 @@
         self.longest = max(op.client_timeout for op in machine.operations)
         self.health, self.fields = (True, False), dict[str, str]()
         self.inputs: list[face.Input] = []
-        self.leaving_at = self.left = self.heard = self.again_from = 0
+        self.leaving_at = self.heard = self.again_from = 0
         self.settled = Event()
 
     def post(self, item: News) -> None:
@@ -258,6 +258,8 @@
 
     def on_greeted(self, item: news.Greeted) -> None:
         now = self.clock.now()
+        if self.controller is None and self.leaving_at:
+            return  # it never served and is settled: all is turned away, also what comes after the grace
         if self.controller is None:
             self.controller = Controller(replace(self.machine, cold=item.cold), self.seed)
             start = "cold" if item.cold else "warm"
@@ -267,8 +269,6 @@
             if self.shared:
                 self.look_at_shares(now)
             self.ready(self.health[0])
-            if self.leaving_at:
-                self.inputs.append(face.Leaving(self.leaving_at + self.left - now))
         else:
             logger.info("agent's link made anew")
             self.again_from = self.confirmed
@@ -360,7 +360,7 @@
             self.on_run_ended(news.RunEnded(item.job, "gone", 0, b""))
 
     def on_told_to_leave(self, item: news.ToldToLeave) -> None:
-        self.leaving_at, self.left = self.clock.now(), item.left
+        self.leaving_at = self.clock.now()
         for one in self.shared:
             one.leaving()
         if self.controller is not None:
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -12,11 +12,12 @@
 
 from ringshift import interface as face
 from ringshift.interface import Effect
-from ringshift.owner import QUIET
+from ringshift.owner import QUIET, Owner
+from ringshift.runtime.bounds import MIB, bounds
 from ringshift.wire import news
 from standins.agent import Agent
 from standins.room import Room
-from tests.test_owner import Played
+from tests.test_owner import Hands, Played
 from tests.world import MS, World, machine, operation
 
 
@@ -94,6 +95,20 @@
         assert room.ended() == 0 and not room.agent.launches and not room.announce.reports
 
 
+def test_a_greeting_after_the_notice_runs_nothing() -> None:
+    hands, ready = Hands(), list[bool]()
+    owner = Owner(machine(), bounds(64 * MIB, 384), True, 1, hands, hands,  # type: ignore[arg-type]
+                  ready.append, lambda after: None)  # fmt: skip
+    owner.step([news.ToldToLeave(3000 * MS)])
+    assert owner.settled.is_set()
+    hands.time += 2001 * MS
+    owner.step([news.Greeted(False, 0)])
+    called = news.Called(hands, 1, job(1), 0, b"", "", hands.time, 900 * MS, 5.0, 0.5, 1)
+    owner.step([called])
+    assert b"Status: 429" in hands.answers[1][0] and len(hands.answers[1]) == 1
+    assert not [said for said in hands.said if said[0] == "launch"]
+
+
 # During a reload.
 
 IN_REREAD = (  # the notice comes while the file is read anew
