Drain: after a pause of the process, grace and kill count from the notice

Seen: SIGTERM during a pause is heard at its end only; Program.leave took kill_at, and Owner.on_told_to_leave the begin of the grace, from that moment. What came long after the grace was run, and a run in hand had no answer when the kill came `stop_ms` after the notice. Checked: after SIGCONT the wait ends by EINTR, so the owner's timer fires before the signal is seen, yet nothing is read before it.

The owner steps at every beat of 50 ms; it notes the last stretch of over 100 ms without a step. A notice heard at its end counts from its begin, the earliest that it can have come: Program takes the kill from there, and what came after that grace is turned away. With a pause longer than `stop_ms` the killer stood too: 300 ms are taken to answer all. Without a pause nothing changes.

Without: [200, 200] == [429, 429]; ended 3.05 s after a notice with stop_ms 2,000; a request run in place of turned away, 500 == 429. With: 60 passed (tests/crossings/test_shutdown.py, tests/test_owner.py).

--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from ringshift.lifecycle.configuration import Backend, reread
-from ringshift.machine import Malformed
+from ringshift.machine import NS_PER_MS, Malformed
 from ringshift.owner import Owner
 from ringshift.records.watch import Watch
 from ringshift.runtime.clock import Clock
@@ -24,6 +24,7 @@
 from ringshift.wire.sidecars import Sidecars
 
 BEFORE_KILL = 0.1  # seconds: by then everything is answered, and closing must not be cut off
+LEFT_AT_LEAST = 300 * NS_PER_MS  # to answer all in, where the notice may be older than `stop_ms`
 LATER = {"settings": "machine", "limits": "bounds"}  # what is made of them is in use
 TOGETHER = 3000.0  # milliseconds over which a fleet's configuration is replaced
 SPARE = 0.02  # what is left of that for the exit itself
@@ -164,13 +165,15 @@
         self.announcer.stop()
 
     def tell_owner(self) -> None:
+        # The kill follows the notice, which waits unheard while the process is paused.
+        soonest = self.clock.now() + min(self.backend.stop, LEFT_AT_LEAST)
+        self.kill_at = max(self.owner.drain() + self.backend.stop, soonest)
         gevent.spawn(self.leave)
 
     def leave(self) -> None:
-        seconds = self.backend.stop / 1e9
-        self.kill_at = self.clock.now() + self.backend.stop
-        self.owner.post(ToldToLeave(self.backend.stop))
-        self.owner.settled.wait(seconds - BEFORE_KILL)
+        left = self.kill_at - self.clock.now()
+        self.owner.post(ToldToLeave(left))
+        self.owner.settled.wait(left / 1e9 - BEFORE_KILL)
         self.to(Happening.SETTLED)
 
     def close(self) -> None:
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -34,6 +34,8 @@
 CHECK_IN = 1000 * MS  # a deep check whose work does not come back fails
 MOST_CHECKS = 64
 SHARES_EVERY = 20 * MS  # between two looks at the fleet-wide budgets' shares, where there are any
+LISTED = 3000 * MS  # an entry on the list lapses this long after its last report, and the grace with it
+STOOD = 100 * MS  # between two steps, which come at every beat of 50 ms: the process did not run
 QUIET = 300 * MS  # leaving early is safe when nothing has come for this long after the grace
 
 OUTCOMES = {"good": face.Outcome.SUCCEEDED, "bad": face.Outcome.ERRORED,
@@ -124,6 +126,7 @@
         self.health, self.fields = (True, False), dict[str, str]()
         self.inputs: list[face.Input] = []
         self.leaving_at = self.heard = self.again_from = 0
+        self.stepped = self.stood_from = self.stood_until = self.grace_ends = 0
         self.settled = Event()
 
     def post(self, item: News) -> None:
@@ -154,6 +157,7 @@
             return batch
 
     def step(self, batch: list[News]) -> None:
+        self.look_whether_stood()
         for item in batch:
             HEARD[type(item)](self, item)
         while self.timers and self.timers[0][0] <= self.clock.now():
@@ -167,6 +171,14 @@
             self.decide(self.clock.now())
         self.look_whether_settled()
 
+    def look_whether_stood(self) -> int:
+        """The moment, and a note of the last stretch without a step."""
+        now = self.clock.now()
+        if self.controller is not None and now > self.stepped + STOOD:
+            self.stood_from, self.stood_until = self.stepped, now
+        self.stepped = now
+        return now
+
     def decide(self, now: int) -> None:
         assert self.controller is not None
         inputs, self.inputs = self.inputs, []
@@ -203,8 +215,24 @@
 
     # What is heard.
 
+    def drain(self) -> int:
+        """Called as the notice is heard, before anything that came meanwhile is read: when it came at the
+        earliest. While this process stands, nothing tells; once greeted the owner steps at every beat."""
+        now = self.look_whether_stood()
+        if now > self.stood_until + STOOD:
+            return now
+        self.grace_ends = self.stood_from + min(self.machine.grace, LISTED)
+        return self.stood_from
+
+    def after_grace(self, item: news.Called) -> bool:
+        return 0 < self.grace_ends < self.heard - self.clock.since(item.came)
+
     def on_called(self, item: news.Called) -> None:
         self.heard = self.clock.now()
+        if self.controller is not None and self.after_grace(item):
+            pause = self.machine.longest_pause
+            item.door.send(item.request, calls.throttled(item.request, self.fields, pause, False))
+            return
         if self.controller is None:
             item.door.send(item.request, calls.throttled(item.request, self.fields, 0, False))
             return
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from pathlib import Path
 from random import Random
 
@@ -12,6 +13,7 @@
 
 from ringshift import interface as face
 from ringshift.interface import Effect
+from ringshift.lifecycle.program import BEFORE_KILL
 from ringshift.owner import QUIET, Owner
 from ringshift.runtime.bounds import MIB, bounds
 from ringshift.wire import news
@@ -281,3 +283,59 @@
         assert room.ended() == 0
         assert {sidecar.answer(request).status for request in range(1, 33)} <= {200, 429}
         assert not sidecar.ended
+
+
+# A pause.
+
+
+def test_a_pause_longer_than_the_grace_runs_nothing_that_came_after_it() -> None:
+    """The grace counted from the end of the pause: what came long after the notice was run."""
+    with Room(Agent(looks_only), stop_ms=5000.0) as room:
+        sidecar, agent = room.serving(), room.agent
+        sidecar.send(sidecar.call(1, "order"))
+        agent.until(lambda: bool(agent.launches))
+        room.process.send_signal(signal.SIGSTOP)
+        paused(room)
+        room.process.send_signal(signal.SIGTERM)
+        gevent.sleep(0.4)  # the grace is 0.3
+        sidecar.send(sidecar.call(2))
+        other = room.sidecar()
+        other.send(other.call(3))
+        room.process.send_signal(signal.SIGCONT)
+        assert [sidecar.answer(2).status, other.answer(3).status] == [429, 429]
+        agent.finish(job(1))
+        assert sidecar.answer(1).status == 200
+        assert room.ended() == 0 and [id for id, _, _ in agent.launches] == [job(1)]
+
+
+@pytest.mark.alone
+def test_after_a_pause_all_is_answered_by_the_kill_that_follows_the_notice() -> None:
+    """The kill counted from the end of the pause: a run in hand had no answer when it came."""
+    with Room(stop_ms=2000.0) as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1, "order"))
+        room.agent.until(lambda: bool(room.agent.launches))
+        room.process.send_signal(signal.SIGSTOP)
+        paused(room)
+        noticed = time.monotonic()
+        room.process.send_signal(signal.SIGTERM)
+        gevent.sleep(1.0)
+        room.process.send_signal(signal.SIGCONT)
+        assert sidecar.answer(1).status == 500 and room.ended() == 0
+        assert time.monotonic() < noticed + 2.0
+
+
+def test_a_pause_longer_than_the_time_to_the_kill_still_answers_all() -> None:
+    """The machine stood with all on it, its killer too: what is in hand is answered at once."""
+    with Room(stop_ms=600.0) as room:
+        sidecar = room.serving()
+        sidecar.send(sidecar.call(1, "order", HTTP_X_ALLOW_MS="9000"))
+        room.agent.until(lambda: bool(room.agent.launches))
+        room.process.send_signal(signal.SIGSTOP)
+        paused(room)
+        room.process.send_signal(signal.SIGTERM)
+        gevent.sleep(0.7 + BEFORE_KILL)
+        sidecar.send(sidecar.call(2))
+        room.process.send_signal(signal.SIGCONT)
+        assert sidecar.answer(1, 1).status == 500 and sidecar.answer(2, 1).status == 429
+        assert room.ended() == 0
