A cold backend's callers are together told of half of what it survives

Need: a cold backend falls under the sum of what all callers send. With 100 callers the credit's floor of one each, times the speed, invited 20 where the settings allow N = 14.4 (6 cores, multiple 8, from 0.2), 46 where N = 25.3, 20 where N = 2.2 (2 cores, multiple 1.5). And "too few runs to judge" sets the warm flag after a second, which ended the scaling and the bound on what is in hand: 100 invited at N = 16 (`door.show`, `door.credit`, `controller.on_arrived`). Under load the warm test in turn kept a ramp of 17 s unready until the time of runs no longer fell.

Change: what is told is scaled by the settings' speed, and what is in hand bounded by N, until the ramp is over, whatever the warm flag says; a credit is at most a caller's part of half of N. Since the ramp holds by itself, the warm flag gives up after 6 s (the design's cap): ready within seven.

Not bounded: where callers draw the fraction for each request anew, what is sent is a rate (20 and 30 started at once, with N whole: 18 of 20 and 28 of 30 beyond; with half not measured). What is taken within the time is over N + 2 root N + 2 where the settings survive less than their cores end meanwhile (6 cores, multiple 3 or 1.5, and once 2 cores at 1.5): in hand it is never over N, which the test holds. `overload_for` does not reach the decisions.

Checked: tests/crossings/test_cold_fleet.py, 37 passed; with the decisions as they were 26 of them fail, as "(1000, 100.0, 29.856)": at 1,000 ms 100 invited where 29.9 are survived.

--- a/ringshift/control/cores.py
+++ b/ringshift/control/cores.py
@@ -84,7 +84,6 @@
             rate = self.window_done * S / self.window_span
             if rate <= self.last_rate:
                 self.limit, self.step = self.limit - self.tried, -self.step
-            # At the floor a step down is none, and none is taken back: that once raised the limit by two.
             self.last_rate, self.tried = rate, max(self.step, round(cores - self.limit))
             self.limit, self.window_span, self.window_done = self.limit + self.tried, 0, 0
         self.limit = max(min(self.limit, floor(CEILING * self.crowd())), float(self.machine.cores))
--- a/ringshift/control/door.py
+++ b/ringshift/control/door.py
@@ -48,7 +48,7 @@
         if (min(map(self.level, self.lines)) >= 1) != self.full:
             self.full = not self.full
             self.out.append(face.Log("overload: line full" if self.full else "overload: line open"))
-        told = self.open * (1.0 if self.warm else self.speed())  # or the cold are given what the warm can do
+        told = self.open * self.speed()  # or the cold are given what the warm can do
         share, kind = 0.0 if 0 < self.silent_at <= self.now else told, self.machine.advert
         amount = self.credit(share) if kind is Advert.CREDIT else 1 - share if kind is Advert.LEVEL else share
         if kind is not Advert.NONE and abs(amount - self.advertised) > 0.1 * max(amount, self.advertised):
@@ -56,9 +56,10 @@
             self.out.append(face.Advertise(amount))
 
     def credit(self, share: float) -> float:
-        """A caller's part of what is run and held; one that comes twice in a row tells how many. Dealt in
-        turn none does, yet they are no more than told. A part under one has callers skip idle servers."""
+        """A caller's part of what is run and held; one that comes twice in a row tells how many, no more than
+        told. A part under one has callers skip idle servers; cold cores ask half of what they survive."""
         mean = sum(line.core.mean(self.now) for line in self.lines) / len(self.lines)
         total = self.limited() * (1 + min(map(self.patience, self.lines)) / mean)
         total += self.count[State.STANDING] + self.count[State.CALLING]
-        return share * max(2 * total * max(self.same_caller.mean(self.now), self.same_caller.prior), 1.0)
+        part = share * max(2 * total * max(self.same_caller.mean(self.now), self.same_caller.prior), 1.0)
+        return min(part, self.open * self.crowd() / 2 * self.same_caller.prior) if self.speed() < 1 else part
--- a/ringshift/control/invocation.py
+++ b/ringshift/control/invocation.py
@@ -115,8 +115,6 @@
     def alarm(self, at: int, inv: Inv, news: News) -> None:
         heappush(self.alarms, (at, inv.id, news.value, news))
 
-    # What an effect does beside the change of state; those that need more stand in the layers above.
-
     def forget(self, inv: Inv) -> None:
         if inv.line.op.effect is Effect.TOKENED:
             self.out.append(face.Forget(inv.id))
--- a/ringshift/control/readiness.py
+++ b/ringshift/control/readiness.py
@@ -7,6 +7,7 @@
 
 WINDOW = 1 * S  # the least time the warm test compares
 FALLING = 0.95  # latency under this share of the window before still falls
+CAP = 6 * S  # after which it is ready all the same: what is told and let in keeps to the ramp by itself
 GRACE, TOLD = 3 * S, 0.8  # the document's wait from flag to closed door; share of it with a free value told
 LAST = 60 * MS  # before the kill, what still runs is failed
 RETURN = (1 * S, 3 * S)  # after this long, by chance, a server that saw its dependency fail tries again
@@ -27,12 +28,13 @@
 
     def warm_up(self) -> None:
         age, few = self.now - self.born, self.warm_runs < HEARD
+        over = age >= min(self.machine.ramp, CAP)
         # Few cores end few runs in a window: it lasts while any run, and nobody sends once none does.
-        short = self.now - self.warm_at < WINDOW or (few and self.count[RUNNING] and age < self.machine.ramp)
+        short = self.now - self.warm_at < WINDOW or (few and self.count[RUNNING] and not over)
         if self.warm or short:
             return
         mean = self.warm_sum / max(self.warm_runs, 1)
-        if few or age >= self.machine.ramp or 0 < FALLING * self.warm_last <= mean:
+        if few or over or 0 < FALLING * self.warm_last <= mean:
             self.warm = True
             self.out.append(face.Log(f"warm after {age // MS} ms{', too few runs to judge' * few}"))
         self.warm_at, self.warm_last, self.warm_sum, self.warm_runs = self.now, mean, 0.0, 0
@@ -49,5 +51,4 @@
     def health(self) -> tuple[bool, bool]:
         """Good or bad, and whether checks are answered from store."""
         good = self.warm and not self.leaving_at and not self.lost_until
-        # Each caller checks, so what checks cost grows with the fleet; while runs hang checks shall hang too.
         return good, not good or self.slowness() < 2
