A dependency lost and well again is shown to make a backend ready within fifteen seconds

Need: a stated bound for how long a backend whose dependency is well again stays unready; while it is, nobody sends, so what was seen of the loss has to fade first (`Flags.watch_dependency`). The code held; nothing changed for it.

--- a/tests/crossings/test_recovery.py
+++ b/tests/crossings/test_recovery.py
@@ -12,7 +12,7 @@
 
 from ringshift import interface as face
 from tests.crossings.fleet import STEP, Backend, Cold
-from tests.world import MS, machine, operation
+from tests.world import MS, World, machine, operation
 
 S = 1000 * MS
 WORK = 300 * MS
@@ -111,3 +111,35 @@
     assert play.well()
     trouble(play)
     assert play.back() <= seconds
+
+
+@pytest.mark.parametrize("lasts", [5, 10])
+def test_a_backend_whose_dependency_is_well_again_is_ready_within_fifteen_seconds(lasts: int) -> None:
+    """While it is not ready nobody sends: what was seen of the loss has to fade before it tries again."""
+    world, good = World(machine(operation(calls=True), below=face.Below.SHARED, cores=6), Random(1)), True
+
+    def go_on(seconds: float, outcome: face.Outcome, load: bool) -> None:
+        nonlocal good
+        for _ in range(round(seconds * 20)):
+            news: list[face.Input] = [world.arrive(unread=0, patience=None)] if load else []
+            news += [world.end_call(one, outcome) for one in world.of("calling")]
+            news += [world.finish(one, face.Outcome.STOPPED) for one in world.of("at call") if one.answered]
+            for one in world.of("running"):
+                if one.call is None:
+                    one.state = "at call"
+                    news.append(face.CallWanted(one.news.inv))
+                else:
+                    news.append(world.finish(one))
+            for action in world.step(news, 50 * MS):
+                good = action.good if isinstance(action, face.Readiness) else good
+
+    go_on(3, face.Outcome.SUCCEEDED, True)
+    go_on(lasts, face.Outcome.UNREACHABLE, True)
+    assert not good
+    seconds = 0
+    while not good:
+        go_on(1, face.Outcome.SUCCEEDED, False)
+        seconds += 1
+        assert seconds <= 15
+    go_on(5, face.Outcome.SUCCEEDED, True)
+    assert good
