Keyed operations: a run longer than its window serves all that wait for it

Seen by reading: with a window shorter than a run the try after it took the key over, and those that waited for the run were left to their due time; expiry and letting results go walked all entries at each request. At fault: KeyedResults.original, expire, let_go. Change: a pending entry keeps its key; both take from the front of an ordered table. A test of late reading now ends its first run, as a pending one is linked whatever the time.

--- a/ringshift/control/controller.py
+++ b/ringshift/control/controller.py
@@ -68,7 +68,7 @@
             self.step_to(inv, News.ERRED if moot or erred else PLAIN_NEWS[type(news)])
 
     def on_leaving(self, news: face.Leaving) -> None:
-        self.leave(news.left)
+        self.leave(news.left, news.since)
         self.show()
 
     def on_timer(self, news: face.TimerFired) -> None:
--- a/ringshift/control/readiness.py
+++ b/ringshift/control/readiness.py
@@ -21,8 +21,8 @@
         late = inv.arrived > self.leaving_at + min(self.machine.grace, GRACE)
         return self.leaving_at > 0 and (late or self.now + self.latest(inv) >= self.kill_at - LAST)
 
-    def leave(self, left: int) -> None:
-        self.leaving_at, self.kill_at = self.now, self.now + left
+    def leave(self, left: int, since: int) -> None:
+        self.leaving_at, self.kill_at = self.now - since, self.now + left
         self.silent_at = round(self.now + min(self.machine.grace, GRACE) * TOLD)  # sent till then, it is run
         self.out.append(face.Log(f"leaving: {len(self.invs)} in hand, {left // MS} ms left"))
 
--- a/ringshift/interface.py
+++ b/ringshift/interface.py
@@ -210,7 +210,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Leaving:
+    """The notice to drain. Nanoseconds."""
+
     left: int
+    """Until the kill."""
+    since: int = 0
+    """How long ago it came at the earliest, where this process was paused meanwhile."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -165,9 +165,7 @@
         self.announcer.stop()
 
     def tell_owner(self) -> None:
-        # The kill follows the notice, which waits unheard while the process is paused.
-        soonest = self.clock.now() + min(self.backend.stop, LEFT_AT_LEAST)
-        self.kill_at = max(self.owner.drain() + self.backend.stop, soonest)
+        self.kill_at = self.owner.drain(self.backend.stop, LEFT_AT_LEAST)
         gevent.spawn(self.leave)
 
     def leave(self) -> None:
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable
 from dataclasses import replace
 from heapq import heappop, heappush
 from itertools import count
-from typing import Any, Protocol
+from typing import Any
 
 from gevent.event import Event
 from gevent.queue import Empty, Queue
@@ -19,12 +19,13 @@
 from ringshift import interface as face
 from ringshift.control import Controller
 from ringshift.machine import NS_PER_MS
+from ringshift.ports import Commands, Rulings, Shared, Unruled
 from ringshift.records.watch import AWAY, ERRORED, GONE, RULED, SUCCEEDED, THROTTLED, Unwatched, Watch
 from ringshift.runtime.bounds import Bounds
 from ringshift.runtime.clock import Clock
 from ringshift.runtime.logs import counted
 from ringshift.store.invocations import Invocation, Invocations, Try
-from ringshift.store.keyed import ENTRY_BYTES, KeyedOperation, KeyedResults, RunFailed
+from ringshift.store.keyed import KeyedResults, RunFailed, entry_kb, keyed_operations
 from ringshift.store.results import Results
 from ringshift.wire import calls, news
 from ringshift.wire.news import Door, News
@@ -34,7 +35,6 @@
 CHECK_IN = 1000 * MS  # a deep check whose work does not come back fails
 MOST_CHECKS = 64
 SHARES_EVERY = 20 * MS  # between two looks at the fleet-wide budgets' shares, where there are any
-LISTED = 3000 * MS  # an entry on the list lapses this long after its last report, and the grace with it
 STOOD = 100 * MS  # between two steps, which come at every beat of 50 ms: the process did not run
 QUIET = 300 * MS  # leaving early is safe when nothing has come for this long after the grace
 
@@ -42,65 +42,6 @@
             "cut": face.Outcome.STOPPED, "gone": face.Outcome.MOOT}  # fmt: skip
 
 
-class Commands(Protocol):
-    """The agent, as far as the owner speaks to it. Never waits."""
-
-    def launch(self, job: str, operation: str, body: bytes) -> bool: ...
-    def freeze(self, job: str) -> None: ...
-    def sample(self, ref: str) -> None: ...
-    def exercise(self, ref: str) -> None: ...
-
-
-class Shared(Protocol):
-    """What this server has from the fleet, where the installation lets instances talk: shares of budgets
-    (ringshift/lifecycle/sharing.py), the rulebook (ringshift/lifecycle/ruling.py). Never waits."""
-
-    def granted(self, now: int, controller: Controller) -> Sequence[face.Input]: ...
-    def leaving(self) -> None: ...
-    def leave(self) -> None: ...
-
-
-class Rulings(Shared, Protocol):
-    """The rulebook's retirements, of one caller: its lot, what its answers carry, that one with that was
-    sent, and how each of its invocations ended (ringshift/records/watch.py)."""
-
-    def lot(self, operation: int, caller: int) -> int: ...
-    def fields(self, operation: int, caller: int) -> Mapping[str, str]: ...
-    def answered(self, operation: int, caller: int) -> None: ...
-    def ended(self, operation: int, caller: int, how: int) -> None: ...
-
-
-class Unruled:
-    """No rulebook: nothing is asked of anyone."""
-
-    def lot(self, operation: int, caller: int) -> int:
-        return -1
-
-    def fields(self, operation: int, caller: int) -> Mapping[str, str]:
-        return {}
-
-    def answered(self, operation: int, caller: int) -> None:
-        pass
-
-    def ended(self, operation: int, caller: int, how: int) -> None:
-        pass
-
-
-def keyed_operations(machine: face.Machine) -> dict[int, KeyedOperation]:
-    """The operations whose tries carry an idempotency key."""
-    return {
-        index: KeyedOperation(operation.window, operation.client_timeout)
-        for index, operation in enumerate(machine.operations)
-        if operation.effect is face.Effect.TOKENED
-    }
-
-
-def entry_kb(machine: face.Machine, bounds: Bounds) -> float:
-    """What a kept entry counts against the machine's memory, so that the module keeps no more of them than
-    this program can hold."""
-    return max(machine.entry_kb, machine.memory_kb * ENTRY_BYTES / bounds.results)
-
-
 class Owner:
     def __init__(self, machine: face.Machine, bounds: Bounds, deep_checks: bool, seed: int, clock: Clock,
                  agent: Commands, ready: Callable[[bool], None],
@@ -126,7 +67,7 @@
         self.health, self.fields = (True, False), dict[str, str]()
         self.inputs: list[face.Input] = []
         self.leaving_at = self.heard = self.again_from = 0
-        self.stepped = self.stood_from = self.stood_until = self.grace_ends = 0
+        self.stepped = self.stood_from = self.stood_until = 0
         self.settled = Event()
 
     def post(self, item: News) -> None:
@@ -215,24 +156,22 @@
 
     # What is heard.
 
-    def drain(self) -> int:
-        """Called as the notice is heard, before anything that came meanwhile is read: when it came at the
-        earliest. While this process stands, nothing tells; once greeted the owner steps at every beat."""
+    def drain(self, stop: int, least: int) -> int:
+        """Called as the notice is heard, before anything that came meanwhile is read; when the kill follows,
+        `stop` after the notice and no sooner than `least` from now. The notice waits unheard while this
+        process is paused: the last stretch without a step tells when it came at the earliest."""
         now = self.look_whether_stood()
-        if now > self.stood_until + STOOD:
-            return now
-        self.grace_ends = self.stood_from + min(self.machine.grace, LISTED)
-        return self.stood_from
-
-    def after_grace(self, item: news.Called) -> bool:
-        return 0 < self.grace_ends < self.heard - self.clock.since(item.came)
+        came = self.stood_from if now <= self.stood_until + STOOD else now
+        kill_at = max(came + stop, now + min(stop, least))
+        self.leaving_at = now
+        for one in self.shared:
+            one.leaving()
+        if self.controller is not None:
+            self.inputs.append(face.Leaving(kill_at - now, now - came))
+        return kill_at
 
     def on_called(self, item: news.Called) -> None:
         self.heard = self.clock.now()
-        if self.controller is not None and self.after_grace(item):
-            pause = self.machine.longest_pause
-            item.door.send(item.request, calls.throttled(item.request, self.fields, pause, False))
-            return
         if self.controller is None:
             item.door.send(item.request, calls.throttled(item.request, self.fields, 0, False))
             return
@@ -388,11 +327,8 @@
             self.on_run_ended(news.RunEnded(item.job, "gone", 0, b""))
 
     def on_told_to_leave(self, item: news.ToldToLeave) -> None:
-        self.leaving_at = self.clock.now()
-        for one in self.shared:
-            one.leaving()
-        if self.controller is not None:
-            self.inputs.append(face.Leaving(item.left))
+        if not self.leaving_at:
+            self.drain(item.left, item.left)
 
     # What the module decided.
 
--- a/ringshift/store/keyed.py
+++ b/ringshift/store/keyed.py
@@ -12,7 +12,8 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from ringshift.interface import Outcome
+from ringshift.interface import Effect, Machine, Outcome
+from ringshift.runtime.bounds import Bounds
 from ringshift.store.invocations import Invocation
 
 ENTRY_BYTES = 1024  # of one beside its result: two tables, its key, and the time it outlives its window
@@ -49,6 +50,11 @@
     result: bytes | None = None
     waiting: list[Invocation] = field(default_factory=list)
 
+    @property
+    def pending(self) -> bool:
+        """Its end is not known yet."""
+        return self.result is None and not self.failed
+
 
 @dataclass(frozen=True, slots=True)
 class KeyedOperation:
@@ -65,6 +71,8 @@
         self.operations, self.most, self.size = operations, most, 0
         self.entries: dict[Key, Entry] = {}
         self.keys: dict[int, Key] = {}
+        self.served: dict[Key, None] = {}
+        """Keys whose entries have a result, in the order in which their runs ended."""
 
     def concerns(self, operation: int) -> bool:
         """Whether tries of this operation carry an idempotency key."""
@@ -73,14 +81,15 @@
     def original(self, inv: Invocation, now: int, unread: int) -> int | None:
         """Of which try this one is a repeat; without one it holds the key from now on.
 
-        A try that reached the machine within the window is a repeat, however late it is read.
+        A try that reached the machine within the window is a repeat, however late it is read, and so is any
+        while the run goes on, which may take longer than a short window.
         """
         if not inv.key:
             return None
         self.expire(now)
         key = key_of(inv)
         entry = self.entries.get(key)
-        if entry is not None and now - unread < entry.until:
+        if entry is not None and (entry.pending or now - unread < entry.until):
             return entry.index
         if entry is not None:
             self.remove(key)
@@ -122,6 +131,7 @@
             self.remove(key)
         elif outcome is Outcome.SUCCEEDED:
             entry.result = result
+            self.served[key] = None
             self.size += len(result)
             self.let_go()
         else:
@@ -132,12 +142,12 @@
         """Its end will not be told: within the window no other try may run."""
         key = self.keys.get(index)
         if key is not None:
-            self.entries[key].failed = self.entries[key].result is None
+            self.entries[key].failed |= self.entries[key].pending
 
     def dropped(self, index: int) -> list[Invocation]:
         """An invocation is over; where it never ran its key is free, and those that waited go without."""
         key = self.keys.get(index)
-        if key is None or self.entries[key].failed or self.entries[key].result is not None:
+        if key is None or not self.entries[key].pending:
             return []
         return self.ended(index, Outcome.MOOT, b"")
 
@@ -149,22 +159,39 @@
 
     def expire(self, now: int) -> None:
         """Entries go once what reached the machine in their window must have been read or given up."""
-        for key in list(self.entries):
+        while self.entries:
+            key = next(iter(self.entries))
             entry = self.entries[key]
-            if now < entry.until + self.operations[key.operation].client_timeout or entry.waiting:
+            if entry.waiting or now < entry.until + self.operations[key.operation].client_timeout:
                 return
             self.remove(key)
 
     def let_go(self) -> None:
         """Lets the oldest results go while they take too much; their keys stay held."""
-        for entry in self.entries.values():
-            if self.size <= self.most:
-                return
-            if entry.result is not None:
-                self.size -= len(entry.result)
-                entry.result, entry.failed = None, True
+        while self.size > self.most:
+            key = next(iter(self.served))
+            del self.served[key]
+            entry = self.entries[key]
+            self.size -= len(entry.result or b"")
+            entry.result, entry.failed = None, True
 
     def remove(self, key: Key) -> None:
         entry = self.entries.pop(key)
         del self.keys[entry.index]
+        self.served.pop(key, None)
         self.size -= len(entry.result or b"")
+
+
+def keyed_operations(machine: Machine) -> dict[int, KeyedOperation]:
+    """The operations whose tries carry an idempotency key."""
+    return {
+        index: KeyedOperation(operation.window, operation.client_timeout)
+        for index, operation in enumerate(machine.operations)
+        if operation.effect is Effect.TOKENED
+    }
+
+
+def entry_kb(machine: Machine, bounds: Bounds) -> float:
+    """What a kept entry counts against the machine's memory, so that the module keeps no more of them than
+    this program can hold."""
+    return max(machine.entry_kb, machine.memory_kb * ENTRY_BYTES / bounds.results)
--- a/tests/crossings/test_keyed_repeats.py
+++ b/tests/crossings/test_keyed_repeats.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from ringshift.interface import Effect
+from ringshift.interface import Effect, Outcome
 from ringshift.store.invocations import Invocation
 from ringshift.store.keyed import KeyedOperation, KeyedResults
 from ringshift.wire import news
@@ -94,10 +94,22 @@
     results = KeyedResults({0: KeyedOperation(WINDOW, 3000 * MS)}, 4096)
     first, late = (Invocation(n, job(n), 0, b"", None, n, key="k") for n in (1, 2))  # type: ignore[arg-type]
     assert results.original(first, 0, 0) is None
+    assert results.ended(1, Outcome.SUCCEEDED, b"made") == []
     assert results.original(late, WINDOW + 100 * MS, 101 * MS) == 1
     assert results.original(late, WINDOW + 100 * MS, 100 * MS) is None
 
 
+def test_a_run_longer_than_its_window_still_serves_all_that_wait() -> None:
+    """The try after the window took the key over, and those that waited were left to their due time."""
+    played = Played(machine(replace(operation("add", Effect.TOKENED), window=100 * MS)))
+    played.step(a_try(played, 1))
+    for request, after in ((2, 50 * MS), (3, 100 * MS)):
+        played.hands.time += after
+        played.step(a_try(played, request))
+    played.step(played.ended(1))
+    assert [played.status(n) for n in (1, 2, 3)] == [[200]] * 3 and played.told("launch") == [job(1)]
+
+
 def test_results_are_bounded_and_a_key_without_its_result_still_runs_nothing() -> None:
     played = keyed()
     played.owner.keyed.most = 10
