Crossings judged by real time run by themselves

Seen: test_callers_that_never_pause_... failed once of four beside three other workers (a close of 0.3 s with its last 50 ms starved) and passed 4 of 4 alone. Change: the files with closes, drains and discovery by the clock carry the mark alone, as does the one with a hundred callers on three processes. No assertion changed.

--- a/tests/crossings/test_cold_fleet.py
+++ b/tests/crossings/test_cold_fleet.py
@@ -207,6 +207,7 @@
         yield made
 
 
+@pytest.mark.alone
 def test_a_hundred_callers_send_cold_processes_no_more_than_they_survive(sites: list[Site]) -> None:
     """All cold at once, offered what they could do when warm; each caller has one request out at most."""
     play, chance = cold(), Random(6)
--- a/tests/crossings/test_connection_close.py
+++ b/tests/crossings/test_connection_close.py
@@ -16,6 +16,8 @@
 from ringshift.wire.news import Called, CallerLeft, News
 from standins.sidecar import Sidecar
 
+pytestmark = pytest.mark.alone
+
 RESULT = bytes(4096)
 
 
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -22,6 +22,8 @@
 from standins.room import Room
 from standins.sidecar import Sidecar
 
+pytestmark = pytest.mark.alone
+
 SOCKETS = 64  # the limit told, and set for the process
 LINK, LINK_MADE_ANEW, FILE = 1, 1, 1  # descriptors that must be had with all connections taken
 
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -22,6 +22,8 @@
 from tests.test_owner import Hands, Played
 from tests.world import MS, World, machine, operation
 
+pytestmark = pytest.mark.alone
+
 
 def at_once(job: str, kind: str, body: bytes) -> tuple[float, str, bytes]:
     return 0.0, "good", kind.encode() + b":" + body
