--- a/tests/test_rules_fleet.py
+++ b/tests/test_rules_fleet.py
@@ -17,6 +17,8 @@
 from standins.fleet.rules import RulesFleet
 from standins.fleet.rulescript import RulesScript, draw
 
+pytestmark = pytest.mark.few
+
 SCRIPTS, AT_ONCE = 30, 15
 
 
