--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 test: build
 	$(PYTHON) -m pytest -q -p no:cacheprovider -m alone
-	$(PYTHON) -m pytest -q -p no:cacheprovider -m few -n 2 --dist loadfile
+	$(PYTHON) -m pytest -q -p no:cacheprovider -m "few and not alone" -n 2 --dist loadfile
 	$(PYTHON) -m pytest -q -p no:cacheprovider -m "not alone and not few" -n 4 --dist loadgroup
 
 lint: build
--- a/tests/retirement/test_fleet.py
+++ b/tests/retirement/test_fleet.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from ringshift.rulebook.document import read
 from ringshift.wire.retiring import RetireLink, Word
 from tests.retirement.world import FAR, Backend, Fleet, book
+from tests.side_by_side import play_all
 
 LOTS = key(read(book([(0, 0.5)])).timelines[0])
 CALLERS = tuple(range(40))
@@ -35,12 +37,14 @@
 
 
 def stalled(folder: Path) -> None:
-    """The holder stands still in the midst of a step, for longer than its lease: another takes over, decides
-    the same step, and it moves once."""
+    """The holder stands still in the midst of a step, until its lease ended and another took over: that one
+    decides the same step, and it moves once."""
     with Fleet(folder, 2, b0=("--pause-rung", "1", "--pause-ms", "3800")) as fleet:
         first, second = fleet.backends
         fleet.plan((0, 0.5))
-        second.until(lambda one: one["ev"] == "act")
+        first.until(lambda one: one["ev"] == "ramp" and one["rung"] == 1)
+        with first.standing_still():  # it wakes once the other holds, however long that takes
+            second.until(lambda one: one["ev"] == "act")
         late = first.until(lambda one: one["ev"] == "ramped" and not one["landed"])
         assert first.acts(1) and second.acts(1)
         moved = [one for one in fleet.ramped() if one["phase"] == "SHEDDING"]
@@ -175,11 +179,9 @@
 
 @pytest.fixture(scope="module")
 def played(tmp_path_factory: pytest.TempPathFactory) -> dict[str, gevent.Greenlet[..., None]]:
-    """All side by side."""
+    """A few side by side, each judged by itself."""
     folder = tmp_path_factory.mktemp("retirement")
-    jobs = {name: gevent.spawn(case, folder / name) for name, case in CASES.items()}
-    gevent.joinall(list(jobs.values()))
-    return jobs
+    return play_all({name: partial(case, folder / name) for name, case in CASES.items()})
 
 
 @pytest.mark.parametrize("name", CASES)
--- a/tests/retirement/world.py
+++ b/tests/retirement/world.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any
@@ -143,6 +145,15 @@
     def acts(self, rung: int) -> dict[str, Any]:
         return self.until(lambda one: one["ev"] == "acts" and one["rung"] == rung)
 
+    @contextmanager
+    def standing_still(self) -> Iterator[None]:
+        """The process stopped; it goes on as nothing had been."""
+        self.process.send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            self.process.send_signal(signal.SIGCONT)
+
     def kill(self) -> None:
         self.process.kill()
         self.process.wait()
--- a/tests/schedule/in_service.py
+++ b/tests/schedule/in_service.py
@@ -81,8 +81,10 @@
     heal(start.proxy)
     seen.healed = time.monotonic_ns()
     cold.acts.wait()
+    gone = stage.start("", "", 0, "--at", "before propose", "--stop", withdraw="x")
+    gone.stopped.wait()  # however long its process takes to start, it is proposed at its moment
     stage.at(6.4)
-    gone = stage.start("", "", withdraw="x")
+    gone.wake()
     assert gone.end() == 0, gone.told
     # The one cut off carries it out to its end, so what contradicts it must wait for that, and for `late`.
     assert against(stage, END + LATE - 0.1) == "CLOSE" and against(stage, END + LATE + 0.1) == ""
--- a/tests/schedule/test_planners.py
+++ b/tests/schedule/test_planners.py
@@ -1,19 +1,20 @@
 """Several planners' processes against one keeper, with faults between them: what lands never contradicts.
 
-Each case has a keeper of its own; all are played side by side. After each, whatever the planners were told is
-compared with the book in force.
+Each case has a keeper of its own; a few are played side by side. After each, whatever the planners were told
+is compared with the book in force.
 """
 
 from __future__ import annotations
 
 import signal
+from functools import partial
 
-import gevent
 import pytest
 
 from standins.fleet.proxy import DOWN, UP
 from tests.schedule.in_service import Seen, in_service
 from tests.schedule.stage import Stage, drain, move, played
+from tests.side_by_side import results_of
 
 
 def one_of_two(stage: Stage) -> None:
@@ -171,10 +172,8 @@
 @pytest.fixture(scope="module")
 def cases(tmp_path_factory: pytest.TempPathFactory) -> dict[str, str]:
     folder = tmp_path_factory.mktemp("planners")
-    jobs = {case.__name__: gevent.spawn(played, case, folder / case.__name__)
-            for case in (backends_in_service, *CASES, without_compare)}  # fmt: skip
-    gevent.joinall(list(jobs.values()), raise_error=True)
-    return {name: job.get() for name, job in jobs.items()}
+    cases = (backends_in_service, *CASES, without_compare)
+    return results_of({case.__name__: partial(played, case, folder / case.__name__) for case in cases})
 
 
 @pytest.mark.parametrize("name", [case.__name__ for case in CASES])
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
 
-import gevent
 import pytest
 
 from standins.checkers.budgets import Verdict, check, moves
 from standins.checkers.leases import S
 from standins.fleet.budgets import BudgetFleet, BudgetScript, draw
 from standins.fleet.harness import Fault, Script
+from tests.side_by_side import results_of
 
 SCRIPTS, AT_ONCE = 30, 10
 
@@ -21,12 +22,9 @@
 
 
 def test_thirty_scripts_drawn_from_seeds_never_exceed_the_whole(tmp_path: Path) -> None:
-    verdicts: dict[int, Verdict] = {}
-    for first in range(0, SCRIPTS, AT_ONCE):
-        seeds = range(first + 1, min(first + AT_ONCE, SCRIPTS) + 1)
-        jobs = {seed: gevent.spawn(played, draw(seed), tmp_path / str(seed)) for seed in seeds}
-        gevent.joinall(list(jobs.values()), raise_error=True)
-        verdicts |= {seed: job.get() for seed, job in jobs.items()}
+    seeds = range(1, SCRIPTS + 1)
+    cases = {seed: partial(played, draw(seed), tmp_path / str(seed)) for seed in seeds}
+    verdicts = results_of(cases, AT_ONCE)
     wrong = {seed: verdict.wrong for seed, verdict in verdicts.items() if verdict.wrong}
     assert wrong == {}, f"played again by BudgetScript.read of {tmp_path}/SEED/script.toml"
     # Not vacuous: in most scripts shares were granted, and in some the whole was in use.
@@ -58,10 +56,10 @@
 @pytest.fixture(scope="module")
 def hard_cases(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[Verdict, Path]]:
     folder = tmp_path_factory.mktemp("hard")
-    jobs = {name: gevent.spawn(played, script, folder / str(number))
-            for number, (name, script) in enumerate(HARD.items())}  # fmt: skip
-    gevent.joinall(list(jobs.values()), raise_error=True)
-    return {name: (job.get(), folder / str(number)) for number, (name, job) in enumerate(jobs.items())}
+    folders = {name: folder / str(number) for number, name in enumerate(HARD)}
+    cases = {name: partial(played, script, folders[name]) for name, script in HARD.items()}
+    verdicts = results_of(cases, AT_ONCE)
+    return {name: (verdict, folders[name]) for name, verdict in verdicts.items()}
 
 
 @pytest.mark.parametrize("name", HARD)
@@ -84,13 +82,16 @@
     """The other two show in emulated time and in the model (tests/fleet): on processes they need a moment
     that no script can be sure of."""
     scripts = {bug: wanting(faults, holders=3, whole=12) for bug, faults in PLANTED.items()}
-    jobs = {(bug, plant): gevent.spawn(played, script, tmp_path / f"{bug}-{plant}", plant)
-            for bug, script in scripts.items() for plant in (bug, "")}  # fmt: skip
-    gevent.joinall(list(jobs.values()), raise_error=True)
+    verdicts = results_of(
+        {
+            (bug, plant): partial(played, script, tmp_path / f"{bug}-{plant}", plant)
+            for bug, script in scripts.items()
+            for plant in (bug, "")
+        }
+    )
     for bug in scripts:
-        wrong = jobs[bug, bug].get().wrong
-        assert any(told.startswith("over the whole") for told in wrong), bug
-        assert jobs[bug, ""].get().right, (bug, jobs[bug, ""].get().wrong)
+        assert any(told.startswith("over the whole") for told in verdicts[bug, bug].wrong), bug
+        assert verdicts[bug, ""].right, (bug, verdicts[bug, ""].wrong)
 
 
 def test_a_script_is_read_as_it_was_written(tmp_path: Path) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
 
-import gevent
 import pytest
 
 from standins.checkers.leases import Verdict, check
 from standins.fleet.harness import Fault, Fleet, Script, draw, revealing
+from tests.side_by_side import results_of
 
 SCRIPTS, AT_ONCE = 30, 10
 
@@ -19,13 +20,10 @@
 
 
 def test_thirty_scripts_drawn_from_seeds_break_no_promise(tmp_path: Path) -> None:
-    verdicts: dict[int, Verdict] = {}
-    for first in range(0, SCRIPTS, AT_ONCE):
-        seeds = range(first + 1, min(first + AT_ONCE, SCRIPTS) + 1)
-        jobs = {seed: gevent.spawn(played, draw(seed, holders=3 + seed % 4, seconds=8.0),
-                                   tmp_path / str(seed)) for seed in seeds}  # fmt: skip
-        gevent.joinall(list(jobs.values()), raise_error=True)
-        verdicts |= {seed: job.get() for seed, job in jobs.items()}
+    scripts = {seed: draw(seed, holders=3 + seed % 4, seconds=8.0) for seed in range(1, SCRIPTS + 1)}
+    verdicts = results_of(
+        {seed: partial(played, script, tmp_path / str(seed)) for seed, script in scripts.items()}, AT_ONCE
+    )
     wrong = {seed: verdict.wrong for seed, verdict in verdicts.items() if verdict.wrong}
     assert wrong == {}, f"played again by Script.read of {tmp_path}/SEED/script.toml"
     # Not vacuous: the task went on in most scripts (a keeper stopped for 5 s, and the ttl after it, may stop
@@ -40,15 +38,15 @@
 
 
 def test_each_planted_bug_is_named_and_the_same_script_without_it_is_right(tmp_path: Path) -> None:
-    bad = {bug: gevent.spawn(played, revealing(bug), tmp_path / bug, bug) for bug in BUGS}
-    good = {bug: gevent.spawn(played, revealing(bug), tmp_path / f"not-{bug}") for bug in BUGS}
-    gevent.joinall([*bad.values(), *good.values()], raise_error=True)
+    cases = {bug: partial(played, revealing(bug), tmp_path / bug, bug) for bug in BUGS}
+    cases |= {f"not-{bug}": partial(played, revealing(bug), tmp_path / f"not-{bug}") for bug in BUGS}
+    verdicts = results_of(cases, AT_ONCE)
     for bug, named in BUGS.items():
-        wrong, verdict = bad[bug].get().wrong, good[bug].get()
+        wrong, verdict = verdicts[bug].wrong, verdicts[f"not-{bug}"]
         assert any(told.startswith(named) for told in wrong), (bug, wrong)
         assert verdict.right, (bug, verdict.wrong)
         assert verdict.holders_seen >= 2, (bug, verdict)  # the other took over: the fault did hit
-    assert good["no_fence"].get().refused >= 1  # the late step came, and the fence refused it
+    assert verdicts["not-no_fence"].refused >= 1  # the late step came, and the fence refused it
 
 
 def hard(**more: object) -> Script:
@@ -77,10 +75,10 @@
 @pytest.fixture(scope="module")
 def hard_cases(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[Verdict, Path]]:
     folder = tmp_path_factory.mktemp("hard")
-    jobs = {name: gevent.spawn(played, script, folder / str(number))
-            for number, (name, script) in enumerate(HARD.items())}  # fmt: skip
-    gevent.joinall(list(jobs.values()), raise_error=True)
-    return {name: (job.get(), folder / str(number)) for number, (name, job) in enumerate(jobs.items())}
+    folders = {name: folder / str(number) for number, name in enumerate(HARD)}
+    cases = {name: partial(played, script, folders[name]) for name, script in HARD.items()}
+    verdicts = results_of(cases, AT_ONCE)
+    return {name: (verdict, folders[name]) for name, verdict in verdicts.items()}
 
 
 @pytest.mark.parametrize("name", HARD)
--- a/tests/test_rules_fleet.py
+++ b/tests/test_rules_fleet.py
@@ -4,10 +4,10 @@
 
 import shutil
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
-import gevent
 import orjson
 import pytest
 
@@ -16,10 +16,11 @@
 from standins.fleet.harness import Fault
 from standins.fleet.rules import RulesFleet
 from standins.fleet.rulescript import RulesScript, draw
+from tests.side_by_side import results_of
 
 pytestmark = pytest.mark.few
 
-SCRIPTS, AT_ONCE = 30, 15
+SCRIPTS = 30
 
 
 def played(script: RulesScript, folder: Path, plant: str = "") -> Verdict:
@@ -28,12 +29,8 @@
 
 
 def test_thirty_scripts_drawn_from_seeds_break_no_promise(tmp_path: Path) -> None:
-    verdicts: dict[int, Verdict] = {}
-    for first in range(0, SCRIPTS, AT_ONCE):
-        seeds = range(first + 1, min(first + AT_ONCE, SCRIPTS) + 1)
-        jobs = {seed: gevent.spawn(played, draw(seed), tmp_path / str(seed)) for seed in seeds}
-        gevent.joinall(list(jobs.values()), raise_error=True)
-        verdicts |= {seed: job.get() for seed, job in jobs.items()}
+    seeds = range(1, SCRIPTS + 1)
+    verdicts = results_of({seed: partial(played, draw(seed), tmp_path / str(seed)) for seed in seeds})
     wrong = {seed: verdict.wrong for seed, verdict in verdicts.items() if verdict.wrong}
     assert wrong == {}, f"played again by RulesScript.read of {tmp_path}/SEED/script.toml"
     # Not vacuous: after its faults every script came to one last version everywhere, and there were switches.
@@ -109,10 +106,9 @@
 @pytest.fixture(scope="module")
 def hard_cases(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[Verdict, Path]]:
     folder = tmp_path_factory.mktemp("hard")
-    jobs = {name: gevent.spawn(played, script, folder / str(number))
-            for number, (name, script) in enumerate(HARD.items())}  # fmt: skip
-    gevent.joinall(list(jobs.values()), raise_error=True)
-    return {name: (job.get(), folder / str(number)) for number, (name, job) in enumerate(jobs.items())}
+    folders = {name: folder / str(number) for number, name in enumerate(HARD)}
+    verdicts = results_of({name: partial(played, script, folders[name]) for name, script in HARD.items()})
+    return {name: (verdict, folders[name]) for name, verdict in verdicts.items()}
 
 
 @pytest.mark.parametrize("name", HARD)
@@ -216,14 +212,15 @@
 
 @pytest.mark.alone
 def test_each_planted_bug_is_named_and_the_same_script_without_it_is_right(tmp_path: Path) -> None:
-    jobs = {bug: gevent.spawn(played, script, tmp_path / bug, bug) for bug, (_, script) in PLANTED.items()}
+    cases = {bug: partial(played, script, tmp_path / bug, bug) for bug, (_, script) in PLANTED.items()}
     # Of those that share a script, once without.
     same = {bug: next(first for first, (_, other) in PLANTED.items() if other == script)
             for bug, (_, script) in PLANTED.items()}  # fmt: skip
-    good = {bug: gevent.spawn(played, PLANTED[bug][1], tmp_path / f"not-{bug}") for bug in set(same.values())}
-    gevent.joinall([*jobs.values(), *good.values()], raise_error=True)
+    for bug in same.values():
+        cases[f"not-{bug}"] = partial(played, PLANTED[bug][1], tmp_path / f"not-{bug}")
+    verdicts = results_of(cases)
     for bug, (named, _) in PLANTED.items():
-        wrong, without = jobs[bug].get().wrong, good[same[bug]].get()
+        wrong, without = verdicts[bug].wrong, verdicts[f"not-{same[bug]}"]
         assert any(told.startswith(named) for told in wrong), (bug, wrong)
         assert without.right and without.settled, (bug, without)
 
