Agent's link: one read of a flood between two looks at the sockets

After each read the link gave way by sleep(0), of which gevent runs dozens before it looks at sockets again, so notices without end kept the sidecars' bytes unread. Change: it waits for the socket, as connections do. Result: the new test counts reads in their order: at most two of the flood before a caller's; it fails with the line as it was.

--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -12,6 +12,7 @@
 import orjson
 from gevent import socket
 from gevent.event import Event
+from gevent.socket import wait_read
 from loguru import logger
 
 from ringshift.machine import Malformed, maybe, need, ns
@@ -123,7 +124,9 @@
                         greeted, self.outbox = True, None if self.moved.is_set() else outbox
                     if news is not None:
                         self.post(news)
-                gevent.sleep(0)  # as in sidecars: a read that finds bytes never waits
+                # As in connections: a read that finds bytes never waits, and `sleep(0)` gives dozens of turns
+                # to a flood before the loop looks at any other socket.
+                wait_read(sock.fileno())
         except OSError as wrong:
             why = str(wrong)
         except TooLong:
--- a/tests/crossings/test_input.py
+++ b/tests/crossings/test_input.py
@@ -8,15 +8,19 @@
 
 import struct
 from collections.abc import Iterator
+from random import Random
 
 import gevent
 import pytest
 
 from ringshift.runtime.bounds import MIB, bounds
-from ringshift.wire import calls, fastcgi, sidecars
+from ringshift.wire import calls, fastcgi, lines, sidecars
+from ringshift.wire.agent import Agent as Link
 from ringshift.wire.connection import Connection
+from ringshift.wire.lines import Lines
 from ringshift.wire.news import Called, News
 from standins.sidecar import Sidecar
+from tests.crossings.test_agent_link import Peer, greet
 
 
 @pytest.fixture
@@ -242,6 +246,49 @@
     gevent.killall(pouring)
 
 
+def test_a_flood_on_the_agents_link_costs_the_others_one_read_between_two_of_their_turns(
+    here: Here, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Remarks without end, as whole lines: each read of them is followed by a look at all sockets."""
+    door, heard = here
+    took, take, reads = Lines.took, Connection.take, list[object]()
+
+    def counted_lines(self: Lines, size: int) -> Iterator[memoryview]:
+        reads.append(self)
+        return took(self, size)
+
+    def counted(self: Connection, size: int) -> None:
+        reads.append(self)
+        take(self, size)
+
+    monkeypatch.setattr(lines, "LONGEST_LINE", 2048)  # so that the kernel holds many reads of it
+    monkeypatch.setattr(Lines, "took", counted_lines)
+    monkeypatch.setattr(Connection, "take", counted)
+    peer = Peer()
+    link = Link(peer.address, Random(1)).start(heard.append)
+    sock, _ = peer.link()
+    greet(sock)
+    until(lambda: bool(heard))
+    heard.clear()
+
+    def pour() -> None:
+        while True:
+            sock.sendall(b'{"type":"aside","state":"so it goes"}\n' * 4000)
+
+    pouring, good = gevent.spawn(pour), Sidecar(door.sock.getsockname())
+    until(lambda: len(reads) > 2)
+    for request in range(1, 6):
+        good.send(good.call(request))
+        since = len(reads)
+        until(lambda: bool(heard))
+        (called,) = heard
+        assert isinstance(called, Called)
+        assert reads[since:].index(called.door) <= 2, "reads of the flood before the other one's"
+        answer(heard)
+        assert good.answer(request).status == 200
+    gevent.killall([pouring, link])
+
+
 def test_a_slow_writer_holds_nobody_up_and_is_answered(here: Here) -> None:
     """Its last byte is held back until the other one has had all its answers."""
     door, heard = here
