Drain: no connection completes between the last accept and the listener's close

A connection that completed after the last accept was reset by the close, and so was all that waited for a descriptor, as the accepting ended at the first error of any kind. Change: a socket filter drops SYNs first (wire/handshakes.py; no rights needed, left out where the platform refuses it), 2 ms let handshakes complete, and the listener closes once nothing waits; where descriptors ran out, after connections gave theirs back, at most until the drain's end. A client whose SYN is dropped is refused when it sends it again.

--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -5,7 +5,6 @@
 import errno
 import time
 from collections.abc import Mapping
-from contextlib import suppress
 
 import gevent
 from gevent import socket
@@ -15,12 +14,14 @@
 from ringshift.runtime.logs import counted
 from ringshift.wire import fastcgi
 from ringshift.wire.connection import Connection, Post
+from ringshift.wire.handshakes import refuse_handshakes
 
 SWEEP = 0.5  # seconds between two looks at all connections
 CROSSING = 0.05  # seconds within which a request may cross a close
 FOR_ROOM = 0.005  # seconds that one may take to end before the next one is made to
 MOST_FOR_ROOM = 8  # connections that end at once so that others have room
 LAST_ANSWERS = 0.02  # seconds before the end in which nothing more is read, only answered
+HANDSHAKE = 0.002  # seconds in which a handshake that has begun completes
 BACKLOG = 1024
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -108,21 +109,35 @@
         once nothing is open on it and nothing has come for a while, or in the last moments."""
         self.accepting.kill()
         self.sweeping.kill()
+        until = time.monotonic() + seconds
+        refuse_handshakes(self.sock)
         self.sock.settimeout(0.0)
-        with suppress(OSError):
-            while True:
-                self.add(self.sock.accept()[0])
-        self.sock.close()
+        gevent.sleep(HANDSHAKE)
+        listening = not self.accept_waiting()
         gevent.sleep(0)  # their readers begin
-        until = time.monotonic() + seconds
-        while self.connections and (left := until - time.monotonic()) > 0:
+        while (listening or self.connections) and (left := until - time.monotonic()) > 0:
             for connection in list(self.connections):
                 self.end(connection, left)
             gevent.sleep(min(left, CROSSING / 10))
+            listening = listening and not self.accept_waiting()
+        self.sock.close()
         for connection in list(self.connections):
             connection.abort()
         gevent.sleep(0)
 
+    def accept_waiting(self) -> bool:
+        """Accepts what waits in the kernel's queue. True once nothing does, and the listener is closed; false
+        where descriptors ran out, which connections that end give back."""
+        while True:
+            try:
+                self.add(self.sock.accept()[0])
+            except OSError as wrong:
+                if wrong.errno in NO_ROOM:
+                    return False
+                if wrong.errno not in (errno.ECONNABORTED, errno.EINTR):
+                    self.sock.close()
+                    return True
+
     def end(self, connection: Connection, left: float) -> None:
         """Callers that never pause leave no quiet moment: theirs end right after an answer, and at the very
         last unread, so that none who asks on is read and then left without its answer."""
--- a/tests/crossings/test_connection_close.py
+++ b/tests/crossings/test_connection_close.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import errno
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 import gevent
 import pytest
 from gevent import socket
+from gevent.socket import wait_write
 
 from ringshift.runtime.bounds import MIB, bounds
 from ringshift.wire import calls, connection, fastcgi, sidecars
@@ -357,6 +360,70 @@
     assert caller.answer(1).status == 429 and not here.heard
 
 
+@dataclass
+class Listener:
+    """The backend's listening socket, with a moment of the test's within `accept`."""
+
+    sock: socket.socket
+    before_accept: Callable[[], None] = lambda: None
+    found_none: Callable[[], None] = lambda: None
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        self.before_accept()
+        try:
+            return self.sock.accept()
+        except BlockingIOError:
+            self.found_none()
+            raise
+
+
+def test_a_connection_between_the_last_accept_and_the_listeners_close_does_not_complete(here: Here) -> None:
+    """It completed, and the close of the listener reset it together with the request on it."""
+    caller = socket.socket()
+    caller.setblocking(False)
+    begun: list[int] = []
+
+    def connect() -> None:
+        begun.append(caller.connect_ex(address))
+
+    address = here.door.sock.getsockname()
+    here.door.sock = Listener(here.door.sock, found_none=connect)  # type: ignore[assignment]
+    here.door.close(0.1)
+    assert begun == [errno.EINPROGRESS]
+    with gevent.Timeout(10):
+        wait_write(caller.fileno())  # its SYN is sent again after a second
+    assert caller.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == errno.ECONNREFUSED
+    caller.close()
+
+
+def test_one_that_waits_to_be_accepted_without_a_descriptor_is_answered_once_one_ends(here: Here) -> None:
+    """The listener was closed at the first `accept` that found no descriptor."""
+    idle, _ = here.rested()
+
+    def end() -> None:
+        idle.read()
+        idle.sock.close()
+
+    ended = gevent.spawn(end)
+    here.door.accepting.kill()
+    waiting = Sidecar(here.door.sock.getsockname())
+    waiting.send(waiting.call(1))
+
+    def no_descriptor() -> None:
+        if here.door.connections:
+            raise OSError(errno.EMFILE, "Too many open files")
+
+    here.door.sock = Listener(here.door.sock, before_accept=no_descriptor)  # type: ignore[assignment]
+    closing = gevent.spawn(here.door.close, 5.0)
+    here.answer()
+    assert waiting.answer(1).status == 200 and ended.ready()
+    closing.get(timeout=10)
+    assert not here.door.connections
+
+
 def test_closing_ends_all_connections_side_by_side_within_its_time(here: Here) -> None:
     """None of them ends by itself."""
     _callers = [here.caller() for _ in range(20)]
