Connections are kept in order of use, and a few are evicted ahead of need

Excluded: descriptors left open by the half-close. At fault: make_room and end_one of wire/sidecars.py, which looked at all 488 connections and sorted them for each new one, and accepted none until one had ended, which takes longer since ends are half-closes.

Change: wire/connection_table.py keeps the order, and a nearly full table evicts before it is full.

--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -18,6 +18,7 @@
 from ringshift.runtime.bounds import Budget
 from ringshift.runtime.logs import counted
 from ringshift.wire import calls, fastcgi
+from ringshift.wire.connection_table import ConnectionTable
 from ringshift.wire.news import CallerLeft, News
 from ringshift.wire.outbox import Outbox
 
@@ -31,10 +32,12 @@
 
 class Connection:
     def __init__(self, sock: socket.socket, operations: Mapping[str, int], post: Post, unread: Budget,
-                 coming: Budget, buffer: bytearray, over: Callable[[Connection], None]) -> None:  # fmt: skip
+                 coming: Budget, buffer: bytearray, table: ConnectionTable[Connection],
+                 over: Callable[[Connection], None]) -> None:  # fmt: skip
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNELS_PART)
-        self.sock, self.operations, self.post, self.over = sock, operations, post, over
+        self.sock, self.operations, self.post = sock, operations, post
+        self.table, self.over = table, over
         self.decoder = fastcgi.Decoder(buffer, coming)
         self.outbox = Outbox(sock, UNREAD_ANSWERS, unread)
         self.finishing: set[int] = set()  # requests after whose answer the connection closes
@@ -55,7 +58,7 @@
         if self.ended or request not in self.decoder.open:
             return
         self.decoder.close(request)
-        self.touched = time.monotonic()
+        self.touch()
         self.write(data)
         if request in self.finishing:
             self.finishing.discard(request)
@@ -63,6 +66,10 @@
         if self.leaving:
             self.leave()
 
+    def touch(self) -> None:
+        self.touched = time.monotonic()
+        self.table.use(self)
+
     def write(self, data: bytes) -> None:
         if not self.outbox.put(data):
             counted.warn("sidecar does not read its answers", "connection closed")
@@ -79,6 +86,7 @@
         bytes would reset the connection and take along answers that are not delivered yet."""
         self.deaf = True
         self.half_closed.set()
+        self.table.leave_order(self)
         self.lingering = gevent.spawn_later(seconds, self.abort)
         with suppress(OSError):  # reset by the other side, which the reader finds too
             self.sock.shutdown(socket.SHUT_WR)
@@ -176,7 +184,7 @@
                 size = self.sock.recv_into(self.decoder.space())
                 if self.deaf or not size:  # deaf since it began to wait: these bytes crossed the close
                     break
-                self.touched = time.monotonic()
+                self.touch()
                 self.take(size)
                 # A read that finds bytes never waits, and gevent runs dozens of turns (`sleep(0)`) before it
                 # looks at sockets again: a flood would be read all that time and nobody else.
@@ -218,8 +226,9 @@
             if not message.keep:
                 self.finishing.add(message.id)
             try:
-                if not message.wrong:
+                if not message.wrong and not self.spoken:
                     self.spoken = True
+                    self.table.use(self)
                 yield calls.read(message, self, self.operations)
             except calls.Wrong as wrong:
                 self.fail(message.id, str(wrong))
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -14,12 +14,14 @@
 from ringshift.runtime.logs import counted
 from ringshift.wire import fastcgi
 from ringshift.wire.connection import Connection, Post
+from ringshift.wire.connection_table import ConnectionTable
 from ringshift.wire.handshakes import refuse_handshakes
 
 SWEEP = 0.5  # seconds between two looks at all connections
 CROSSING = 0.05  # seconds within which a request may cross a close
 FOR_ROOM = 0.005  # seconds that one may take to end before the next one is made to
 MOST_FOR_ROOM = 8  # connections that end at once so that others have room
+LEAST_PART = 16  # of a small table, at most this part is kept free for the next ones
 LAST_ANSWERS = 0.02  # seconds before the end in which nothing more is read, only answered
 HANDSHAKE = 0.002  # seconds in which a handshake that has begun completes
 BACKLOG = 1024
@@ -33,7 +35,9 @@
                  bounds: Bounds) -> None:  # fmt: skip
         self.operations, self.post = operations, post
         self.most = bounds.connections
-        self.connections: set[Connection] = set()
+        self.spare = min(MOST_FOR_ROOM, bounds.connections // LEAST_PART)
+        self.table: ConnectionTable[Connection] = ConnectionTable()
+        self.connections = self.table.connections
         self.room, self.buffer = Event(), fastcgi.new_buffer()
         self.unread, self.coming = Budget(bounds.unread), Budget(bounds.coming)
         self.idle_after = 0.0  # seconds; 0 leaves it to the sidecars
@@ -61,15 +65,19 @@
                     raise
                 continue
             self.add(sock)
+            if len(self.connections) - self.table.closing > self.most - self.spare:
+                self.end_one()  # ahead of need, so that those that end don't hold the next ones up
             gevent.sleep(0)
 
     def add(self, sock: socket.socket) -> None:
-        self.connections.add(
-            Connection(sock, self.operations, self.post, self.unread, self.coming, self.buffer, self.gone)
+        self.table.add(
+            Connection(
+                sock, self.operations, self.post, self.unread, self.coming, self.buffer, self.table, self.gone
+            )
         )
 
     def gone(self, connection: Connection) -> None:
-        self.connections.discard(connection)
+        self.table.remove(connection)
         self.room.set()
 
     def make_room(self, why: str) -> None:
@@ -77,7 +85,7 @@
         silent ones must not cost the sidecars theirs. Those that end keep their places for a while, so that
         the next ones follow soon, few at once. With none, new ones wait in the kernel's queue. The limit is
         waited for, never spun on."""
-        ending = sum(connection.half_closed.is_set() for connection in self.connections)
+        ending = self.table.closing
         if ending < MOST_FOR_ROOM and self.end_one():
             ending += 1
         if not ending:
@@ -86,7 +94,7 @@
         self.room.wait(FOR_ROOM if 0 < ending < MOST_FOR_ROOM else CROSSING)
 
     def end_one(self) -> bool:
-        for connection in sorted(self.connections, key=lambda one: (one.spoken, one.touched)):
+        for connection in self.table.unused_since(time.monotonic() - CROSSING):
             if connection.quiet(CROSSING):
                 connection.half_close(CROSSING)
                 return True
--- a/tests/crossings/test_connection_close.py
+++ b/tests/crossings/test_connection_close.py
@@ -360,6 +360,23 @@
     assert caller.answer(1).status == 429 and not here.heard
 
 
+def test_a_nearly_full_table_evicts_the_least_recently_used_ahead_of_need(here: Here) -> None:
+    """Each new one waited until another had ended: in a flood hundreds waited in the kernel's queue, which
+    the bench counts as this process's descriptors."""
+    here.door.most, here.door.spare = 32, 2
+    resting = [here.caller() for _ in range(30)]
+    assert not here.door.table.closing
+    for _, place in resting:
+        place.touched -= 1.0
+    _, newest = here.caller()
+    assert [place for place in here.door.connections if place.half_closed.is_set()] == [resting[0][1]]
+    with gevent.Timeout(10):
+        assert not resting[0][0].read()
+    resting[0][0].sock.close()
+    until(lambda: len(here.door.connections) == 30)
+    assert newest in here.door.connections and not here.door.table.closing
+
+
 @dataclass
 class Listener:
     """The backend's listening socket, with a moment of the test's within `accept`."""
