--- a/tests/crossings/test_cold_fleet.py
+++ b/tests/crossings/test_cold_fleet.py
@@ -35,7 +35,7 @@
                   operation("order", face.Effect.NON_IDEMPOTENT, value=3.0, objective=2500)]  # fmt: skip
     return Cold(machine(*operations, cores=cores, cold=True, cold_speed=cold_from, ramp=ramp * 1000 * MS,
                         fall_multiple=multiple, callers=CALLERS, memory_kb=200_000.0,
-                        advert=advert))  # fmt: skip
+                        advert=advert, overload_span=1500 * MS))  # fmt: skip
 
 
 def invited(play: Cold, backend: Backend) -> list[tuple[int, float, float]]:
@@ -89,12 +89,14 @@
 @pytest.mark.parametrize("backends", [5, 20, 30])
 @pytest.mark.parametrize("all_cold", [True, False])
 @pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("by_request", [False, True])
 def test_random_callers_that_heed_send_no_more_than_it_survives(
-    backends: int, all_cold: bool, seed: int
+    backends: int, all_cold: bool, seed: int, by_request: bool
 ) -> None:
+    """Whether a caller draws a fraction as it hears the value, or anew for each request."""
     play = cold()
     starting = set(range(backends)) if all_cold else {0}
-    fleet = Fleet(play, backends, Random(seed), starting).play(8000 * MS)
+    fleet = Fleet(play, backends, Random(seed), starting, by_request=by_request).play(8000 * MS)
     for number in starting:
         assert fleet[number].sent and not play.beyond(fleet[number].heard)
         assert not play.beyond(fleet[number].taken)
