--- a/ringshift/control/calls.py
+++ b/ringshift/control/calls.py
@@ -7,7 +7,7 @@
 from ringshift import interface as face
 from ringshift.control.cores import LEAST, Cores
 from ringshift.control.invocation import BEGUN, CALL_NEWS, HELD, QUOTA_SPAN, Inv, News
-from ringshift.control.measures import BEAT, HEARD, HOUR, MEMORY, RECENT, Fading
+from ringshift.control.measures import BEAT, HEARD, HOUR, MEMORY, RECENT, DecayingSum
 from ringshift.interface import Below, Outcome
 
 CROWDED = 3  # times the best mean call time, from which on calls are taken to crowd their dependency
@@ -20,11 +20,11 @@
     def __init__(self, machine: face.Machine, seed: int) -> None:
         super().__init__(machine, seed)
         self.at_call, self.lingering = deque[Inv](), list[int]()
-        self.call_time, self.call_best, self.runs_lost = Fading(MEMORY), float(HOUR), Fading(RECENT)
-        self.spent = Fading(max(machine.dependency.window, 1))
+        self.call_time, self.call_best, self.runs_lost = DecayingSum(MEMORY), float(HOUR), DecayingSum(RECENT)
+        self.spent = DecayingSum(max(machine.dependency.window, 1))
         shared = machine.dependency.kind is Below.SHARED
         self.call_cap = self.call_most = max(machine.dependency.share, 1.0) if shared else 8.0 * machine.cores
-        self.call_after, self.calls_out, self.calls_lost = 0, 0, Fading(RECENT)
+        self.call_after, self.calls_out, self.calls_lost = 0, 0, DecayingSum(RECENT)
 
     def line_up_call(self, inv: Inv) -> None:
         inv.called = inv.called or self.now
@@ -84,7 +84,7 @@
         ahead = len(self.at_call) + sum(len(line.queue) for line in self.lines if line.op.calls)
         return ahead * self.call_time.mean(self.now) / min(self.call_cap, max(self.bound(), LEAST))
 
-    def lost(self, kind: Fading) -> bool:
+    def lost(self, kind: DecayingSum) -> bool:
         return kind.sum(self.now) > LOST * kind.count and kind.count >= HEARD
 
     def demand(self, unit: face.Unit, operation: int = -1) -> tuple[float, float]:
--- a/ringshift/control/connections.py
+++ b/ringshift/control/connections.py
@@ -1,7 +1,7 @@
 """Places in the table of connections: how long an unused one keeps its own."""
 
 from ringshift import interface as face
-from ringshift.control.measures import MEMORY, MS, RECENT, Fading, S
+from ringshift.control.measures import MEMORY, MS, RECENT, DecayingSum, S
 from ringshift.control.readiness import Flags
 
 KEPT = 16  # callers a core whose unused connections are taken to fit in the table
@@ -11,8 +11,8 @@
 class Connections(Flags):
     def __init__(self, machine: face.Machine, seed: int) -> None:
         super().__init__(machine, seed)
-        self.within, self.last_caller, self.packed_until = Fading(MEMORY, 1.0), -1, 0
-        self.same_caller = Fading(MEMORY, 1 / max(machine.callers, 1))
+        self.within, self.last_caller, self.packed_until = DecayingSum(MEMORY, 1.0), -1, 0
+        self.same_caller = DecayingSum(MEMORY, 1 / max(machine.callers, 1))
 
     def idle_life(self) -> int:
         """Where many callers come seldom a kept place earns nothing; a full table takes from cores and turns
--- a/ringshift/control/cores.py
+++ b/ringshift/control/cores.py
@@ -4,7 +4,7 @@
 
 from ringshift import interface as face
 from ringshift.control.invocation import ANSWERED, BEGUN, HELD, ROOM, RUNNING, Inv
-from ringshift.control.measures import BEAT, HOUR, MEMORY, RECENT, Fading, S
+from ringshift.control.measures import BEAT, HOUR, MEMORY, RECENT, DecayingSum, S
 from ringshift.control.shares import Shares
 from ringshift.interface import Below
 
@@ -20,7 +20,8 @@
         self.limit, self.step, self.tried, self.last_rate = float(machine.cores), 1, 0, 0.0
         self.window_span = self.window_done = self.done = self.warm_runs = self.ages = 0
         self.warm_sum, self.slowed = 0.0, 1.0
-        self.at_disk, self.wanted, self.at_door = Fading(4 * MEMORY), Fading(RECENT), Fading(MEMORY)
+        self.at_disk = DecayingSum(4 * MEMORY)
+        self.wanted, self.at_door = DecayingSum(RECENT), DecayingSum(MEMORY)
 
     def count_run(self, inv: Inv) -> None:
         core = max(self.now - inv.started - inv.calls, 0)
--- a/ringshift/control/door.py
+++ b/ringshift/control/door.py
@@ -4,7 +4,7 @@
 from ringshift.control.connections import Connections
 from ringshift.control.invocation import Inv, State
 from ringshift.control.lines import CALM
-from ringshift.control.measures import Fading, S
+from ringshift.control.measures import DecayingSum, S
 from ringshift.interface import Advert, Effect
 
 SOUGHT = 0.4  # share of what may be held at which the door is neither opened nor shut further
@@ -15,7 +15,7 @@
 class Door(Connections):
     def __init__(self, machine: face.Machine, seed: int) -> None:
         super().__init__(machine, seed)
-        self.open, self.advertised, self.full, self.unread = 1.0, -1.0, False, Fading(1 * S)
+        self.open, self.advertised, self.full, self.unread = 1.0, -1.0, False, DecayingSum(1 * S)
         self.shown = (True, False, 0)
 
     def throttle(self, inv: Inv) -> None:
--- a/ringshift/control/invocation.py
+++ b/ringshift/control/invocation.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from ringshift import interface as face
-from ringshift.control.measures import BEAT, MEMORY, MS, Fading, S
+from ringshift.control.measures import BEAT, MEMORY, MS, DecayingSum, S
 from ringshift.interface import Effect, Halt, Outcome
 
 QUOTA_SPAN = 2 * S  # over which a customer's admitted work is held against its quota
@@ -62,8 +62,8 @@
 
     def __init__(self, op: face.Operation) -> None:
         self.op, self.work, self.turn, self.weight = op, 0.0, 0.0, max(op.billed_value, 0.01)
-        self.queue, self.missed = deque[Inv](), Fading(QUOTA_SPAN)
-        self.run, self.core, self.hint = (Fading(MEMORY, op.objective * p) for p in (PRIOR, PRIOR, 0.0))
+        self.queue, self.missed = deque[Inv](), DecayingSum(QUOTA_SPAN)
+        self.run, self.core, self.hint = (DecayingSum(MEMORY, op.objective * p) for p in (PRIOR, PRIOR, 0.0))
 
 
 class Inv:
--- a/ringshift/control/lines.py
+++ b/ringshift/control/lines.py
@@ -3,7 +3,7 @@
 from ringshift import interface as face
 from ringshift.control.calls import Calls
 from ringshift.control.invocation import HELD, QUOTA_SPAN, Inv, Line
-from ringshift.control.measures import HOUR, Fading, S
+from ringshift.control.measures import HOUR, DecayingSum, S
 
 HOLD = 0.6  # share of the time an objective leaves beside the run that may be spent held
 CALM = 0.3  # share of that under which a short line is no reason to turn anything away
@@ -14,7 +14,7 @@
     def __init__(self, machine: face.Machine, seed: int) -> None:
         super().__init__(machine, seed)
         self.heaviest = max(line.weight for line in self.lines)
-        self.turn, self.admitted = 0.0, [Fading(QUOTA_SPAN) for _ in machine.customers]
+        self.turn, self.admitted = 0.0, [DecayingSum(QUOTA_SPAN) for _ in machine.customers]
 
     def wait(self, line: Line | None = None) -> float:
         """How long what is held takes to get to the cores beside what fits on free ones, or a line's last:
--- a/ringshift/records/tally.py
+++ b/ringshift/records/tally.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from ringshift.control import Controller
-    from ringshift.control.measures import Fading
+    from ringshift.decaying_sum import DecayingSum
 
 MS, S = 10**6, 10**9
 BEAT = S // 4  # how exactly a standstill is told, at four turns of the owner a second
@@ -122,11 +122,11 @@
         )  # fmt: skip
 
 
-def peek(fading: Fading, now: int) -> float:
-    """The mean as `Fading.mean` tells it, yet nothing is brought up to date: a look must change no decision,
-    not in the last bit either."""
-    left = exp((fading.at - now) / fading.span) if now > fading.at else 1.0
-    return (fading.total * left + fading.prior) / (fading.count * left + 1)
+def peek(decaying: DecayingSum, now: int) -> float:
+    """The mean as `DecayingSum.mean` tells it, yet nothing is brought up to date: a look must change no
+    decision, not in the last bit either."""
+    left = exp((decaying.at - now) / decaying.span) if now > decaying.at else 1.0
+    return (decaying.total * left + decaying.prior) / (decaying.count * left + 1)
 
 
 class View:
