--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -28,8 +28,11 @@
 
 from benchmarks.leases import share as part_of
 
-SPANS = {"joins": "a joiner's first grant", "leaves": "a leaver's part is granted again",
-         "kills": "a crashed one's part is granted again"}  # fmt: skip
+SPANS = {
+    "joins": "a joiner's first grant",
+    "leaves": "a leaver's part is granted again",
+    "kills": "a crashed one's part is granted again",
+}
 
 
 def played(job: tuple[list[int], str, int]) -> list[dict[str, Any]]:
@@ -73,23 +76,31 @@
     wrong = {one["seed"]: one["wrong"] for one in good if one["wrong"]}
     took = time.monotonic() - began
     print(f"{len(good)} scripts from seed {first} in {took:.0f} s; {len(failed)} could not be played")
-    print(f"instants over the whole {sum(len(told) for told in wrong.values())}; more by a call that was "
-          f"stalled after its last look {sum(one['stalled'] for one in good)}; scripts in which the whole "
-          f"was reached {sum(one['most'] >= one['whole'] for one in good)}, in which nothing was granted "
-          f"{sum(not one['granted'] for one in good)}")  # fmt: skip
+    print(
+        f"instants over the whole {sum(len(told) for told in wrong.values())}; more by a call that was "
+        f"stalled after its last look {sum(one['stalled'] for one in good)}; scripts in which the whole "
+        f"was reached {sum(one['most'] >= one['whole'] for one in good)}, in which nothing was granted "
+        f"{sum(not one['granted'] for one in good)}"
+    )
     for name, told in (("in use", "used"), ("granted", "granted"), ("granted, of what can be", "reached")):
         shares = [one[told] for one in good if one["samples"]]
-        print(f"share of min(whole, wants) {name}: mean {statistics.mean(shares):.2f}, "
-              f"median {statistics.median(shares):.2f}")  # fmt: skip
-    print("\n| time until | count | median s | 99th s | not until the script's end |\n"
-          "| --- | --- | --- | --- | --- |")  # fmt: skip
+        print(
+            f"share of min(whole, wants) {name}: mean {statistics.mean(shares):.2f}, "
+            f"median {statistics.median(shares):.2f}"
+        )
+    print(
+        "\n| time until | count | median s | 99th s | not until the script's end |\n"
+        "| --- | --- | --- | --- | --- |"
+    )
     for span, what in SPANS.items():
         values = [value for one in good for value in one[span]]
         never = sum(one["never"].get(span, 0) for one in good)
         spent = f"{statistics.median(values) / 1e9:.2f} | {part_of(values, 0.99):.2f}" if values else "- | -"
         print(f"| {what} | {len(values)} | {spent} | {never} |")
-    print("leaves and crashes after which nothing was to be granted again (no grant held, nobody lacked): "
-          f"{sum(one['nothing_moved'] for one in good)}")  # fmt: skip
+    print(
+        "leaves and crashes after which nothing was to be granted again (no grant held, nobody lacked): "
+        f"{sum(one['nothing_moved'] for one in good)}"
+    )
     for seed, told in list(wrong.items())[:10]:
         print(f"seed {seed}: {told[:2]} (kept in {folder}/{seed})")
     for one in failed[:5]:
@@ -105,18 +116,30 @@
     model, began = Model(faults, empty), time.monotonic()
     told = explore(model.first(), model.after, model.wrong, depth, 1_500_000)
     reached = f"{told.depth}{' (whole)' if told.whole else ''}"
-    return (f"| {', '.join(map(str, faults))} | {'nothing' if empty else 'a ledger'} | {reached} | "
-            f"{told.states} | {told.moves} | "
-            f"{told.wrong or 'nothing'} | {time.monotonic() - began:.0f} |")  # fmt: skip
+    return (
+        f"| {', '.join(map(str, faults))} | {'nothing' if empty else 'a ledger'} | {reached} | "
+        f"{told.states} | {told.moves} | "
+        f"{told.wrong or 'nothing'} | {time.monotonic() - began:.0f} |"
+    )
 
 
 def model(depth: int, workers: int) -> int:
     none, all_ = (0, 0, 0, 0), (1, 1, 1, 1)
-    jobs = [(none, depth + 2, False), ((1, 0, 0, 0), depth + 1, False), ((0, 1, 0, 0), depth + 1, False),
-            ((0, 0, 1, 0), depth + 1, False), ((0, 0, 0, 1), depth + 1, False), (all_, depth, False),
-            (none, depth + 4, True), ((0, 0, 0, 1), depth + 2, True), (all_, depth, True)]  # fmt: skip
-    print("| faults: stalls, crashes, leaves, new dividers | at the keeper first | depth | states | moves | "
-          "wrong | s |")  # fmt: skip
+    jobs = [
+        (none, depth + 2, False),
+        ((1, 0, 0, 0), depth + 1, False),
+        ((0, 1, 0, 0), depth + 1, False),
+        ((0, 0, 1, 0), depth + 1, False),
+        ((0, 0, 0, 1), depth + 1, False),
+        (all_, depth, False),
+        (none, depth + 4, True),
+        ((0, 0, 0, 1), depth + 2, True),
+        (all_, depth, True),
+    ]
+    print(
+        "| faults: stalls, crashes, leaves, new dividers | at the keeper first | depth | states | moves | "
+        "wrong | s |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- |")
     with multiprocessing.get_context("spawn").Pool(workers, maxtasksperchild=1) as pool:
         for line in pool.imap(explored, jobs):
@@ -191,14 +214,18 @@
 
 
 def scale(sizes: list[int], seeds: int) -> int:
-    print("| backends | a round, ms of CPU | rounds to settle | emulated s to settle | messages a second of "
-          "one backend | Jain at rest |")  # fmt: skip
+    print(
+        "| backends | a round, ms of CPU | rounds to settle | emulated s to settle | messages a second of "
+        "one backend | Jain at rest |"
+    )
     print("| --- | --- | --- | --- | --- | --- |")
     for count in sizes:
         print(settled(count), flush=True)
-    print(f"\na newcomer's grant after a new divider (emulated, {seeds} seeds, median): "
-          f"{failover(False, seeds):.1f} s with the ledger taken back, {failover(True, seeds):.1f} s where "
-          "none is and the longest grant is waited out")  # fmt: skip
+    print(
+        f"\na newcomer's grant after a new divider (emulated, {seeds} seeds, median): "
+        f"{failover(False, seeds):.1f} s with the ledger taken back, {failover(True, seeds):.1f} s where "
+        "none is and the longest grant is waited out"
+    )
     return 0
 
 
--- a/benchmarks/keepers.py
+++ b/benchmarks/keepers.py
@@ -39,8 +39,9 @@
     from ringshift.wire.keeper import KeeperLink
 
     folder = tempfile.mkdtemp()
-    keeper = subprocess.Popen([sys.executable, "-m", "standins.keeper", folder], cwd=ROOT, text=True,
-                              stdout=subprocess.PIPE)  # fmt: skip
+    keeper = subprocess.Popen(
+        [sys.executable, "-m", "standins.keeper", folder], cwd=ROOT, text=True, stdout=subprocess.PIPE
+    )
     try:
         assert keeper.stdout is not None
         link = KeeperLink([keeper.stdout.readline().split()[-1]], time.monotonic_ns, 5.0)
@@ -110,8 +111,9 @@
     code = f"from benchmarks.keepers import grpc_client; grpc_client({seconds})"
     for more in ({}, {PURE: "python"}):
         argv = [sys.executable, "-c", "import multiprocessing\nif __name__ == '__main__':\n    " + code]
-        ran = subprocess.run(argv, cwd=ROOT, env=os.environ | more, capture_output=True, text=True,
-                             timeout=120)  # fmt: skip
+        ran = subprocess.run(
+            argv, cwd=ROOT, env=os.environ | more, capture_output=True, text=True, timeout=120
+        )
         if ran.returncode == 0:
             print(ran.stdout, end="", flush=True)
             return
@@ -196,10 +198,13 @@
         for node in nodes:
             node.kill()
             node.join()
-    print(f"pysyncobj, three processes, locks that end after 3 s: a lock taken in "
-          f"{statistics.median(takes) * 1e3:.0f} ms (median of {len(takes)}); another's after the leader "
-          f"that held it was killed: median {statistics.median(overs):.2f} s, most {max(overs):.2f} s of "
-          f"{len(overs)}", flush=True)  # fmt: skip
+    print(
+        f"pysyncobj, three processes, locks that end after 3 s: a lock taken in "
+        f"{statistics.median(takes) * 1e3:.0f} ms (median of {len(takes)}); another's after the leader "
+        f"that held it was killed: median {statistics.median(overs):.2f} s, most {max(overs):.2f} s of "
+        f"{len(overs)}",
+        flush=True,
+    )
 
 
 def row_worker(job: tuple[str, str, float]) -> int:
@@ -226,9 +231,12 @@
     db.close()
     with multiprocessing.get_context("spawn").Pool(4) as pool:
         told = pool.map(row_worker, [(path, f"h{n}", seconds) for n in range(4)])
-    print(f"a lease row in a shared SQLite store: {sum(told) / seconds:.0f} renewals a second from four "
-          "processes; its times are the holders' own wall clocks, nobody ends it but the next who looks, "
-          "and it lives on one machine's disk", flush=True)  # fmt: skip
+    print(
+        f"a lease row in a shared SQLite store: {sum(told) / seconds:.0f} renewals a second from four "
+        "processes; its times are the holders' own wall clocks, nobody ends it but the next who looks, "
+        "and it lives on one machine's disk",
+        flush=True,
+    )
 
 
 def main() -> int:
--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -76,21 +76,27 @@
     wrong = {one["seed"]: one["wrong"] for one in good if one["wrong"]}
     names = ("overlap", "stale token", "past deadline", "twice", "skipped")
     counts = {name: sum(told.startswith(name) for all_ in wrong.values() for told in all_) for name in names}
-    print(f"{len(good)} scripts from seed {first}, 3 to 9 holders, in {time.monotonic() - began:.0f} s; "
-          f"{len(failed)} could not be played")  # fmt: skip
-    print(f"steps accepted {sum(one['accepted'] for one in good)}, refused by the fence "
-          f"{sum(one['refused'] for one in good)}; holds that acted "
-          f"{sum(one['holders_seen'] for one in good)}; scripts with no step "
-          f"{sum(not one['accepted'] for one in good)}; "
-          f"same hold kept through a stall or cut {sum(one['kept'] for one in good)}")  # fmt: skip
+    print(
+        f"{len(good)} scripts from seed {first}, 3 to 9 holders, in {time.monotonic() - began:.0f} s; "
+        f"{len(failed)} could not be played"
+    )
+    print(
+        f"steps accepted {sum(one['accepted'] for one in good)}, refused by the fence "
+        f"{sum(one['refused'] for one in good)}; holds that acted "
+        f"{sum(one['holders_seen'] for one in good)}; scripts with no step "
+        f"{sum(not one['accepted'] for one in good)}; "
+        f"same hold kept through a stall or cut {sum(one['kept'] for one in good)}"
+    )
     print(", ".join(f"{name} {counts[name]}" for name in names))
     print("\n| time without a holder | count | median s | 99th s | most s | floor s (ttl + margin) |")
     print("| --- | --- | --- | --- | --- | --- |")
     for what in ("crash", "stall", "cut"):
         gaps = [gap for one in good for gap in one["gaps"].get(what, [])]
         if gaps:
-            print(f"| after a {what} | {len(gaps)} | {statistics.median(gaps) / 1e9:.2f} | "
-                  f"{share(gaps, 0.99):.2f} | {max(gaps) / 1e9:.2f} | 3.30 |")  # fmt: skip
+            print(
+                f"| after a {what} | {len(gaps)} | {statistics.median(gaps) / 1e9:.2f} | "
+                f"{share(gaps, 0.99):.2f} | {max(gaps) / 1e9:.2f} | 3.30 |"
+            )
     for seed, told in list(wrong.items())[:10]:
         print(f"seed {seed}: {told[:3]} (kept in {folder}/{seed})")
     for one in failed[:5]:
@@ -108,13 +114,21 @@
     model, began = Model("", faults), time.monotonic()
     told = explore(model.held(), model.after, model.wrong, depth, 3_000_000)
     depth_told = f"{told.depth}{' (whole)' if told.whole else ''}"
-    return (f"| {', '.join(map(str, faults))} | {depth_told} | {told.states} | {told.moves} | "
-            f"{told.wrong or 'nothing'} | {time.monotonic() - began:.0f} |")  # fmt: skip
+    return (
+        f"| {', '.join(map(str, faults))} | {depth_told} | {told.states} | {told.moves} | "
+        f"{told.wrong or 'nothing'} | {time.monotonic() - began:.0f} |"
+    )
 
 
 def model(depth: int) -> int:
-    jobs = [((0, 0, 0, 0), depth + 3), ((1, 0, 0, 0), depth + 2), ((0, 1, 0, 0), depth + 2),
-            ((0, 0, 1, 0), depth + 2), ((0, 0, 0, 1), depth + 2), ((1, 1, 1, 1), depth)]  # fmt: skip
+    jobs = [
+        ((0, 0, 0, 0), depth + 3),
+        ((1, 0, 0, 0), depth + 2),
+        ((0, 1, 0, 0), depth + 2),
+        ((0, 0, 1, 0), depth + 2),
+        ((0, 0, 0, 1), depth + 2),
+        ((1, 1, 1, 1), depth),
+    ]
     print("| faults: stalls, crashes, leaves, restarts | depth | states | moves | wrong | s |")
     print("| --- | --- | --- | --- | --- | --- |")
     with multiprocessing.get_context("spawn").Pool(3, maxtasksperchild=1) as pool:
@@ -149,8 +163,12 @@
 
 def cost(leases: int, seconds: float) -> int:
     folder = tempfile.mkdtemp(prefix="leases-cost-")
-    keeper = subprocess.Popen([sys.executable, "-m", "standins.keeper", f"{folder}/keeper"], cwd=ROOT,
-                              stdout=subprocess.PIPE, text=True)  # fmt: skip
+    keeper = subprocess.Popen(
+        [sys.executable, "-m", "standins.keeper", f"{folder}/keeper"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     try:
         assert keeper.stdout is not None
         address = keeper.stdout.readline().split()[-1]
@@ -160,24 +178,43 @@
             told = pool.map(renewing, [(address, leases // clients, seconds)] * clients)
             took, keeping = time.monotonic() - began, cpu(keeper.pid) - used
         done = sum(count for count, _ in told)
-        print(f"renewals a second with {leases} leases at the stand-in, {clients} clients at full speed: "
-              f"{done / seconds:.0f}; keeper {keeping / took:.2f} of a core; a renewal costs a client "
-              f"{sum(cpu for _, cpu in told) / done * 1e6:.0f} us of CPU")  # fmt: skip
-        print(f"1,000 holders of 10 s need 300 renewals a second (a keep-alive and a read each): "
-              f"{600 / (done / seconds):.2f} of what it holds")  # fmt: skip
+        print(
+            f"renewals a second with {leases} leases at the stand-in, {clients} clients at full speed: "
+            f"{done / seconds:.0f}; keeper {keeping / took:.2f} of a core; a renewal costs a client "
+            f"{sum(cpu for _, cpu in told) / done * 1e6:.0f} us of CPU"
+        )
+        print(
+            f"1,000 holders of 10 s need 300 renewals a second (a keep-alive and a read each): "
+            f"{600 / (done / seconds):.2f} of what it holds"
+        )
         for ttl in (3, 10):
             settings = Path(folder, f"{ttl}.toml")
-            settings.write_text(f'[leases]\nkeepers = ["{address}"]\nttl_s = {ttl}\nmargin_ms = 300\n'
-                                "answer_within_ms = 900\n")  # fmt: skip
-            argv = [sys.executable, "-m", "ringshift", "lease", "hold", f"cost{ttl}", "--settings",
-                    str(settings), "--name", "h", "--resource", "127.0.0.1:1"]  # fmt: skip
+            settings.write_text(
+                f'[leases]\nkeepers = ["{address}"]\nttl_s = {ttl}\nmargin_ms = 300\nanswer_within_ms = 900\n'
+            )
+            argv = [
+                sys.executable,
+                "-m",
+                "ringshift",
+                "lease",
+                "hold",
+                f"cost{ttl}",
+                "--settings",
+                str(settings),
+                "--name",
+                "h",
+                "--resource",
+                "127.0.0.1:1",
+            ]
             holder = subprocess.Popen(argv, cwd=ROOT, stderr=subprocess.DEVNULL)
             time.sleep(3.0)  # its start is not its running cost
             used = cpu(holder.pid)
             time.sleep(seconds)
             share_of = (cpu(holder.pid) - used) / seconds
-            print(f"a holder at a ttl of {ttl} s, looking 50 times a second: {share_of:.4f} of a core, "
-                  f"{resident(holder.pid):.0f} MB")  # fmt: skip
+            print(
+                f"a holder at a ttl of {ttl} s, looking 50 times a second: {share_of:.4f} of a core, "
+                f"{resident(holder.pid):.0f} MB"
+            )
             holder.terminate()
             holder.wait()
     finally:
--- a/benchmarks/rampcosts.py
+++ b/benchmarks/rampcosts.py
@@ -52,9 +52,11 @@
 
 
 def refresh(sizes: list[int], times: int) -> int:
-    print(f"EMULATED: one backend's refresh, {WARNED} callers counted in its row\n\n"
-          "| callers in the edition | before, kB of answers | ms | the same edition held, kB | ms | "
-          "another one fetched, kB | ms |\n| --- | --- | --- | --- | --- | --- | --- |")  # fmt: skip
+    print(
+        f"EMULATED: one backend's refresh, {WARNED} callers counted in its row\n\n"
+        "| callers in the edition | before, kB of answers | ms | the same edition held, kB | ms | "
+        "another one fetched, kB | ms |\n| --- | --- | --- | --- | --- | --- | --- |"
+    )
     for callers in sizes:
         link, holding, mine = Inside(), Holding(), row(Random(1), 100_000, 2)
         assert link.write(NAME, *link.seized(NAME), link.read(NAME), position(callers))
@@ -67,16 +69,19 @@
             answer = link.call("/kv/txn", {"compare": [], "failure": reads, "success": writes})
             msgspec.json.decode(value(found(answer["responses"][1])[0]), type=Position)
 
-        def held(link: Inside = link, holding: Holding = holding, created: int = created,
-                 mine: Row = mine) -> None:  # fmt: skip
+        def held(
+            link: Inside = link, holding: Holding = holding, created: int = created, mine: Row = mine
+        ) -> None:
             link.put(NAME, "b1.1", mine, created, holding)
 
         def fetched(link: Inside = link, created: int = created, mine: Row = mine) -> None:
             link.put(NAME, "b1.1", mine, created, Holding())
 
         told = [spent(link, step, times) for step in (before, held, fetched)]
-        print(f"| {callers:,} | " + " | ".join(f"{size:.1f} | {took:.2f}" for size, took in told) + " |",
-              flush=True)  # fmt: skip
+        print(
+            f"| {callers:,} | " + " | ".join(f"{size:.1f} | {took:.2f}" for size, took in told) + " |",
+            flush=True,
+        )
     return 0
 
 
@@ -93,10 +98,14 @@
         if told := retiring.read_row(backend, value(kv)):
             rows[backend], revisions[backend] = told, int(kv["mod_revision"])
     return Held(
-        rows, revisions, msgspec.json.decode(value(state[0]), type=Position), int(state[0]["mod_revision"]),
-        msgspec.json.decode(value(counts[0]), type=dict[int, Counted]), int(counts[0]["mod_revision"]),
+        rows,
+        revisions,
+        msgspec.json.decode(value(state[0]), type=Position),
+        int(state[0]["mod_revision"]),
+        msgspec.json.decode(value(counts[0]), type=dict[int, Counted]),
+        int(counts[0]["mod_revision"]),
         msgspec.json.decode(value(word[0]), type=retiring.Word) if word else retiring.Word(),
-    )  # fmt: skip
+    )
 
 
 def looked(size: int, times: int, callers: int, refresh: int) -> list[tuple[float, float]]:
@@ -128,16 +137,19 @@
             out.append(spent(link, way, 1))
         sight.mark = whole.mark
         assert ways[0]() == held(sight.known)
-    return [(statistics.median(kb for kb, _ in out), statistics.median(took for _, took in out))
-            for out in ones]  # fmt: skip
+    return [
+        (statistics.median(kb for kb, _ in out), statistics.median(took for _, took in out)) for out in ones
+    ]
 
 
 def looks(sizes: list[int], times: int, callers: int, refresh: int = 5) -> int:
     """Between two looks, a second apart, each backend's row is put once in `refresh` seconds."""
-    print(f"EMULATED: a look of the ramp's holder, each second; a backend's row put once in {refresh} s, "
-          f"with {WARNED} callers in it; {callers:,} callers in the edition and in the counts\n\n"
-          "| backends | before, kB of answers a look | ms | what changed, kB | ms | all, kB | ms |\n"
-          "| --- | --- | --- | --- | --- | --- | --- |")  # fmt: skip
+    print(
+        f"EMULATED: a look of the ramp's holder, each second; a backend's row put once in {refresh} s, "
+        f"with {WARNED} callers in it; {callers:,} callers in the edition and in the counts\n\n"
+        "| backends | before, kB of answers a look | ms | what changed, kB | ms | all, kB | ms |\n"
+        "| --- | --- | --- | --- | --- | --- | --- |"
+    )
     for size in sizes:
         told = looked(size, times, callers, refresh)
         cells = " | ".join(f"{kb:,.0f} | {took:.1f}" for kb, took in told)
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -23,15 +23,25 @@
 from standins.room import SETTINGS, Room
 from standins.sidecar import Sidecar
 
-RUN = ("import sys, time; a = time.time(); import ringshift.lifecycle.entry as entry; b = time.time()\n"
-       "def read(old=entry.read_backend):\n"
-       "    c = time.time(); backend = old()\n"
-       "    print('stages', a, b, c, time.time(), file=sys.stderr, flush=True)\n"
-       "    return backend\n"
-       "entry.read_backend = read\n"
-       "sys.exit(entry.run())")  # fmt: skip
-STAGES = ("interpreter", "import", "configuration", "to listening", "agent", "warming", "in all",
-          "less the agent")  # fmt: skip
+RUN = (
+    "import sys, time; a = time.time(); import ringshift.lifecycle.entry as entry; b = time.time()\n"
+    "def read(old=entry.read_backend):\n"
+    "    c = time.time(); backend = old()\n"
+    "    print('stages', a, b, c, time.time(), file=sys.stderr, flush=True)\n"
+    "    return backend\n"
+    "entry.read_backend = read\n"
+    "sys.exit(entry.run())"
+)
+STAGES = (
+    "interpreter",
+    "import",
+    "configuration",
+    "to listening",
+    "agent",
+    "warming",
+    "in all",
+    "less the agent",
+)
 CORES, WORK, CALLERS = 6, 0.3, 30  # of each backend; seconds of a mean run on a warm core; callers of each
 LATE = 4.0  # seconds within which an agent comes up
 SERVES = (1.0, 3.0)  # seconds that a ready one serves before it is stopped
@@ -100,8 +110,11 @@
 
 def restart(chance: Random, number: int) -> list[float]:
     ramp = chance.choice(RAMPS)
-    settings = {**SETTINGS, "extra": {**SETTINGS["extra"], "n_cores": CORES, "upstreams": CALLERS},
-                "rules": {**SETTINGS["rules"], "ramp_time": ramp * 1000}}  # fmt: skip
+    settings = {
+        **SETTINGS,
+        "extra": {**SETTINGS["extra"], "n_cores": CORES, "upstreams": CALLERS},
+        "rules": {**SETTINGS["rules"], "ramp_time": ramp * 1000},
+    }
     agent, started = Slow(chance, ramp), time.time()
     with Room(agent, settings=settings, command=("-c", RUN)) as room:
         if number % 3 == 0:
--- a/benchmarks/rulebook.py
+++ b/benchmarks/rulebook.py
@@ -43,8 +43,10 @@
     reached = f"{told.depth}{' (whole)' if told.whole else ''}"
     named = ", ".join(f"{count} {name}" for name, count in faults.items())
     named += ", one refuses" if words.get("odd") else ", each clock at each edge" if rates else ""
-    return (f"| {named} | {words.get('publishers', 1)} | {first} | {reached} | {told.states:,} | "
-            f"{told.moves:,} | {told.wrong or 'nothing'} | {time.monotonic() - began:.0f} |")  # fmt: skip
+    return (
+        f"| {named} | {words.get('publishers', 1)} | {first} | {reached} | {told.states:,} | "
+        f"{told.moves:,} | {told.wrong or 'nothing'} | {time.monotonic() - began:.0f} |"
+    )
 
 
 def model(depth: int, workers: int) -> int:
@@ -84,8 +86,9 @@
     assert run.settled()
     before, began = (run.traffic.calls, run.traffic.bytes), run.now
     run.run(run.now + 5 * S)
-    told["rest"] = [(now - then) / 5 for now, then in
-                    zip((run.traffic.calls, run.traffic.bytes), before, strict=True)]  # fmt: skip
+    told["rest"] = [
+        (now - then) / 5 for now, then in zip((run.traffic.calls, run.traffic.bytes), before, strict=True)
+    ]
     for number in range(publications):
         run.run(run.now + run.chance.randrange(S))
         before, began = (run.traffic.calls, run.traffic.bytes), run.now
@@ -119,16 +122,21 @@
 def scale(sizes: list[int], seeds: int, publications: int, entries: int, workers: int) -> int:
     from ringshift.rulebook.bound import S
 
-    print("EMULATED readers in virtual time; a way of 1 to 30 ms; life 8 s, margin 500 ms, drift 1%, refresh "
-          "1 s\n\n"
-          "| readers | publications | in force, median s | 99th s | one silent, median s | "
-          f"{entries:,} entries, median s | MB in that time | calls a second, at rest | in a publication "
-          "| KB a second, at rest | in a publication |")  # fmt: skip
+    print(
+        "EMULATED readers in virtual time; a way of 1 to 30 ms; life 8 s, margin 500 ms, drift 1%, refresh "
+        "1 s\n\n"
+        "| readers | publications | in force, median s | 99th s | one silent, median s | "
+        f"{entries:,} entries, median s | MB in that time | calls a second, at rest | in a publication "
+        "| KB a second, at rest | in a publication |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     cuts = []
     with multiprocessing.get_context("spawn").Pool(workers, maxtasksperchild=1) as pool:
-        jobs = [(size, seed, publications, entries)
-                for size in sorted(sizes, reverse=True) for seed in range(seeds)]  # fmt: skip
+        jobs = [
+            (size, seed, publications, entries)
+            for size in sorted(sizes, reverse=True)
+            for seed in range(seeds)
+        ]
         found = list(pool.imap_unordered(fleet, jobs))
     for size in sizes:
         mine = [one for one in found if one["size"] == size]
@@ -139,17 +147,23 @@
             return float(statistics.median(sum(values, []) if isinstance(values[0], list) else values))
 
         rest = [statistics.median(one["rest"][place] for one in mine) for place in (0, 1)]
-        print(f"| {size:,} | {len(well)} | {statistics.median(well) / S:.2f} | {part_of(well, 0.99):.2f} | "
-              f"{middle('silent') / S:.2f} | {middle('large') / S:.2f} | {middle('fetched') / 1e6:.1f} | "
-              f"{rest[0]:.0f} | {middle('calls'):.0f} | {rest[1] / 1e3:.0f} | {middle('bytes') / 1e3:.0f} |")
+        print(
+            f"| {size:,} | {len(well)} | {statistics.median(well) / S:.2f} | {part_of(well, 0.99):.2f} | "
+            f"{middle('silent') / S:.2f} | {middle('large') / S:.2f} | {middle('fetched') / 1e6:.1f} | "
+            f"{rest[0]:.0f} | {middle('calls'):.0f} | {rest[1] / 1e3:.0f} | {middle('bytes') / 1e3:.0f} |"
+        )
         alone, back = ([value for one in mine for value in one[name]] for name in ("alone", "back"))
-        cuts.append(f"| {size:,} | {len(alone)} | {statistics.median(alone) / S:.2f} | "
-                    f"{part_of(alone, 0.99):.2f} | {max(alone) / S:.2f} | "
-                    f"{statistics.median(back) / S:.2f} | {part_of(back, 0.99):.2f} | "
-                    f"{sum(one['doubt'] for one in mine)} |")  # fmt: skip
-    print("\nA third of the readers cut off, a version published meanwhile:\n\n"
-          "| readers | cut off | until alone, median s | 99th s | most s | after the cut until with contact, "
-          "median s | 99th s | instants at which two contradict |")  # fmt: skip
+        cuts.append(
+            f"| {size:,} | {len(alone)} | {statistics.median(alone) / S:.2f} | "
+            f"{part_of(alone, 0.99):.2f} | {max(alone) / S:.2f} | "
+            f"{statistics.median(back) / S:.2f} | {part_of(back, 0.99):.2f} | "
+            f"{sum(one['doubt'] for one in mine)} |"
+        )
+    print(
+        "\nA third of the readers cut off, a version published meanwhile:\n\n"
+        "| readers | cut off | until alone, median s | 99th s | most s | after the cut until with contact, "
+        "median s | 99th s | instants at which two contradict |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     print("\n".join(cuts))
     return 0
@@ -168,12 +182,14 @@
     """What is away: turned away, or with the successor since. Points: hundredths of the tries."""
     from standins.fleet.emulated_ramp import SHARES
 
-    print(f"EMULATED, {callers:,} callers of unlike rates, each try at another backend; a refresh each 2 s, "
-          f"one of 50 lost, backends cut off for 5 to 30 s; {seeds} seeds\n\n"
-          "| backends | step | decided after its date, s | a backend acts by it after, median s | 99th s | "
-          "away, % of tries | error, points, median | most | of which not yet warned | let through though "
-          "drawn, until all act by it, % of the tries drawn |\n"
-          "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")  # fmt: skip
+    print(
+        f"EMULATED, {callers:,} callers of unlike rates, each try at another backend; a refresh each 2 s, "
+        f"one of 50 lost, backends cut off for 5 to 30 s; {seeds} seeds\n\n"
+        "| backends | step | decided after its date, s | a backend acts by it after, median s | 99th s | "
+        "away, % of tries | error, points, median | most | of which not yet warned | let through though "
+        "drawn, until all act by it, % of the tries drawn |\n"
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    )
     with multiprocessing.get_context("spawn").Pool(workers, maxtasksperchild=1) as pool:
         found = list(pool.imap(ramped, [(size, callers, seed) for size in sizes for seed in range(seeds)]))
     for place, size in enumerate(sizes):
@@ -189,18 +205,21 @@
             errors = [abs(one - 100 * share) for one in away]
             short = statistics.median(100 * one.unready / one.tries for one in ones)
             split = statistics.median(100 * one.split / max(one.split + one.away, 1) for one in ones)
-            print(f"| {size} | {share:.0%} | {late:.0f} | {statistics.median(lags) / 1e9:.1f} | "
-                  f"{part_of(lags, 0.99):.1f} | {statistics.median(away):.1f} | "
-                  f"{statistics.median(errors):.1f} | {max(errors):.1f} | {short:.1f} | {split:.2f} |",
-                  flush=True)  # fmt: skip
+            print(
+                f"| {size} | {share:.0%} | {late:.0f} | {statistics.median(lags) / 1e9:.1f} | "
+                f"{part_of(lags, 0.99):.1f} | {statistics.median(away):.1f} | "
+                f"{statistics.median(errors):.1f} | {max(errors):.1f} | {short:.1f} | {split:.2f} |",
+                flush=True,
+            )
     return 0
 
 
 def main() -> int:
     raw = argparse.RawDescriptionHelpFormatter
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
-    parser.add_argument("what", choices=["model", "scale", "look", "book", "lookup", "amounts", "ramp",
-                                         "refresh", "rows"])  # fmt: skip
+    parser.add_argument(
+        "what", choices=["model", "scale", "look", "book", "lookup", "amounts", "ramp", "refresh", "rows"]
+    )
     parser.add_argument("--depth", type=int, default=7)
     parser.add_argument("--readers", type=int, nargs="+", default=[10, 100, 1000])
     parser.add_argument("--seeds", type=int, default=4)
--- a/benchmarks/rulecosts.py
+++ b/benchmarks/rulecosts.py
@@ -34,8 +34,10 @@
             self.answer = self.answer or orjson.dumps(super().call(path, body))
             return dict(orjson.loads(self.answer))
 
-    print("| readers | answer KB | read, ms | looked at, all but one have acknowledged, ms | all "
-          "silent, ms |\n| --- | --- | --- | --- | --- |")  # fmt: skip
+    print(
+        "| readers | answer KB | read, ms | looked at, all but one have acknowledged, ms | all "
+        "silent, ms |\n| --- | --- | --- | --- | --- |"
+    )
     for size in sizes:
         run = Fleet(size, 1)
         assert run.settled()
@@ -47,23 +49,27 @@
         for acked in (True, False):
             one = Publisher(ReadingTerms(), held.told.in_force, held.highest, held.told.place)
             (effect,) = one.publish(run.listed(3))
-            rows = {name: replace(row, acked=effect.version.mark) if acked and place else row
-                    for place, (name, row) in enumerate(held.rows.items())}  # fmt: skip
+            rows = {
+                name: replace(row, acked=effect.version.mark) if acked and place else row
+                for place, (name, row) in enumerate(held.rows.items())
+            }
             told = replace(held.told, proposed=effect.version)
             looks.append(ms(lambda one=one, told=told, rows=rows: one.look(0, told, rows), times))  # type: ignore[misc]
-        print(f"| {size:,} | {len(link.answer) / 1e3:.0f} | {read} | {looks[0]} | "
-              f"{looks[1]} |", flush=True)  # fmt: skip
+        print(f"| {size:,} | {len(link.answer) / 1e3:.0f} | {read} | {looks[0]} | {looks[1]} |", flush=True)
     return 0
 
 
 def document(entries: int, other: int = 0) -> str:
     """TOML of `entries` in four lists and quotas; `other` of them are named anew."""
+
     def names(of: str, count: int) -> str:
         return ", ".join(f'"{of}-{n:06}{"-new" if n < other else ""}"' for n in range(count))
 
     part = entries // 4
-    lists = "".join(f'[[lists]]\nof = "{of}"\neffect = "held_back"\nentries = [{names(of, part)}]\n'
-                    for of in ("callers", "customers"))  # fmt: skip
+    lists = "".join(
+        f'[[lists]]\nof = "{of}"\neffect = "held_back"\nentries = [{names(of, part)}]\n'
+        for of in ("callers", "customers")
+    )
     lists += f'[[lists]]\nof = "places"\neffect = "let_through"\nentries = [{names("places", part)}]\n'
     quotas = "".join(f'[[quotas]]\nof = "customers"\nentry = "c{n}"\nmost = {n + 1}\n' for n in range(part))
     return f"{lists}{quotas}[alone]\n"
@@ -84,13 +90,15 @@
     names = Names(tuple(f"o{n}" for n in range(40)), tuple(f"customers-{n:06}" for n in range(50)), "p")
     steps: dict[str, Callable[[], object]] = {
         f"read and checked, {len(text) / 1e3:.0f} KB of TOML": lambda: read(text),
-        "canonical bytes": lambda: canonical(old), "digest": lambda: digest(old),
+        "canonical bytes": lambda: canonical(old),
+        "digest": lambda: digest(old),
         f"{len(differences(old, new)):,} differences of two": lambda: differences(old, new),
         f"written for the keeper, {len(wire) / 1e3:.0f} KB": lambda: write_version(version),
         "read from the keeper, its digest checked": lambda: read_version((0, 2), wire),
-        "meet of two": lambda: meet(old.rules(), new.rules()), "a judge made": lambda: Judge(old.rules()),
+        "meet of two": lambda: meet(old.rules(), new.rules()),
+        "a judge made": lambda: Judge(old.rules()),
         "taken in as indices (Ruled)": lambda: ruled(old.rules(), names),
-    }  # fmt: skip
+    }
     print(f"| a document of {entries:,} entries | ms, median of {times} |\n| --- | --- |")
     for name, step in steps.items():
         print(f"| {name} | {ms(step, times)} |", flush=True)
@@ -119,8 +127,10 @@
     from ringshift.rulebook.indices import Names, ruled
     from ringshift.rulebook.meet import Invocation, Judge
 
-    print("| entries | Judge.refused, of those named ns | of others ns | a caller's index in Ruled ns | "
-          "beside: a dict's get ns |\n| --- | --- | --- | --- | --- |")  # fmt: skip
+    print(
+        "| entries | Judge.refused, of those named ns | of others ns | a caller's index in Ruled ns | "
+        "beside: a dict's get ns |\n| --- | --- | --- | --- | --- |"
+    )
     chance = random.Random(1)
     for size in sizes:
         book = Rulebook([Listing("callers", "held_back", [str(n) for n in range(size)])], alone=Rules())
@@ -129,8 +139,11 @@
         named, others = ([Invocation(one + tail, "c", "p", "o") for one in callers] for tail in ("", "-"))
         indices, plain = [int(one) for one in callers], dict.fromkeys(range(size), True)
         held = inner.held_back[2]
-        print(f"| {size:,} | {ns(judge.refused, named, 7)} | {ns(judge.refused, others, 7)} | "
-              f"{ns(held.__contains__, indices, 7)} | {ns(plain.get, indices, 7)} |", flush=True)  # fmt: skip
+        print(
+            f"| {size:,} | {ns(judge.refused, named, 7)} | {ns(judge.refused, others, 7)} | "
+            f"{ns(held.__contains__, indices, 7)} | {ns(plain.get, indices, 7)} |",
+            flush=True,
+        )
     return 0
 
 
@@ -141,8 +154,10 @@
     for _ in range(rounds):
         for size, controller in worlds.items():
             spent[size].append(decided(controller, size, count))
-    print("| quotas | both look-ups of an invocation, us | an invocation from its arrival to its end, us | "
-          "beside: a walk of all quotas, twice, us |\n| --- | --- | --- | --- |")  # fmt: skip
+    print(
+        "| quotas | both look-ups of an invocation, us | an invocation from its arrival to its end, us | "
+        "beside: a walk of all quotas, twice, us |\n| --- | --- | --- | --- |"
+    )
     for size in sizes:
         looked, whole, walked = (min(one) for one in zip(*spent[size], strict=True))
         print(f"| {size:,} | {looked:.1f} | {whole:.0f} | {walked:,.1f} |", flush=True)
@@ -159,15 +174,35 @@
     customers = tuple(face.Customer(f"c{n}", 1e9) for n in range(size // 2))
     look = face.Operation("look", face.Effect.IDEMPOTENT, 10**10, 0.0, 10**11, 1.0, 0.0, 10**9, False, 0.0)
     machine = face.Machine(
-        cores=8, memory_kb=1e9, run_factor=1.0, entry_kb=1.0, cold=False, cold_speed=0.5, ramp=10**9,
-        fall_multiple=8.0, grace=10**9, tick=10**6, fleet=1, callers=9, halt=face.Halt.NONE,
-        advert=face.Advert.NONE, heeded=0, fresh=0, longest_pause=10**9, over_quota_share=0.1,
-        operations=(look,), customers=customers, gauges=(),
+        cores=8,
+        memory_kb=1e9,
+        run_factor=1.0,
+        entry_kb=1.0,
+        cold=False,
+        cold_speed=0.5,
+        ramp=10**9,
+        fall_multiple=8.0,
+        grace=10**9,
+        tick=10**6,
+        fleet=1,
+        callers=9,
+        halt=face.Halt.NONE,
+        advert=face.Advert.NONE,
+        heeded=0,
+        fresh=0,
+        longest_pause=10**9,
+        over_quota_share=0.1,
+        operations=(look,),
+        customers=customers,
+        gauges=(),
         dependency=face.Dependency(face.Below.NONE, 1.0, 10**9, 0),
-    )  # fmt: skip
+    )
     names = tuple(one.name for one in customers)
-    quotas = [Quota(of, one, 1e9) for of in ("callers", "customers")
-              for one in (map(str, range(size // 2)) if of == "callers" else names)]  # fmt: skip
+    quotas = [
+        Quota(of, one, 1e9)
+        for of in ("callers", "customers")
+        for one in (map(str, range(size // 2)) if of == "callers" else names)
+    ]
     controller = Controller(machine, 1)
     controller.decide(10**12, [ruled(Rules(quotas=quotas), Names(("look",), names))])
     return controller
@@ -181,8 +216,22 @@
     from ringshift.control.invocation import Inv
 
     chance, now = random.Random(1), controller.now
-    came = [face.Arrived(n, 0, chance.randrange(size // 2), None, 0.0, 1.0, 1.0, False,
-                         chance.randrange(size // 2), 0, None) for n in range(count)]  # fmt: skip
+    came = [
+        face.Arrived(
+            n,
+            0,
+            chance.randrange(size // 2),
+            None,
+            0.0,
+            1.0,
+            1.0,
+            False,
+            chance.randrange(size // 2),
+            0,
+            None,
+        )
+        for n in range(count)
+    ]
     invs = [Inv(one, controller.lines[0], now) for one in came]
     marks = [time.process_time_ns()]
     for inv in invs:
--- a/benchmarks/rules.py
+++ b/benchmarks/rules.py
@@ -26,9 +26,20 @@
 
 from benchmarks.leases import share as part_of
 
-KINDS = ("contradiction", "past deadline", "number used twice", "falling", "judged otherwise", "overlap",
-         "outside its window", "begun without contact", "shed early", "shed and let through", "stale step",
-         "crashed")  # fmt: skip
+KINDS = (
+    "contradiction",
+    "past deadline",
+    "number used twice",
+    "falling",
+    "judged otherwise",
+    "overlap",
+    "outside its window",
+    "begun without contact",
+    "shed early",
+    "shed and let through",
+    "stale step",
+    "crashed",
+)
 PARTS = (
     ("changes", "landed", "sets of routing changes landed"),
     ("changes", "against", "refused, contradicting what was in force"),
@@ -101,8 +112,10 @@
 def spread(values: list[int]) -> str:
     if not values:
         return "0 | | |"
-    return (f"{len(values)} | {statistics.median(values) / 1e9:.2f} | {part_of(values, 0.99):.2f} | "
-            f"{max(values) / 1e9:.2f} |")  # fmt: skip
+    return (
+        f"{len(values)} | {statistics.median(values) / 1e9:.2f} | {part_of(values, 0.99):.2f} | "
+        f"{max(values) / 1e9:.2f} |"
+    )
 
 
 def table(rows: list[dict[str, Any]]) -> int:
@@ -123,8 +136,10 @@
     print(f"| scripts that ended without one version everywhere | {len(unsettled)} |")
     print(f"| numbers given again after a loss of the keeper's data | {total('again')} |")
     longest = max((row["longest"] for row in good), default=0) / 1e9
-    print(f"| stretches of two backends on contradicting rules (allowed up to B after a keeper's loss) | "
-          f"{total('contradictions')}, most {longest:.3f} s |")  # fmt: skip
+    print(
+        f"| stretches of two backends on contradicting rules (allowed up to B after a keeper's loss) | "
+        f"{total('contradictions')}, most {longest:.3f} s |"
+    )
     for part, name, text in PARTS:
         print(f"| {text} | {sum(row[part][name] for row in good)} |")
     for kind in dict.fromkeys((*KINDS, *kinds)):
--- a/benchmarks/ruling.py
+++ b/benchmarks/ruling.py
@@ -128,13 +128,17 @@
 
 
 def table(spent: dict[str, list[float]], peaks: dict[str, float]) -> None:
-    print("\n| rulebook | CPU an invocation, us | against off, median of the rounds | quartiles | "
-          "peak memory, MB |\n| --- | --- | --- | --- | --- |")  # fmt: skip
+    print(
+        "\n| rulebook | CPU an invocation, us | against off, median of the rounds | quartiles | "
+        "peak memory, MB |\n| --- | --- | --- | --- | --- |"
+    )
     for way, costs in spent.items():
         pairs = [on / off - 1 for on, off in zip(costs, spent["off"], strict=True)]
         low, middle, high = statistics.quantiles(pairs, n=4)
-        print(f"| {way} | {statistics.median(costs):.0f} | {middle:+.1%} | {low:+.1%} to {high:+.1%} | "
-              f"{peaks[way]:.1f} |")  # fmt: skip
+        print(
+            f"| {way} | {statistics.median(costs):.0f} | {middle:+.1%} | {low:+.1%} to {high:+.1%} | "
+            f"{peaks[way]:.1f} |"
+        )
 
 
 def main() -> int:
--- a/benchmarks/same.py
+++ b/benchmarks/same.py
@@ -70,8 +70,9 @@
 
 def played(folder: Path, out: Path, draws: Draws) -> subprocess.Popen[bytes]:
     with out.open("wb") as told:
-        return subprocess.Popen([sys.executable, "-c", PLAY, *(str(int(one)) for one in draws)], cwd=folder,
-                                stdout=told)  # fmt: skip
+        return subprocess.Popen(
+            [sys.executable, "-c", PLAY, *(str(int(one)) for one in draws)], cwd=folder, stdout=told
+        )
 
 
 def prepared(folder: Path, base: str, plant: bool = False) -> Path:
@@ -132,16 +133,20 @@
         if told.short:
             draws = draws._replace(seeds=6, steps=40)
             planted = compared(prepared(folder / "planted", "", True), ROOT, draws)[2]
-            print(f"a constant changed: {len(planted)} of {draws.seeds} seeds differ; "
-                  f"{planted[0] if planted else 'NOT FOUND'}")  # fmt: skip
+            print(
+                f"a constant changed: {len(planted)} of {draws.seeds} seeds differ; "
+                f"{planted[0] if planted else 'NOT FOUND'}"
+            )
             if not planted:
                 return 1
         base = prepared(folder / "base", told.base)
         text = prepared(folder / "text", told.text) if told.text else ROOT
         count, actions, differing = compared(base, text, draws)
     against = told.base or "a copy of itself"
-    print(f"{draws.seeds} seeds of up to {draws.steps} steps ({count} played), against {against}: "
-          f"{actions} actions, " + (f"{len(differing)} seeds differ" if differing else "all the same"))
+    print(
+        f"{draws.seeds} seeds of up to {draws.steps} steps ({count} played), against {against}: "
+        f"{actions} actions, " + (f"{len(differing)} seeds differ" if differing else "all the same")
+    )
     for one in differing[:5]:
         print(one)
     return 1 if differing else 0
--- a/benchmarks/schedule.py
+++ b/benchmarks/schedule.py
@@ -43,7 +43,8 @@
     start, minutes = chance.randrange(YEAR), chance.randint(5, 120)
     source, target = chance.sample(PLACES, 2)
     does = chance.choices(
-        (Move(chance.randint(1, 10) * WHOLE // 10, source, target), Drain(source), Quota(50)), (6, 1, 3))[0]
+        (Move(chance.randint(1, 10) * WHOLE // 10, source, target), Drain(source), Quota(50)), (6, 1, 3)
+    )[0]
     scope = Scope(frozenset(chance.sample(OPERATIONS, 2)), frozenset(chance.sample(CUSTOMERS, 3)))
     return Change(name, scope, does, start, start + minutes * 60 * S, 60 * S, 60 * S)
 
@@ -87,16 +88,27 @@
         whole.add(change)
         spent.append((time.process_time() - began) * 1_000)
     spent.sort()
-    print(f"| {size:,} | {overlap(changes):,} | {drawn - size:,} | {took:.3f} | {took / size * 1e6:.0f} | "
-          f"{statistics.median(spent):.2f} | {spent[int(len(spent) * 0.99)]:.2f} |", flush=True)
+    print(
+        f"| {size:,} | {overlap(changes):,} | {drawn - size:,} | {took:.3f} | {took / size * 1e6:.0f} | "
+        f"{statistics.median(spent):.2f} | {spent[int(len(spent) * 0.99)]:.2f} |",
+        flush=True,
+    )
 
 
 def looks(rows: int, at_once: int) -> None:
     """One backend's timetable: `at_once` in their ramps, the others to come."""
     now = 1_800_000_000 * S
-    told = [Planned(name=f"n{n}", does=HeldDown(50), ramp_in_ms=3_000_000, start=moment(begins),
-                    end=moment(begins + 3_600 * S)) for n in range(rows)
-            for begins in [now - 600 * S if n < at_once else now + n * 3_600 * S]]  # fmt: skip
+    told = [
+        Planned(
+            name=f"n{n}",
+            does=HeldDown(50),
+            ramp_in_ms=3_000_000,
+            start=moment(begins),
+            end=moment(begins + 3_600 * S),
+        )
+        for n in range(rows)
+        for begins in [now - 600 * S if n < at_once else now + n * 3_600 * S]
+    ]
     horizon = Horizon(moment(now), moment(now + YEAR), 8_000)
     book = Rulebook(alone=Rules(), changes=told, horizon=horizon)
     timetable = Timetable(LATE, Names(fleet=8))
@@ -111,8 +123,11 @@
             timetable.hear(now + at, True, (book,))
             into.append((time.perf_counter() - began) * 1e6)
     spent.sort()
-    print(f"| {rows:,} | {len(timetable.near)} | {took:.1f} | {spent[1000]:.1f} | {spent[1980]:.1f} | "
-          f"{statistics.median(between):.1f} |", flush=True)  # fmt: skip
+    print(
+        f"| {rows:,} | {len(timetable.near)} | {took:.1f} | {spent[1000]:.1f} | {spent[1980]:.1f} | "
+        f"{statistics.median(between):.1f} |",
+        flush=True,
+    )
 
 
 def main() -> None:
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -79,8 +79,13 @@
     owed nothing), `gone` (a caller of 50 ms' patience gave up first), `late` (a patient caller, 4 s and
     half a second, heard nothing: the one that would be a loss)."""
     unsent = not link.free or link.broken
-    answer = link.ask(random.choice(["look", "order"]), random.randbytes(random.choice(BODIES)),
-                      random.getrandbits(64), patience, **fields)  # fmt: skip
+    answer = link.ask(
+        random.choice(["look", "order"]),
+        random.randbytes(random.choice(BODIES)),
+        random.getrandbits(64),
+        patience,
+        **fields,
+    )
     if answer is not None:
         key = str(answer.status)
     else:
@@ -120,8 +125,9 @@
             "RINGSHIFT_CENSUS": str(folder / way),
         }
         settings = {**SETTINGS, "extra": {**SETTINGS["extra"], "upstreams": SENDERS}}
-        rooms[way] = Quiet(work(Random(random.getrandbits(32))), shell=run, settings=settings,
-                           environ={**environ, **census})  # fmt: skip
+        rooms[way] = Quiet(
+            work(Random(random.getrandbits(32))), shell=run, settings=settings, environ={**environ, **census}
+        )
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that the backends end with it, below
     try:
         return measure(rooms, readings, tallies, folder, minutes, told, random)
@@ -130,16 +136,23 @@
             room.__exit__()  # kills a backend still running; a second call after a clean end does nothing
 
 
-def measure(rooms: dict[str, Quiet], readings: dict[str, list[tuple[float, float]]],
-            tallies: dict[str, dict[str, int]], folder: Path, minutes: float, told: argparse.Namespace,
-            random: Random) -> int:  # fmt: skip
+def measure(
+    rooms: dict[str, Quiet],
+    readings: dict[str, list[tuple[float, float]]],
+    tallies: dict[str, dict[str, int]],
+    folder: Path,
+    minutes: float,
+    told: argparse.Namespace,
+    random: Random,
+) -> int:
     start = time.monotonic()
     until = start + minutes * 60
     for way, room in rooms.items():
         room.serving()
         for _ in range(4):
-            gevent.spawn(callers, room.address(), Random(random.getrandbits(32)), told.rate / 4, until,
-                         tallies[way])  # fmt: skip
+            gevent.spawn(
+                callers, room.address(), Random(random.getrandbits(32)), told.rate / 4, until, tallies[way]
+            )
     while time.monotonic() < until:
         gevent.sleep(EVERY)
         at = time.monotonic() - start
@@ -158,8 +171,10 @@
         seen = readings[way]
         first = next((m for t, m in seen if t >= 60), seen[0][1])
         ends = ", ".join(f"{k} {v}" for k, v in sorted(tallies[way].items()))
-        print(f"| {way} | {first:.1f} | {seen[-1][1]:.1f} | {max(m for _, m in seen):.1f} | "
-              f"{slope(seen):+.2f} | {ends} |")  # fmt: skip
+        print(
+            f"| {way} | {first:.1f} | {seen[-1][1]:.1f} | {max(m for _, m in seen):.1f} | "
+            f"{slope(seen):+.2f} | {ends} |"
+        )
     for way, room in rooms.items():
         room.process.send_signal(signal.SIGUSR2)
         path = folder / way
--- a/ringshift/benchlink/wire.py
+++ b/ringshift/benchlink/wire.py
@@ -57,8 +57,9 @@
     return orjson.dumps({"output": output}) + b"\n"
 
 
-def read_arrived(fields: Mapping[str, Any], ids: Ids, operations: Mapping[str, int],
-                 customers: Mapping[str, int]) -> face.Input:  # fmt: skip
+def read_arrived(
+    fields: Mapping[str, Any], ids: Ids, operations: Mapping[str, int], customers: Mapping[str, int]
+) -> face.Input:
     name = "NewRequest"
     operation = choice(operations, need(fields, "priority", name, str), f"{name}: priority")
     project = fields.get("project")
@@ -92,22 +93,38 @@
 
 READERS: dict[str, Callable[..., face.Input | None]] = {
     "NewRequest": read_arrived,
-    "Finished": read_by_id("Finished", lambda inv, f: face.Finished(
-        inv, choice(OUTCOMES, need(f, "ending", "Finished", str), "Finished: ending"),
-        ns(need(f, "latency", "Finished", float)))),
+    "Finished": read_by_id(
+        "Finished",
+        lambda inv, f: face.Finished(
+            inv,
+            choice(OUTCOMES, need(f, "ending", "Finished", str), "Finished: ending"),
+            ns(need(f, "latency", "Finished", float)),
+        ),
+    ),
     "Hangup": read_by_id("Hangup", lambda inv, f: face.CallerGone(inv)),
     "WantsCall": read_by_id("WantsCall", lambda inv, f: face.CallWanted(inv)),
-    "CallEnded": read_by_id("CallEnded", lambda inv, f: face.CallEnded(
-        inv, choice(OUTCOMES, need(f, "ending", "CallEnded", str), "CallEnded: ending"),
-        ns(need(f, "latency", "CallEnded", float)))),
+    "CallEnded": read_by_id(
+        "CallEnded",
+        lambda inv, f: face.CallEnded(
+            inv,
+            choice(OUTCOMES, need(f, "ending", "CallEnded", str), "CallEnded: ending"),
+            ns(need(f, "latency", "CallEnded", float)),
+        ),
+    ),
     "WindDown": lambda f, *_: face.Leaving(ns(need(f, "left", "WindDown", float))),
     "TickDue": lambda f, *_: face.TimerFired(
-        need(f, "name", "TickDue", int), maybe(f, "stats", "TickDue", list, [])),
-}  # fmt: skip
+        need(f, "name", "TickDue", int), maybe(f, "stats", "TickDue", list, [])
+    ),
+}
 
 
-def read_input(name: str, fields: Mapping[str, Any], ids: Ids, operations: Mapping[str, int],
-               customers: Mapping[str, int]) -> face.Input | None:  # fmt: skip
+def read_input(
+    name: str,
+    fields: Mapping[str, Any],
+    ids: Ids,
+    operations: Mapping[str, int],
+    customers: Mapping[str, int],
+) -> face.Input | None:
     return READERS[name](fields, ids, operations, customers)
 
 
--- a/ringshift/cli/budget.py
+++ b/ringshift/cli/budget.py
@@ -21,8 +21,13 @@
 
 @budget.command()
 @click.argument("names", nargs=-1)
-@click.option("--settings", "path", required=True, type=click.Path(dir_okay=False, exists=True),
-              help="The operators' TOML with [leases] and [[budgets]].")  # fmt: skip
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False, exists=True),
+    help="The operators' TOML with [leases] and [[budgets]].",
+)
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
 def status(names: tuple[str, ...], path: str, as_json: bool) -> None:
     """Each budget's whole, who divides it, and every backend's want, use, grant and its end.
@@ -65,18 +70,31 @@
     backends = []
     for backend in sorted({*rows, *asks}):
         ask, grant = asks.get(backend), rows.get(backend)
-        backends.append({
-            "backend": backend, "want": ask.want if ask else 0.0, "use": ask.use if ask else 0.0,
-            "share": terms.safe + (grant.extra if grant else 0.0), "held": grant.held if grant else 0.0,
-            "goes_by_round": ask.round if ask else 0,
-            # As the divider counts it, which is never before the backend's own end; None: not told.
-            "ends_within_ms": within(left.get(backend), since) if held.at else None,
-        })  # fmt: skip
+        backends.append(
+            {
+                "backend": backend,
+                "want": ask.want if ask else 0.0,
+                "use": ask.use if ask else 0.0,
+                "share": terms.safe + (grant.extra if grant else 0.0),
+                "held": grant.held if grant else 0.0,
+                "goes_by_round": ask.round if ask else 0,
+                # As the divider counts it, which is never before the backend's own end; None: not told.
+                "ends_within_ms": within(left.get(backend), since) if held.at else None,
+            }
+        )
     counted = terms.safe * terms.most + sum(grant.held for grant in rows.values())
     whole, number = (held.ledger.whole, held.ledger.round) if held.ledger else (terms.whole, 0)
-    return {"budget": name, "unit": terms.unit.value, "whole": whole, "round": number, "counted": counted,
-            "divider": link.divider(name), "most": terms.most, "safe": terms.safe,
-            "backends": backends}  # fmt: skip
+    return {
+        "budget": name,
+        "unit": terms.unit.value,
+        "whole": whole,
+        "round": number,
+        "counted": counted,
+        "divider": link.divider(name),
+        "most": terms.most,
+        "safe": terms.safe,
+        "backends": backends,
+    }
 
 
 def within(left: int | None, since: float) -> float:
@@ -87,12 +105,19 @@
 
 def show(one: dict[str, Any]) -> None:
     state = f"round {one['round']}" if one["round"] else "not divided yet: every backend has its safe share"
-    click.echo(f"{one['budget']}: whole {one['whole']:g} {one['unit']}, counted in use at most "
-               f"{one['counted']:g} (safe shares of {one['most']} included), {state}, divided by "
-               f"{one['divider'] or 'nobody now'}")  # fmt: skip
+    click.echo(
+        f"{one['budget']}: whole {one['whole']:g} {one['unit']}, counted in use at most "
+        f"{one['counted']:g} (safe shares of {one['most']} included), {state}, divided by "
+        f"{one['divider'] or 'nobody now'}"
+    )
     for row in one["backends"]:
         ends = f", ends within {row['ends_within_ms'] / 1000:.1f} s" if row["ends_within_ms"] else ""
-        click.echo(f"  {row['backend']}: share {row['share']:g}{ends}, wants {row['want']:g}, "
-                   f"uses {row['use']:g}"
-                   + (f", may still be using {row['held']:g} beyond the safe share"
-                      if row["held"] > row["share"] - one["safe"] else ""))  # fmt: skip
+        click.echo(
+            f"  {row['backend']}: share {row['share']:g}{ends}, wants {row['want']:g}, "
+            f"uses {row['use']:g}"
+            + (
+                f", may still be using {row['held']:g} beyond the safe share"
+                if row["held"] > row["share"] - one["safe"]
+                else ""
+            )
+        )
--- a/ringshift/cli/keeping.py
+++ b/ringshift/cli/keeping.py
@@ -23,10 +23,16 @@
 FILE = click.Path(dir_okay=False, exists=True)
 NUMBER = re.compile(r"(\d{1,8})\.(\d{1,12})")
 JSON = click.option("--json", "as_json", is_flag=True, help="For programs.")
-SETTINGS = click.option("--settings", "path", required=True, type=FILE,
-                        help="The operators' TOML with [leases] and [rules].")  # fmt: skip
-WITHIN = click.option("--within", default=30.0, show_default=True, type=click.FloatRange(0.0, 86400.0),
-                      help="Seconds to lead it; what is proposed by then stands.")  # fmt: skip
+SETTINGS = click.option(
+    "--settings", "path", required=True, type=FILE, help="The operators' TOML with [leases] and [rules]."
+)
+WITHIN = click.option(
+    "--within",
+    default=30.0,
+    show_default=True,
+    type=click.FloatRange(0.0, 86400.0),
+    help="Seconds to lead it; what is proposed by then stands.",
+)
 T = TypeVar("T")
 MOST_WORDS = 8  # names in a reason
 DIE_AT = click.option("--die-at", default="", hidden=True, help="Fault tests: killed at this place.")
@@ -40,8 +46,12 @@
         return f"user {os.getuid()}"
 
 
-AUTHOR = click.option("--author", default="", callback=lambda ctx, param, told: told.strip() or user(),
-                      help="Who does it; left out, your name on this system.")  # fmt: skip
+AUTHOR = click.option(
+    "--author",
+    default="",
+    callback=lambda ctx, param, told: told.strip() or user(),
+    help="Who does it; left out, your name on this system.",
+)
 
 
 def said(ctx: click.Context, param: click.Parameter, told: str) -> str:
--- a/ringshift/cli/lease.py
+++ b/ringshift/cli/lease.py
@@ -18,8 +18,13 @@
     from ringshift.settings.operators import Leases
     from ringshift.wire.keeper import KeeperLink
 
-SETTINGS = click.option("--settings", "path", required=True, type=click.Path(dir_okay=False, exists=True),
-                        help="The operators' TOML with a [leases] table.")  # fmt: skip
+SETTINGS = click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False, exists=True),
+    help="The operators' TOML with a [leases] table.",
+)
 
 
 def terms_of(path: str) -> Leases:
@@ -42,23 +47,34 @@
 def holding(command: Callable[..., Any]) -> Callable[..., Any]:
     """The options of every command that seeks a lease; the hidden ones are the fault tests'."""
     options = [
-        click.argument("task"), SETTINGS,
+        click.argument("task"),
+        SETTINGS,
         click.option("--name", required=True, help="This holder's name, as the keeper will show it."),
-        click.option("--history", type=click.Path(dir_okay=False, path_type=Path),
-                     help="A line for each change."),
+        click.option(
+            "--history", type=click.Path(dir_okay=False, path_type=Path), help="A line for each change."
+        ),
         click.option("--seed", default=1, help="For the waits drawn by chance."),
         click.option("--skew-ppm", default=0, hidden=True, help="Fault tests: this clock runs so much fast."),
         click.option("--step-ms", default=0, hidden=True, help="Fault tests: clock steps by so much ..."),
         click.option("--step-at-ms", default=0, hidden=True, help="... so long after the start."),
         click.option("--die-at-step", default=0, hidden=True, help="Fault tests: killed by its answer."),
-    ]  # fmt: skip
+    ]
     for option in reversed(options):
         command = option(command)
     return command
 
 
-def run(task: str, path: str, name: str, history: Path | None, seed: int, skew_ppm: int, step_ms: int,
-        step_at_ms: int, work: Work) -> int:  # fmt: skip
+def run(
+    task: str,
+    path: str,
+    name: str,
+    history: Path | None,
+    seed: int,
+    skew_ppm: int,
+    step_ms: int,
+    step_at_ms: int,
+    work: Work,
+) -> int:
     from ringshift.lifecycle.holder import OwnClock
     from ringshift.lifecycle.holder import hold as held
     from ringshift.settings.operators import read_operators
@@ -81,8 +97,17 @@
 @click.option("--steps", "most", default=0, help="Steps in the whole task; 0 for one that never ends.")
 @click.option("--pause-at-step", default=0, hidden=True, help="Fault tests: before sending this step ...")
 @click.option("--pause-ms", default=0, hidden=True, help="... pause so long, after the last look.")
-def hold(task: str, path: str, name: str, resource: str, most: int, pause_at_step: int, pause_ms: int,
-         die_at_step: int, **more: Any) -> int:  # fmt: skip
+def hold(
+    task: str,
+    path: str,
+    name: str,
+    resource: str,
+    most: int,
+    pause_at_step: int,
+    pause_ms: int,
+    die_at_step: int,
+    **more: Any,
+) -> int:
     """Seek TASK's lease, step the task while it is held, revoke it at SIGTERM or SIGINT."""
     from ringshift.lifecycle.works import Steps
 
@@ -97,8 +122,16 @@
 @click.argument("paths", nargs=-1, required=True)
 @click.option("-o", "--output", required=True, type=click.Path(dir_okay=False), help="The incident store.")
 @click.option("--follow", is_flag=True, help="Go on with what the servers write later.")
-def gather(task: str, path: str, name: str, paths: tuple[str, ...], output: str, follow: bool,
-           die_at_step: int, **more: Any) -> int:  # fmt: skip
+def gather(
+    task: str,
+    path: str,
+    name: str,
+    paths: tuple[str, ...],
+    output: str,
+    follow: bool,
+    die_at_step: int,
+    **more: Any,
+) -> int:
     """Gather the records in PATHS into one store, under TASK's lease: one holder at a time, the others wait.
 
     Whoever takes over goes on where the last one's accepted portion ended. Ends once all is taken, unless
@@ -130,8 +163,10 @@
     elif told["holder"] is None:
         click.echo(f"{task}: held by nobody (keeper at revision {told['revision']})")
     else:
-        click.echo(f"{task}: held by {told['holder']}, token {told['token']}, lease {told['lease']}, "
-                   f"{told['ttl_s']} s left of {told['granted_s']}")  # fmt: skip
+        click.echo(
+            f"{task}: held by {told['holder']}, token {told['token']}, lease {told['lease']}, "
+            f"{told['ttl_s']} s left of {told['granted_s']}"
+        )
 
 
 @lease.command()
@@ -174,6 +209,12 @@
     kv = found["kvs"][0]
     lease = int(kv.get("lease", 0))
     live = link.call("/kv/lease/timetolive", {"ID": str(lease)})
-    return {"task": task, "holder": base64.b64decode(kv.get("value", "")).decode(errors="replace"),
-            "token": int(kv["create_revision"]), "lease": lease, "ttl_s": int(live.get("TTL", -1)),
-            "granted_s": int(live.get("grantedTTL", 0)), "revision": revision}  # fmt: skip
+    return {
+        "task": task,
+        "holder": base64.b64decode(kv.get("value", "")).decode(errors="replace"),
+        "token": int(kv["create_revision"]),
+        "lease": lease,
+        "ttl_s": int(live.get("TTL", -1)),
+        "granted_s": int(live.get("grantedTTL", 0)),
+        "revision": revision,
+    }
--- a/ringshift/cli/records.py
+++ b/ringshift/cli/records.py
@@ -63,8 +63,10 @@
         )
         runs = store.runs()
         servers = len({server for server, *_ in runs})
-        print(f"{output}: {taken} records taken, {again} were there, {refused} refused; "
-              f"{len(runs)} runs of {servers} servers")  # fmt: skip
+        print(
+            f"{output}: {taken} records taken, {again} were there, {refused} refused; "
+            f"{len(runs)} runs of {servers} servers"
+        )
         for kind, count in sorted(kinds.items()):
             print(f"  refused: {kind}: {count}")
         if sys.stdout.isatty():
--- a/ringshift/cli/report.py
+++ b/ringshift/cli/report.py
@@ -49,10 +49,16 @@
     if as_json:
         plain = as_plain(analysis.verdict, analysis.cause, analysis.course)
         between = [
-            {"what": one.what.value, "subject": one.subject, "start": one.start, "end": one.end,
-             "servers": one.servers, "text": one.text}
+            {
+                "what": one.what.value,
+                "subject": one.subject,
+                "start": one.start,
+                "end": one.end,
+                "servers": one.servers,
+                "text": one.text,
+            }
             for one in tell(analysis.course).told
-        ]  # fmt: skip
+        ]
         print(json.dumps(plain | {"between": between}))
         return
     if output is None:
--- a/ringshift/cli/retire.py
+++ b/ringshift/cli/retire.py
@@ -38,8 +38,7 @@
 @SETTINGS
 @JSON
 @DIE_AT
-def planned(file: str, author: str, reason: str, within: float, path: str, as_json: bool,
-            die_at: str) -> int:  # fmt: skip
+def planned(file: str, author: str, reason: str, within: float, path: str, as_json: bool, die_at: str) -> int:
     """Land the [[timelines]] of FILE in the next version of the rulebook; one takes the place of another of
     its name. Exit status 0 once it is in force, 1 where it contradicts a routing change or another timeline.
 
@@ -57,8 +56,9 @@
     return carried(wish, author, reason, within, path, as_json, die_at)
 
 
-def carried(wish: Wish, author: str, reason: str, within: float, path: str, as_json: bool,
-            die_at: str) -> int:  # fmt: skip
+def carried(
+    wish: Wish, author: str, reason: str, within: float, path: str, as_json: bool, die_at: str
+) -> int:
     from ringshift.cli.rulewords import Progress, leading
     from ringshift.lifecycle.planning import Planning
 
@@ -74,8 +74,9 @@
 @SETTINGS
 @JSON
 @DIE_AT
-def withdraw(name: str, author: str, reason: str, within: float, path: str, as_json: bool,
-             die_at: str) -> int:  # fmt: skip
+def withdraw(
+    name: str, author: str, reason: str, within: float, path: str, as_json: bool, die_at: str
+) -> int:
     """Take the timeline NAME out of the rulebook: nobody is turned away by it once that is in force.
 
     Example: ringshift retire withdraw order-book --author anna --reason "kept a year" --settings fleet.toml
@@ -144,33 +145,51 @@
     now, paused = time.time_ns(), held.word.paused
     one = standing(timeline, held.position or Position(), counts, now, paused)
     return asdict(one) | {
-        "operation": timeline.operation, "successor": timeline.successor,
-        "reason": held.word.reason, "author": held.word.author,
-        "decides": base64.b64decode(holding).decode(errors="replace") or None, "backends": backends(held),
-    }  # fmt: skip
+        "operation": timeline.operation,
+        "successor": timeline.successor,
+        "reason": held.word.reason,
+        "author": held.word.author,
+        "decides": base64.b64decode(holding).decode(errors="replace") or None,
+        "backends": backends(held),
+    }
 
 
 def backends(held: Held) -> list[dict[str, Any]]:
-    return [{"backend": name, "edition": row.figures.edition, "old": row.figures.old, "new": row.figures.new,
-             "errors": row.figures.errors, "shed": row.figures.shed, "leaving": row.leaving}
-            for name, row in sorted(held.rows.items())]  # fmt: skip
+    return [
+        {
+            "backend": name,
+            "edition": row.figures.edition,
+            "old": row.figures.old,
+            "new": row.figures.new,
+            "errors": row.figures.errors,
+            "shed": row.figures.shed,
+            "leaving": row.leaving,
+        }
+        for name, row in sorted(held.rows.items())
+    ]
 
 
 def show(one: dict[str, Any]) -> None:
     behind = f", {one['late'] / 3.6e12:.1f} h behind its dates" if one["late"] else ""
     phase = one["phase"].lower().replace("_", " ")
-    click.echo(f"{one['name']}: {phase}, {one['share'] / 10_000:g}% of the callers of {one['operation']} "
-               f"turned away (edition {one['edition']}){behind}")  # fmt: skip
+    click.echo(
+        f"{one['name']}: {phase}, {one['share'] / 10_000:g}% of the callers of {one['operation']} "
+        f"turned away (edition {one['edition']}){behind}"
+    )
     if one["stopped"]:
         click.echo(f"  paused by operators: {one['reason']}")
     if one["why"]:
         click.echo(f"  last decision: {one['why']}")
-    click.echo(f"  {one['counted']} callers warned, {one['short']} of them not yet to the floor; "
-               f"{one['shed']} turned away; decided by {one['decides'] or 'nobody at present'}")  # fmt: skip
+    click.echo(
+        f"  {one['counted']} callers warned, {one['short']} of them not yet to the floor; "
+        f"{one['shed']} turned away; decided by {one['decides'] or 'nobody at present'}"
+    )
     for row in one["backends"][:MOST_BACKENDS]:
         late = f", by edition {row['edition']}" if row["edition"] != one["edition"] else ""
-        click.echo(f"  {row['backend']}: {row['old']} of the old, {row['new']} of the successor, "
-                   f"{row['errors']} errors, {row['shed']} turned away{late}")  # fmt: skip
+        click.echo(
+            f"  {row['backend']}: {row['old']} of the old, {row['new']} of the successor, "
+            f"{row['errors']} errors, {row['shed']} turned away{late}"
+        )
     if len(one["backends"]) > MOST_BACKENDS:
         click.echo(f"  and {len(one['backends']) - MOST_BACKENDS} more backends")
 
--- a/ringshift/cli/rulecheck.py
+++ b/ringshift/cli/rulecheck.py
@@ -50,9 +50,15 @@
             raise
         click.echo(json.dumps({"file": file, "right": False, "why": str(wrong)}))
         return 2
-    parts = {"lists": len(book.lists), "entries": sum(len(one.entries) for one in book.lists),
-             "quotas": len(book.quotas), "shares": len(book.shares), "wholes": len(book.wholes),
-             "changes": len(book.changes), "timelines": len(book.timelines)}  # fmt: skip
+    parts = {
+        "lists": len(book.lists),
+        "entries": sum(len(one.entries) for one in book.lists),
+        "quotas": len(book.quotas),
+        "shares": len(book.shares),
+        "wholes": len(book.wholes),
+        "changes": len(book.changes),
+        "timelines": len(book.timelines),
+    }
     loose = lax(book)
     beside, found = by_itself(file, book) if path is None else against(file, book, path)
     refused = beside["refused"] or (STRICTLY if strict and loose else "")
@@ -61,8 +67,10 @@
     if as_json:
         click.echo(json.dumps(told))
         return 1 if refused else 0
-    click.echo(f"{file}: {'may not be published' if refused else 'right'}, "
-               f"{', '.join(f'{n} {name}' for name, n in parts.items())}; digest {told['digest'][:16]}")
+    click.echo(
+        f"{file}: {'may not be published' if refused else 'right'}, "
+        f"{', '.join(f'{n} {name}' for name, n in parts.items())}; digest {told['digest'][:16]}"
+    )
     if refused:
         click.echo(f"  {refused}")
     if path is not None:
@@ -105,11 +113,14 @@
     except click.ClickException as wrong:
         refused = wrong.message
     return {
-        "in_force": None if now is None else brief(now), "differences": list(map(difference, found)),
-        "steps": [{"what": one.what, "by_all": one.by_all} for one in steps], "refused": refused,
-        "raised": raised_of(path, book), "silent_s": terms.surely_ended / 1e9,
+        "in_force": None if now is None else brief(now),
+        "differences": list(map(difference, found)),
+        "steps": [{"what": one.what, "by_all": one.by_all} for one in steps],
+        "refused": refused,
+        "raised": raised_of(path, book),
+        "silent_s": terms.surely_ended / 1e9,
         "b_s": bound(terms.life, terms.margin, terms.drift_ppm) / 1e9,
-    }, found  # fmt: skip
+    }, found
 
 
 def show_beside(told: dict[str, Any], found: list[Difference]) -> None:
@@ -120,10 +131,14 @@
         click.echo(f"in force is {now['number']}, {len(found)} differences")
     show_differences(found)
     for place, step in enumerate(steps, 1) if len(steps) > 1 else ():
-        click.echo(f"  step {place} of {len(steps)}: {step['what']}"
-                   + (" (every reader must acknowledge it)" if step["by_all"] else ""))  # fmt: skip
-    click.echo(f"by [rules] there B is {told['b_s']:.3f} s, and a publication waits {told['silent_s']:.3f} s "
-               "for a silent backend")  # fmt: skip
+        click.echo(
+            f"  step {place} of {len(steps)}: {step['what']}"
+            + (" (every reader must acknowledge it)" if step["by_all"] else "")
+        )
+    click.echo(
+        f"by [rules] there B is {told['b_s']:.3f} s, and a publication waits {told['silent_s']:.3f} s "
+        "for a silent backend"
+    )
     for line in told["raised"]:
         click.echo(f"warning: {line}")
 
@@ -171,16 +186,23 @@
 
 
 def laxity(one: Lax) -> dict[str, Any]:
-    return {"kind": one.kind, "what": one.what, "alone": finite(one.alone), "rules": finite(one.rules),
-            "reason": one.reason}  # fmt: skip
+    return {
+        "kind": one.kind,
+        "what": one.what,
+        "alone": finite(one.alone),
+        "rules": finite(one.rules),
+        "reason": one.reason,
+    }
 
 
 def lines(found: Sequence[Lax]) -> Iterator[str]:
     """For people, by kind and entry."""
     if not found:
         return
-    yield (f"warning: `alone` admits what the rules refuse, {len(found)} times: a backend without contact "
-           "contradicts the others for as long as it has none")  # fmt: skip
+    yield (
+        f"warning: `alone` admits what the rules refuse, {len(found)} times: a backend without contact "
+        "contradicts the others for as long as it has none"
+    )
     for one in found[:MOST_LINES]:
         told = ""
         if one.alone is not None and one.rules is not None:
@@ -196,8 +218,11 @@
     from ringshift.settings.operators import read_operators
 
     budgets = [one.budget() for one in read_operators(path).budgets]
-    found = [raised(budget, {one.budget: one.whole for one in rules.wholes})
-             for rules in (book, book.alone) for budget in budgets]  # fmt: skip
+    found = [
+        raised(budget, {one.budget: one.whole for one in rules.wholes})
+        for rules in (book, book.alone)
+        for budget in budgets
+    ]
     return list(dict.fromkeys(filter(None, found)))
 
 
--- a/ringshift/cli/rules.py
+++ b/ringshift/cli/rules.py
@@ -55,8 +55,17 @@
 @SETTINGS
 @JSON
 @DIE_AT
-def publish(file: str, author: str, reason: str, strict: bool, in_steps: bool, within: float, path: str,
-            as_json: bool, die_at: str) -> int:  # fmt: skip
+def publish(
+    file: str,
+    author: str,
+    reason: str,
+    strict: bool,
+    in_steps: bool,
+    within: float,
+    path: str,
+    as_json: bool,
+    die_at: str,
+) -> int:
     """Publish FILE as the next version and lead it into force. Exit status 0 only once it is in force. Warns
     where its `alone` admits what its rules refuse, and where a whole can't be as low as it says.
 
@@ -79,14 +88,19 @@
     now = held.told.in_force
     if now.digest == digest(book):
         told = brief(now)
-        click.echo(json.dumps({"state": "IN_FORCE", "why": "it is in force already", "version": told})
-                   if as_json else f"in force already: {described(told)}")  # fmt: skip
+        click.echo(
+            json.dumps({"state": "IN_FORCE", "why": "it is in force already", "version": told})
+            if as_json
+            else f"in force already: {described(told)}"
+        )
         return 0
     needed = refusing(file, lambda: plan(now.book, book))
     if len(needed) > 1 and not in_steps:
         lines = "; ".join(f"{place}: {step.what}" for place, step in enumerate(needed, 1))
-        raise click.ClickException(f"{file}: not in one publication: `alone` would change with it. With "
-                                   f"--in-steps it is published in {len(needed)}: {lines}")  # fmt: skip
+        raise click.ClickException(
+            f"{file}: not in one publication: `alone` would change with it. With "
+            f"--in-steps it is published in {len(needed)}: {lines}"
+        )
     outcome, base = None, now.stamp
     for place, step in enumerate(needed, 1):
         why = reason if len(needed) == 1 else f"{reason} ({place} of {len(needed)}: {step.what})"
@@ -119,8 +133,11 @@
     from ringshift.rulebook.writing import write
 
     told = brief(one)
-    heading = (f"version {told['number']}, digest {one.digest[:16]}", f"author: {one.author}",
-               f"reason: {one.reason}")  # fmt: skip
+    heading = (
+        f"version {told['number']}, digest {one.digest[:16]}",
+        f"author: {one.author}",
+        f"reason: {one.reason}",
+    )
     click.echo(write(one.book, heading), nl=False)
 
 
@@ -206,8 +223,9 @@
     try:
         outcome = leading(link, terms, progress, die_at).withdraw(author, reason, round(within * 1e9))
     except PublicationError as wrong:
-        raise click.ClickException(f"{wrong}. `ringshift rules show VERSION` and `publish` bring any kept "
-                                   "version back") from None  # fmt: skip
+        raise click.ClickException(
+            f"{wrong}. `ringshift rules show VERSION` and `publish` bring any kept version back"
+        ) from None
     except ValueError as wrong:  # a version that the keeper couldn't take
         raise click.ClickException(str(wrong)) from None
     return ended(outcome, progress)
--- a/ringshift/cli/rulewords.py
+++ b/ringshift/cli/rulewords.py
@@ -27,10 +27,10 @@
 # how it ended | what to do
 ADVICE = {
     "LATE": "it stands at the keeper: `ringshift rules settle` leads it on, `ringshift rules withdraw` takes "
-            "it back",
+    "it back",
     "BEATEN": "begin from what stands now, and publish again",
     "REFUSED": "it was taken back; change the document, or update the programs that refuse it",
-}  # fmt: skip
+}
 
 
 def brief(one: Version) -> dict[str, Any]:
@@ -114,8 +114,14 @@
 
 
 def difference(one: Difference) -> dict[str, Any]:
-    return {"kind": one.kind, "what": one.what, "old": finite(one.old), "new": finite(one.new),
-            "verdict": one.verdict.name, "reason": one.reason}  # fmt: skip
+    return {
+        "kind": one.kind,
+        "what": one.what,
+        "old": finite(one.old),
+        "new": finite(one.new),
+        "verdict": one.verdict.name,
+        "reason": one.reason,
+    }
 
 
 def finite(amount: float | None) -> float | None:
@@ -126,8 +132,12 @@
 def show_differences(found: list[Difference]) -> None:
     from ringshift.rulebook.kinds import Verdict
 
-    means = {Verdict.ALWAYS: "contradict", Verdict.SUMMED: "contradict while both are summed",
-             Verdict.NEVER: "no contradiction", Verdict.ENDLESS: "contradict without end"}  # fmt: skip
+    means = {
+        Verdict.ALWAYS: "contradict",
+        Verdict.SUMMED: "contradict while both are summed",
+        Verdict.NEVER: "no contradiction",
+        Verdict.ENDLESS: "contradict without end",
+    }
     for one in found:
         amounts = "" if one.old is None or one.new is None else f" {limit(one.old)} -> {limit(one.new)}"
         click.echo(f"  {one.kind}: {one.what}{amounts}; {means[one.verdict]}: {one.reason}")
@@ -141,15 +151,32 @@
     proposed = told.proposed
     return {
         "in_force": None if told.in_force is None else brief(told.in_force),
-        "highest": list(told.highest), "lost": told.lost, "next": list(told.next),
-        "proposed": None if proposed is None else brief(proposed.version) | {
-            "state": proposed.state, "by_all": proposed.by_all, "waiting": list(proposed.waited),
+        "highest": list(told.highest),
+        "lost": told.lost,
+        "next": list(told.next),
+        "proposed": None
+        if proposed is None
+        else brief(proposed.version)
+        | {
+            "state": proposed.state,
+            "by_all": proposed.by_all,
+            "waiting": list(proposed.waited),
             "undoes": None if proposed.undoes is None else number(proposed.undoes),
-            "refused": dict(proposed.refused)},
-        "readers": [{"name": one.name, "standing": one.standing, "silent": one.silent,
-                     "acts_by": [number(stamp) for stamp in one.acts_by], "ends_within_s": one.ends / 1e9,
-                     "waited": one.waited, "why": one.why} for one in told.readers],
-    }  # fmt: skip
+            "refused": dict(proposed.refused),
+        },
+        "readers": [
+            {
+                "name": one.name,
+                "standing": one.standing,
+                "silent": one.silent,
+                "acts_by": [number(stamp) for stamp in one.acts_by],
+                "ends_within_s": one.ends / 1e9,
+                "waited": one.waited,
+                "why": one.why,
+            }
+            for one in told.readers
+        ],
+    }
 
 
 def show_picture(told: Picture) -> None:
--- a/ringshift/cli/schedule.py
+++ b/ringshift/cli/schedule.py
@@ -19,8 +19,13 @@
     from ringshift.schedule.plan import Against, Terms
     from ringshift.schedule.planner import Wish
 
-AHEAD = click.option("--days", default=180.0, show_default=True, type=click.FloatRange(0.01, 3660.0),
-                     help="How far ahead recurring changes are expanded.")  # fmt: skip
+AHEAD = click.option(
+    "--days",
+    default=180.0,
+    show_default=True,
+    type=click.FloatRange(0.01, 3660.0),
+    help="How far ahead recurring changes are expanded.",
+)
 NAMED = [AUTHOR, click.option("--reason", default="", help="Why; left out, what is planned or withdrawn.")]
 
 
@@ -79,13 +84,18 @@
     from ringshift.schedule.change import All
     from ringshift.schedule.planned import moment
 
-    part = {name: "all" if isinstance(names, All) else sorted(names)
-            for name, names in zip(("operations", "customers", "places"), broken.part.parts, strict=True)}
+    part = {
+        name: "all" if isinstance(names, All) else sorted(names)
+        for name, names in zip(("operations", "customers", "places"), broken.part.parts, strict=True)
+    }
     return {
-        "rule": broken.rule.name, "beneath": getattr(broken, "beneath", broken.rule).name, "part": part,
+        "rule": broken.rule.name,
+        "beneath": getattr(broken, "beneath", broken.rule).name,
+        "part": part,
         "changes": [broken.first, broken.second],
-        "first_ns": broken.instant, "first": moment(broken.instant).isoformat(),
-    }  # fmt: skip
+        "first_ns": broken.instant,
+        "first": moment(broken.instant).isoformat(),
+    }
 
 
 @schedule.command()
@@ -111,8 +121,13 @@
     planner = Planner(wish_of(file), terms)
     planner.hear(News.FREE, time.time_ns(), base)
     right = planner.state in (State.PROPOSING, State.LANDED)
-    told = {"file": file, "right": right, "why": planner.why, "late_ms": terms.late / 1e6,
-            "contradiction": contradiction(planner.broken) if planner.broken else None}  # fmt: skip
+    told = {
+        "file": file,
+        "right": right,
+        "why": planner.why,
+        "late_ms": terms.late / 1e6,
+        "contradiction": contradiction(planner.broken) if planner.broken else None,
+    }
     if as_json:
         click.echo(json.dumps(told))
     else:
@@ -131,15 +146,29 @@
 @schedule.command("plan")
 @click.argument("file", type=FILE)
 @by_whom
-@click.option("--tries", default=20, show_default=True, type=click.IntRange(1, 1000),
-              help="How often it may lose to another publisher and plan anew.")  # fmt: skip
+@click.option(
+    "--tries",
+    default=20,
+    show_default=True,
+    type=click.IntRange(1, 1000),
+    help="How often it may lose to another publisher and plan anew.",
+)
 @AHEAD
 @WITHIN
 @SETTINGS
 @JSON
 @DIE_AT
-def planned(file: str, author: str, reason: str, tries: int, days: float, within: float, path: str,
-            as_json: bool, die_at: str) -> int:  # fmt: skip
+def planned(
+    file: str,
+    author: str,
+    reason: str,
+    tries: int,
+    days: float,
+    within: float,
+    path: str,
+    as_json: bool,
+    die_at: str,
+) -> int:
     """Land the [[changes]] of FILE in the next version of the rulebook. Exit status 0 once it is in force, 1
     where they contradict what is in force by then, naming rule, both changes and the first instant.
 
@@ -158,8 +187,9 @@
 @SETTINGS
 @JSON
 @DIE_AT
-def withdraw(names: tuple[str, ...], author: str, reason: str, within: float, path: str, as_json: bool,
-             die_at: str) -> int:  # fmt: skip
+def withdraw(
+    names: tuple[str, ...], author: str, reason: str, within: float, path: str, as_json: bool, die_at: str
+) -> int:
     """Withdraw changes: begun nowhere from then on, walked back by their ramps where under way. Their places
     are held until their planned ends, where they may have begun.
 
@@ -170,8 +200,17 @@
     return carried(Wish(withdrawn=frozenset(names)), author, reason, 20, 180.0, within, path, as_json, die_at)
 
 
-def carried(wish: Wish, author: str, reason: str, tries: int, days: float, within: float, path: str,
-            as_json: bool, die_at: str) -> int:  # fmt: skip
+def carried(
+    wish: Wish,
+    author: str,
+    reason: str,
+    tries: int,
+    days: float,
+    within: float,
+    path: str,
+    as_json: bool,
+    die_at: str,
+) -> int:
     from ringshift.cli.rulewords import Progress, leading
     from ringshift.lifecycle.planning import Planning
 
@@ -189,8 +228,17 @@
     version = None if ended.version is None else brief(ended.version)
     if as_json:
         against = None if planner.broken is None else contradiction(planner.broken)
-        click.echo(json.dumps({"state": planner.state.name, "why": planner.why, "lost": planner.lost,
-                               "version": version, "contradiction": against}))  # fmt: skip
+        click.echo(
+            json.dumps(
+                {
+                    "state": planner.state.name,
+                    "why": planner.why,
+                    "lost": planner.lost,
+                    "version": version,
+                    "contradiction": against,
+                }
+            )
+        )
     elif version is not None:
         click.echo(f"in force by version {version['number']}")
     else:
@@ -235,12 +283,23 @@
     for row in book.changes:
         left = [one for one in windows(row, book.horizon) if one[1] > now]
         start, end = min(left, default=(0, 0))
-        state = "withdrawn" if row.withdrawn else "ended" if not left else (
-            "in its window" if start <= now else "planned")  # fmt: skip
-        rows.append({
-            "name": row.name, "state": state, "does": row.does.words(), "windows": len(left),
-            "from": moment(start).isoformat() if left else None,
-            "to": moment(end).isoformat() if left else None,
-            "withdrawn": row.withdrawn.isoformat() if row.withdrawn else None, "text": row.text,
-        })  # fmt: skip
+        state = (
+            "withdrawn"
+            if row.withdrawn
+            else "ended"
+            if not left
+            else ("in its window" if start <= now else "planned")
+        )
+        rows.append(
+            {
+                "name": row.name,
+                "state": state,
+                "does": row.does.words(),
+                "windows": len(left),
+                "from": moment(start).isoformat() if left else None,
+                "to": moment(end).isoformat() if left else None,
+                "withdrawn": row.withdrawn.isoformat() if row.withdrawn else None,
+                "text": row.text,
+            }
+        )
     return rows
--- a/ringshift/console/app.py
+++ b/ringshift/console/app.py
@@ -20,9 +20,17 @@
 
 S = 10**9
 COLUMNS = {
-    "server": 12, "phase": 9, "rdy": 4, "limit": 5, " press": 6, " ok/s": 6, " away": 6, " err": 5,
-    " ok so far": 14, "trouble": 12,
-}  # fmt: skip
+    "server": 12,
+    "phase": 9,
+    "rdy": 4,
+    "limit": 5,
+    " press": 6,
+    " ok/s": 6,
+    " away": 6,
+    " err": 5,
+    " ok so far": 14,
+    "trouble": 12,
+}
 LINES = 5  # findings under the table
 
 
--- a/ringshift/control/controller.py
+++ b/ringshift/control/controller.py
@@ -44,9 +44,14 @@
             self.step_to(inv, News.TURN)  # runs that err at once look the quickest and draw the fleet's work
         elif now >= inv.due - BEAT or (not line.op.late_share and now + self.latest(inv) > inv.goal):
             self.step_to(inv, News.LATE)
-        elif (self.worth_rank(inv, news) < self.level(line) or inv.kb * self.machine.run_factor > self.room or
-              (inv.over and self.open < 1.0) or (self.speed() < 1.0 and len(self.invs) > self.crowd()) or
-              self.rationed(face.Unit.RATE, news.operation) or (self.ruled and self.outpaced(inv))):
+        elif (
+            self.worth_rank(inv, news) < self.level(line)
+            or inv.kb * self.machine.run_factor > self.room
+            or (inv.over and self.open < 1.0)
+            or (self.speed() < 1.0 and len(self.invs) > self.crowd())
+            or self.rationed(face.Unit.RATE, news.operation)
+            or (self.ruled and self.outpaced(inv))
+        ):
             self.step_to(inv, News.TURN)  # the rates were asked last: they take a token
         else:
             if news.customer >= 0:
--- a/ringshift/control/invocation.py
+++ b/ringshift/control/invocation.py
@@ -139,5 +139,6 @@
     def make_room(self) -> None:
         """What was just read can overfill the memory; the newest of the least worth goes first."""
         while (self.memory > self.machine.memory_kb or len(self.invs) > self.machine.in_hand) and (
-                light := [inv for inv in reversed(self.invs.values()) if inv.state in WEIGHTLESS]):
+            light := [inv for inv in reversed(self.invs.values()) if inv.state in WEIGHTLESS]
+        ):
             self.step_to(min(light, key=lambda inv: inv.rank), News.TURN)
--- a/ringshift/findings/course.py
+++ b/ringshift/findings/course.py
@@ -20,7 +20,7 @@
     THROTTLED,
     WIDTHS,
     Digest,
-)  # fmt: skip
+)
 from ringshift.findings.signs import Kind, Spell
 
 MS, S = 10**6, 10**9
--- a/ringshift/findings/digest/digester.py
+++ b/ringshift/findings/digest/digester.py
@@ -160,8 +160,17 @@
 
     def on_ramp(self, record: Record, body: RampStep) -> None:
         if len(self.digest.ramps) < MOST_MARKS:
-            self.digest.ramps.append((body.timeline[:200], body.old[:50], body.new[:50], body.why[:200],
-                                      body.share, body.edition, record.up))  # fmt: skip
+            self.digest.ramps.append(
+                (
+                    body.timeline[:200],
+                    body.old[:50],
+                    body.new[:50],
+                    body.why[:200],
+                    body.share,
+                    body.edition,
+                    record.up,
+                )
+            )
 
     def on_rules(self, record: Record, body: RulesChange) -> None:
         if len(self.digest.acting) < MOST_MARKS:
--- a/ringshift/findings/fleet.py
+++ b/ringshift/findings/fleet.py
@@ -156,19 +156,34 @@
             apart = one.error + other.error
             # A vanished run's hold ends with its last record, which says nothing of when it stopped acting.
             if one.server != other.server and shared > apart:
-                text = (f"{one.server} and {other.server} both say they held {task} for {shared / MS:.0f} "
-                        f"ms, with clocks at most {apart / MS:.0f} ms apart; the resource's tokens decide")
+                text = (
+                    f"{one.server} and {other.server} both say they held {task} for {shared / MS:.0f} "
+                    f"ms, with clocks at most {apart / MS:.0f} ms apart; the resource's tokens decide"
+                )
                 rests_on = f"{one.server} from {one.start}", f"{other.server} from {other.start}"
-                yield Told(What.OVERLAP, task, other.start, other.start + shared,
-                           (one.server, other.server), text, rests_on)  # fmt: skip
+                yield Told(
+                    What.OVERLAP,
+                    task,
+                    other.start,
+                    other.start + shared,
+                    (one.server, other.server),
+                    text,
+                    rests_on,
+                )
 
 
 def doubts(task: str, held: Sequence[Holding]) -> Iterable[Told]:
     for one in held:
         if one.way is Way.DOUBTFUL:
-            yield Told(What.DOUBT, task, one.end, one.end, (one.server,),
-                       f"{one.server} held {task} and lost the keeper: it stopped acting at its own deadline",
-                       (f"{one.server}: HOLDING -> DOUBTFUL",))  # fmt: skip
+            yield Told(
+                What.DOUBT,
+                task,
+                one.end,
+                one.end,
+                (one.server,),
+                f"{one.server} held {task} and lost the keeper: it stopped acting at its own deadline",
+                (f"{one.server}: HOLDING -> DOUBTFUL",),
+            )
 
 
 def lost_together(budget: str, falls: Sequence[Fall], fleet: Fleet, known: int) -> Iterable[Told]:
@@ -197,9 +212,15 @@
     else:
         why = "no record tells who divided it"
     names = ", ".join(servers[:5]) + (f" and {len(servers) - 5} more" if len(servers) > 5 else "")
-    return Told(What.LOST_SHARES, budget, group[0].at, group[-1].at, servers,
-                f"{names} fell to the safe share of {budget}, {lost:g} in all; {why}",
-                tuple(f"{fall.server}: {fall.old:g} -> {fall.new:g}" for fall in group[:8]))  # fmt: skip
+    return Told(
+        What.LOST_SHARES,
+        budget,
+        group[0].at,
+        group[-1].at,
+        servers,
+        f"{names} fell to the safe share of {budget}, {lost:g} in all; {why}",
+        tuple(f"{fall.server}: {fall.old:g} -> {fall.new:g}" for fall in group[:8]),
+    )
 
 
 def moves_of(server: str, stint: Stint, course: Course) -> Iterable[Moved]:
@@ -215,8 +236,15 @@
             later = (other for other in moves[place + 1 :] if other.share > one.share)
             end = next((other.at for other in later), one.at)
             text = f"{timeline} went {one.old} -> {one.new} at {one.share / 10_000:g}% turned away: {one.why}"
-            yield Told(What.RAMP_HELD_UP, timeline, one.at, end, (one.server,), text,
-                       (f"{one.server}: decision {one.edition}",))  # fmt: skip
+            yield Told(
+                What.RAMP_HELD_UP,
+                timeline,
+                one.at,
+                end,
+                (one.server,),
+                text,
+                (f"{one.server}: decision {one.edition}",),
+            )
 
 
 def twice(timeline: str, moves: Sequence[Moved]) -> Iterable[Told]:
@@ -229,8 +257,15 @@
         servers = tuple(sorted({one.server for one in same}))
         if len(servers) > 1:
             text = f"decision {edition} of {timeline} was written by {' and '.join(servers[:5])}"
-            yield Told(What.RAMP_TWICE, timeline, same[0].at, same[-1].at, servers, text,
-                       tuple(f"{one.server}: {one.old} -> {one.new}" for one in same[:8]))  # fmt: skip
+            yield Told(
+                What.RAMP_TWICE,
+                timeline,
+                same[0].at,
+                same[-1].at,
+                servers,
+                text,
+                tuple(f"{one.server}: {one.old} -> {one.new}" for one in same[:8]),
+            )
 
 
 def tell(course: Course) -> Fleet:
--- a/ringshift/findings/judge/troubles.py
+++ b/ringshift/findings/judge/troubles.py
@@ -30,8 +30,9 @@
     return found
 
 
-def told(docket: Docket, what: What, cluster: Sequence[Placed], detail: str = "",
-         **figures: float) -> Finding:  # fmt: skip
+def told(
+    docket: Docket, what: What, cluster: Sequence[Placed], detail: str = "", **figures: float
+) -> Finding:
     first = min(cluster, key=lambda one: one.start)
     ends = [one.end for one in cluster]
     end = None if None in ends else max(end for end in ends if end is not None)
--- a/ringshift/fleet/budget.py
+++ b/ringshift/fleet/budget.py
@@ -183,8 +183,9 @@
     return {
         (states[state], news[name]): (states[row[2].strip()], row[3].split())
         for row in (line.split("|") for line in text.strip().splitlines())
-        for state in row[0].split() for name in row[1].split()
-    }  # fmt: skip
+        for state in row[0].split()
+        for name in row[1].split()
+    }
 
 
 DIVIDER = table(DIVIDING_TABLE, Stage, Word)
@@ -206,8 +207,9 @@
     gone: list[str] = field(default_factory=list)  # backends whose asks may be deleted
     beyond: int = 0  # backends that asked beyond the largest fleet: told, never granted
 
-    def hear(self, word: Word, now: int, asks: Iterable[Ask] = (),
-             ledger: Ledger | None = None) -> Ledger | None:  # fmt: skip
+    def hear(
+        self, word: Word, now: int, asks: Iterable[Ask] = (), ledger: Ledger | None = None
+    ) -> Ledger | None:
         self.now, self.ledger, self.gone = now, None, []
         if word is Word.ROUND and self.stage is WAITING and now >= self.until:
             word = Word.OVER
@@ -314,16 +316,26 @@
             if row.extra > 0:
                 row.add(number, row.extra, row.read_at + self.budget.counted)
         rows = {name: Grant(row.n, row.extra, max(row.held(), row.extra)) for name, row in self.rows.items()}
-        left = {name: max(until for _, _, until in row.out) - self.now
-                for name, row in self.rows.items() if row.out}  # fmt: skip
+        left = {
+            name: max(until for _, _, until in row.out) - self.now
+            for name, row in self.rows.items()
+            if row.out
+        }
         self.ledger = Ledger(number, self.budget.whole, rows, self.budget.life, left)
 
     def targets(self) -> dict[str, float]:
         """Each backend's fair part of the pool, beyond its safe share; none for one whose grant is ending."""
         budget = self.budget
-        asking = [(name, 0.0 if row.leaving or self.now - row.read_at >= budget.usable
-                   else max(min(row.want, budget.whole) - budget.safe, 0.0), row.weight)
-                  for name, row in self.rows.items()]  # fmt: skip
+        asking = [
+            (
+                name,
+                0.0
+                if row.leaving or self.now - row.read_at >= budget.usable
+                else max(min(row.want, budget.whole) - budget.safe, 0.0),
+                row.weight,
+            )
+            for name, row in self.rows.items()
+        ]
         parts = fair(max(budget.pool, 0.0), asking)
         if budget.unit is not Unit.CALLS:
             return parts
@@ -342,5 +354,11 @@
         return self.budget.safe * self.budget.most + sum(row.held() for row in self.rows.values())
 
     def picture(self) -> dict[str, object]:
-        return {"stage": self.stage.name, "round": self.round, "backends": len(self.rows),
-                "whole": self.budget.whole, "counted": self.counted(), "beyond": self.beyond}  # fmt: skip
+        return {
+            "stage": self.stage.name,
+            "round": self.round,
+            "backends": len(self.rows),
+            "whole": self.budget.whole,
+            "counted": self.counted(),
+            "beyond": self.beyond,
+        }
--- a/ringshift/fleet/gathering.py
+++ b/ringshift/fleet/gathering.py
@@ -87,8 +87,9 @@
 TABLE: dict[tuple[State, News], tuple[State, list[str]]] = {
     (State[state], News[name]): (State[row[2].strip()], row[3].split())
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
-    for state in row[0].split() for name in row[1].split()
-}  # fmt: skip
+    for state in row[0].split()
+    for name in row[1].split()
+}
 
 
 @dataclass
@@ -180,8 +181,12 @@
 
     def next(self, now: int) -> Portion | None:
         """The portion to read now, or None where no source has one."""
-        ready = [one for one in self.sources.values() if one.place < one.size and (
-            one.state is FINE or (one.state is FAILING and now >= one.again and one.readable))]  # fmt: skip
+        ready = [
+            one
+            for one in self.sources.values()
+            if one.place < one.size
+            and (one.state is FINE or (one.state is FAILING and now >= one.again and one.readable))
+        ]
         if not self.known or not ready:
             return None
         one = min(ready, key=lambda source: (source.read_at, source.path))
@@ -220,7 +225,11 @@
 
     def picture(self) -> dict[str, object]:
         states = [one.state.name for one in self.sources.values()]
-        return {"step": self.step, "sources": len(self.sources), "left_out": self.left_out,
-                "states": {name: states.count(name) for name in sorted(set(states))},
-                "behind": sum(max(one.size - one.place, 0) for one in self.sources.values()),
-                "failing": [one.path for one in self.sources.values() if one.state is FAILING][:20]}
+        return {
+            "step": self.step,
+            "sources": len(self.sources),
+            "left_out": self.left_out,
+            "states": {name: states.count(name) for name in sorted(set(states))},
+            "behind": sum(max(one.size - one.place, 0) for one in self.sources.values()),
+            "failing": [one.path for one in self.sources.values() if one.state is FAILING][:20],
+        }
--- a/ringshift/fleet/lease.py
+++ b/ringshift/fleet/lease.py
@@ -74,8 +74,9 @@
 TABLE: dict[tuple[Phase, News], tuple[Phase | None, list[str]]] = {
     (Phase[phase], News[name]): (None if row[2].strip() == "=" else Phase[row[2].strip()], row[3].split())
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
-    for phase in row[0].split() for name in row[1].split()
-}  # fmt: skip
+    for phase in row[0].split()
+    for name in row[1].split()
+}
 
 
 @dataclass(frozen=True)
@@ -138,8 +139,15 @@
         for effect in effects:
             getattr(self, effect)(heard, chance)
         if self.phase is not old:
-            self.out.append(Effect("record", self.lease, self.token, self.deadline, note=f"{old.name} -> "
-                                   f"{self.phase.name} on {heard.news.name}"))  # fmt: skip
+            self.out.append(
+                Effect(
+                    "record",
+                    self.lease,
+                    self.token,
+                    self.deadline,
+                    note=f"{old.name} -> {self.phase.name} on {heard.news.name}",
+                )
+            )
         return self.out
 
     def acting(self, now: int) -> bool:
@@ -147,8 +155,14 @@
         return self.phase is HOLDING and now < self.deadline
 
     def picture(self) -> dict[str, int | str | None]:
-        return {"phase": self.phase.name, "lease": self.lease, "token": self.token, "deadline": self.deadline,
-                "asked": self.asked, "next_ask": self.next_ask}  # fmt: skip
+        return {
+            "phase": self.phase.name,
+            "lease": self.lease,
+            "token": self.token,
+            "deadline": self.deadline,
+            "asked": self.asked,
+            "next_ask": self.next_ask,
+        }
 
     # Effects, named in the specification.
 
--- a/ringshift/fleet/members.py
+++ b/ringshift/fleet/members.py
@@ -41,8 +41,9 @@
 TABLE: dict[tuple[State, News], tuple[State, list[str]]] = {
     (State[state], News[name]): (State[row[2].strip()], row[3].split())
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
-    for state in row[0].split() for name in row[1].split()
-}  # fmt: skip
+    for state in row[0].split()
+    for name in row[1].split()
+}
 
 
 @dataclass
@@ -119,5 +120,7 @@
         self.members[place].hear(News.ANSWERED if good else News.FAILED, now, took, chance)
 
     def picture(self) -> list[dict[str, object]]:
-        return [{"state": one.state.name, "failures": one.failures, "usual_ms": round(one.usual / 1e6, 2)}
-                for one in self.members]  # fmt: skip
+        return [
+            {"state": one.state.name, "failures": one.failures, "usual_ms": round(one.usual / 1e6, 2)}
+            for one in self.members
+        ]
--- a/ringshift/fleet/share.py
+++ b/ringshift/fleet/share.py
@@ -181,5 +181,11 @@
         self.asked = None
 
     def picture(self) -> dict[str, object]:
-        return {"budget": self.budget.name, "state": self.state.name, "share": self.budget.safe + self.extra,
-                "use": self.use, "want": round(self.demand.value, 2), "round": self.round}  # fmt: skip
+        return {
+            "budget": self.budget.name,
+            "state": self.state.name,
+            "share": self.budget.safe + self.extra,
+            "use": self.use,
+            "want": round(self.demand.value, 2),
+            "round": self.round,
+        }
--- a/ringshift/interface.py
+++ b/ringshift/interface.py
@@ -366,6 +366,18 @@
 
 
 Action = (
-    Start | Halted | Throttle | Fail | PlaceCall | SkipCall | Remember | Forget | Reuse
-    | Readiness | Advertise | CloseIdle | Wake | Log
-)  # fmt: skip
+    Start
+    | Halted
+    | Throttle
+    | Fail
+    | PlaceCall
+    | SkipCall
+    | Remember
+    | Forget
+    | Reuse
+    | Readiness
+    | Advertise
+    | CloseIdle
+    | Wake
+    | Log
+)
--- a/ringshift/lifecycle/clearing.py
+++ b/ringshift/lifecycle/clearing.py
@@ -41,9 +41,15 @@
 class Clearing:
     """`followed`: names whose ramps this process tends already; `begin`: a holder for one more."""
 
-    def __init__(self, link: RetireLink, rules: RulesLink, followed: Callable[[], Container[str]],
-                 begin: Callable[[str], None], wall: Callable[[], int],
-                 chance: Random) -> None:  # fmt: skip
+    def __init__(
+        self,
+        link: RetireLink,
+        rules: RulesLink,
+        followed: Callable[[], Container[str]],
+        begin: Callable[[str], None],
+        wall: Callable[[], int],
+        chance: Random,
+    ) -> None:
         self.link, self.rules, self.followed, self.begin, self.wall = link, rules, followed, begin, wall
         self.chance, self.ended = chance, threading.Event()
         self.thread = threading.Thread(target=self.run, name="retire-clearing", daemon=True)
@@ -56,8 +62,9 @@
     def look(self) -> None:
         """The rulebook is read only where a head says that there may be something to do."""
         now, followed = self.wall(), self.followed()
-        heads = {name: head for name, head in self.link.heads().items()
-                 if name not in followed and due(head, now)}  # fmt: skip
+        heads = {
+            name: head for name, head in self.link.heads().items() if name not in followed and due(head, now)
+        }
         if heads:
             for name in wanted(heads, agreed(self.rules), now)[:MOST]:
                 self.begin(name)
--- a/ringshift/lifecycle/confirming.py
+++ b/ringshift/lifecycle/confirming.py
@@ -36,9 +36,14 @@
     """`link`: makes one, for each thread its own. `keep`: writes a version to the disk; raises OSError.
     `check`: why this program can't take a version in, or empty; it may take its time."""
 
-    def __init__(self, name: str, link: Callable[[], RulesLink], answers: SimpleQueue[Answer],
-                 keep: Callable[[Version], None] | None = None,
-                 check: Callable[[Version], str] | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        name: str,
+        link: Callable[[], RulesLink],
+        answers: SimpleQueue[Answer],
+        keep: Callable[[Version], None] | None = None,
+        check: Callable[[Version], str] | None = None,
+    ) -> None:
         self.name, self.link, self.answers = name, link, answers
         self.keep, self.check = keep, check
         self.checked: dict[tuple[Stamp, str], str] = {}
@@ -82,8 +87,9 @@
         if version.odd or self.check is None or row.acked == version.mark:
             return version
         if key not in self.checked and (self.checking is None or not self.checking.is_alive()):
-            self.checking = threading.Thread(target=self.checks, args=(version,), name="rules-check",
-                                             daemon=True)  # fmt: skip
+            self.checking = threading.Thread(
+                target=self.checks, args=(version,), name="rules-check", daemon=True
+            )
             self.checking.start()
         if self.checking is not None:
             self.checking.join(CHECK_WAIT)
--- a/ringshift/lifecycle/holder.py
+++ b/ringshift/lifecycle/holder.py
@@ -117,9 +117,19 @@
 
 
 class Holder:
-    def __init__(self, name: str, task: str, terms: LeaseTerms, link: KeeperLink, work: Work, clock: OwnClock,
-                 seed: int, history: IO[bytes] | None = None, tell: Callable[[Body], None] | None = None,
-                 placement: Placement | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        name: str,
+        task: str,
+        terms: LeaseTerms,
+        link: KeeperLink,
+        work: Work,
+        clock: OwnClock,
+        seed: int,
+        history: IO[bytes] | None = None,
+        tell: Callable[[Body], None] | None = None,
+        placement: Placement | None = None,
+    ) -> None:
         self.name, self.task, self.key = name, task, f"/ringshift/tasks/{task}".encode()
         self.terms, self.link, self.work = terms, link, work
         self.lease, self.clock, self.random, self.history = Lease(terms), clock, Random(seed), history
@@ -136,8 +146,14 @@
 
     def write(self, kind: str, **more: Any) -> None:
         if self.history is not None:
-            line = {"t": time.monotonic_ns(), "own": self.clock.now(), "holder": self.name,
-                    "pid": os.getpid(), "ev": kind, **more}  # fmt: skip
+            line = {
+                "t": time.monotonic_ns(),
+                "own": self.clock.now(),
+                "holder": self.name,
+                "pid": os.getpid(),
+                "ev": kind,
+                **more,
+            }
             self.history.write(orjson.dumps(line) + b"\n")
             self.history.flush()
 
@@ -253,9 +269,17 @@
     return thread
 
 
-def hold(name: str, task: str, terms: LeaseTerms, keepers: list[str], work: Work, seed: int,
-         history: Path | None, clock: OwnClock,
-         tell: Callable[[Body], None] | None = None) -> int:  # fmt: skip
+def hold(
+    name: str,
+    task: str,
+    terms: LeaseTerms,
+    keepers: list[str],
+    work: Work,
+    seed: int,
+    history: Path | None,
+    clock: OwnClock,
+    tell: Callable[[Body], None] | None = None,
+) -> int:
     """Runs a holder until the notice to leave, or until the work is done."""
     out = history.open("ab") if history is not None else None
     link = KeeperLink(keepers, clock.now, terms.answer_within / 1e9)
--- a/ringshift/lifecycle/planning.py
+++ b/ringshift/lifecycle/planning.py
@@ -19,9 +19,13 @@
 from ringshift.schedule.planner import News, Planner, State, Wish
 
 NEWS = {
-    Ended.IN_FORCE: News.LANDED, Ended.BEATEN: News.BEATEN, Ended.WITHDRAWN: News.TAKEN_BACK,
-    Ended.REFUSED: News.REFUSED, Ended.LATE: News.LATE, Ended.NOTHING: News.BEATEN,
-}  # fmt: skip
+    Ended.IN_FORCE: News.LANDED,
+    Ended.BEATEN: News.BEATEN,
+    Ended.WITHDRAWN: News.TAKEN_BACK,
+    Ended.REFUSED: News.REFUSED,
+    Ended.LATE: News.LATE,
+    Ended.NOTHING: News.BEATEN,
+}
 
 
 @dataclass(frozen=True)
@@ -39,20 +43,31 @@
 class Planning:
     """`wall`: this process's wall clock, ns since the epoch. `on(state, why)` hears each step."""
 
-    def __init__(self, publishing: Publishing, terms: Terms, wall: Callable[[], int] = time.time_ns,
-                 on: Callable[[str, str], None] = lambda state, why: None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        publishing: Publishing,
+        terms: Terms,
+        wall: Callable[[], int] = time.time_ns,
+        on: Callable[[str, str], None] = lambda state, why: None,
+    ) -> None:
         self.publishing, self.terms, self.wall, self.on = publishing, terms, wall, on
 
-    def carry(self, wish: Wish, author: str = "", reason: str = "", within: int = WITHIN,
-              tries: int = 20) -> Planned:  # fmt: skip
+    def carry(
+        self, wish: Wish, author: str = "", reason: str = "", within: int = WITHIN, tries: int = 20
+    ) -> Planned:
         """Leads the wish to its end. `within`: ns; what was proposed by then stands."""
         publishing, clock = self.publishing, self.publishing.clock
         planner, end = Planner(wish, self.terms, tries), self.publishing.clock() + within
         version: Version | None = None
         while not planner.ended:
             if clock() >= end:
-                planner.hear(News.OVER, self.wall(), why=publishing.unanswered and (
-                    f"the keeper did not answer: {publishing.unanswered}") or "the time for it was over")
+                planner.hear(
+                    News.OVER,
+                    self.wall(),
+                    why=publishing.unanswered
+                    and (f"the keeper did not answer: {publishing.unanswered}")
+                    or "the time for it was over",
+                )
                 break
             held = publishing.ask(publishing.link.read)
             if held is None:
@@ -75,8 +90,9 @@
                 self.on(planner.state.name, planner.why)
         return Planned(planner, version if planner.state is State.LANDED else None)
 
-    def proposed(self, planner: Planner, base: Version, author: str, reason: str,
-                 left: int) -> Version | None:  # fmt: skip
+    def proposed(
+        self, planner: Planner, base: Version, author: str, reason: str, left: int
+    ) -> Version | None:
         """The version that is in force by it."""
         assert planner.book is not None
         try:
--- a/ringshift/lifecycle/program.py
+++ b/ringshift/lifecycle/program.py
@@ -78,8 +78,17 @@
         self.clock, random = Clock(), Random(backend.seed)
         self.announcer = Announcer(backend.announce, backend.name, watch.mark)
         self.agent = Agent(backend.agent, random)
-        self.owner = Owner(backend.machine, backend.bounds, backend.deep_checks, backend.seed, self.clock,
-                           self.agent, self.ready, self.close_idle, watch)  # fmt: skip
+        self.owner = Owner(
+            backend.machine,
+            backend.bounds,
+            backend.deep_checks,
+            backend.seed,
+            self.clock,
+            self.agent,
+            self.ready,
+            self.close_idle,
+            watch,
+        )
 
     def run(self) -> int:
         """The exit status."""
--- a/ringshift/lifecycle/publishing.py
+++ b/ringshift/lifecycle/publishing.py
@@ -60,16 +60,23 @@
         told = self.stands.told if self.stands is not None else None
         one = self.version
         return {
-            "state": self.state.name, "why": self.why, "version": None if one is None else brief(one),
+            "state": self.state.name,
+            "why": self.why,
+            "version": None if one is None else brief(one),
             "in_force": None if told is None else brief(told.in_force),
             "proposed": None if told is None or told.proposed is None else brief(told.proposed),
             "waiting": {name: left / 1e9 if left >= 0 else None for name, left in self.waited.items()},
-        }  # fmt: skip
+        }
 
 
 def brief(one: Version) -> dict[str, Any]:
-    return {"number": numbered(one.stamp), "stamp": list(one.stamp), "digest": one.digest,
-            "author": one.author, "reason": one.reason}  # fmt: skip
+    return {
+        "number": numbered(one.stamp),
+        "stamp": list(one.stamp),
+        "digest": one.digest,
+        "author": one.author,
+        "reason": one.reason,
+    }
 
 
 def nothing(*said: object) -> None:
@@ -90,10 +97,16 @@
     held: true, false, or None where no answer came) and "unanswered" (why). `pause(place)` is called at
     "before EFFECT" and "after EFFECT" for fault tests. `wait(seconds)` between two looks."""
 
-    def __init__(self, link: Link, terms: ReadingTerms, clock: Callable[[], int] = time.monotonic_ns,
-                 on: Callable[[str, dict[str, Any]], None] = nothing,
-                 pause: Callable[[str], None] = nothing,
-                 wait: Callable[[float], None] = time.sleep, every: int = LOOK_EVERY) -> None:  # fmt: skip
+    def __init__(
+        self,
+        link: Link,
+        terms: ReadingTerms,
+        clock: Callable[[], int] = time.monotonic_ns,
+        on: Callable[[str, dict[str, Any]], None] = nothing,
+        pause: Callable[[str], None] = nothing,
+        wait: Callable[[float], None] = time.sleep,
+        every: int = LOOK_EVERY,
+    ) -> None:
         self.link, self.terms, self.clock = link, terms, clock
         self.on, self.pause, self.wait = on, pause, wait
         self.every = min(every, terms.refresh)
@@ -103,8 +116,15 @@
         self.shown: tuple[Any, ...] = ()
         self.waiting: tuple[Any, ...] = ()
 
-    def publish(self, book: Rulebook, author: str = "", reason: str = "", undoes: Stamp | None = None,
-                within: int = WITHIN, base: Stamp | None = None) -> Outcome:  # fmt: skip
+    def publish(
+        self,
+        book: Rulebook,
+        author: str = "",
+        reason: str = "",
+        undoes: Stamp | None = None,
+        within: int = WITHIN,
+        base: Stamp | None = None,
+    ) -> Outcome:
         """The next version; the first of all is in force at once. `within`: ns until it gives up leading
         (what it proposed stands). `base`: the version that the book was made from; where another is in force
         when the proposal is made, it is BEATEN. Raises PublicationError where it may not be published in one
@@ -199,8 +219,15 @@
         shown = state, None if one is None else one.stamp, errand.why
         if shown != self.shown:
             self.shown = shown
-            self.on("state", {"state": state, "stamp": shown[1], "why": errand.why,
-                              "digest": "" if one is None else one.digest})  # fmt: skip
+            self.on(
+                "state",
+                {
+                    "state": state,
+                    "stamp": shown[1],
+                    "why": errand.why,
+                    "digest": "" if one is None else one.digest,
+                },
+            )
         waited = errand.waited()
         if waited and led is not None:
             waiting = tuple(waited), tuple(sorted(led.ended)), len(led.acked)
--- a/ringshift/lifecycle/ramping.py
+++ b/ringshift/lifecycle/ramping.py
@@ -45,9 +45,17 @@
     """A `Work` (ringshift/lifecycle/holder.py). `timeline` may be set anew at any time; None: it is not in
     the rulebook any more, and once that is written, the work is done."""
 
-    def __init__(self, name: str, timeline: Timeline | None, holder: str, link: RetireLink,
-                 tell: Tell | None = None, wall: Callable[[], int] = time.time_ns,
-                 pace: int = PACE, rules: RulesLink | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        name: str,
+        timeline: Timeline | None,
+        holder: str,
+        link: RetireLink,
+        tell: Tell | None = None,
+        wall: Callable[[], int] = time.time_ns,
+        pace: int = PACE,
+        rules: RulesLink | None = None,
+    ) -> None:
         self.name, self.timeline, self.holder, self.link, self.tell = name, timeline, holder, link, tell
         self.rules, self.task_key = rules, f"/ringshift/tasks/retire-{name}".encode()
         self.wall, self.pace, self.done = wall, pace, False
@@ -140,8 +148,9 @@
         if clearing.clears(finding):
             before, revision = self.link.cleared()
             edition = clearing.highest(before, position, rows)
-            return self.link.clear(self.name, self.task_key, hold.token, held, one.revision, edition,
-                                   revision)  # fmt: skip
+            return self.link.clear(
+                self.name, self.task_key, hold.token, held, one.revision, edition, revision
+            )
         later = clearing.written(finding, position, head, now)
         return later is None or self.link.name_head(self.name, self.task_key, hold.token, later)
 
@@ -156,17 +165,23 @@
     def fresh(self, held: Held, own: int) -> Seen:
         if self.rows is None or self.rows.fresh != self.fresh_for:
             self.rows = Freshness(self.fresh_for)
-        return self.rows.look(own, {name: (row.n, row.figures) for name, row in held.rows.items()
-                                    if not row.leaving})  # fmt: skip
+        return self.rows.look(
+            own, {name: (row.n, row.figures) for name, row in held.rows.items() if not row.leaving}
+        )
 
     def gone(self, held: Held, own: int) -> list[str]:
         """Backends that said they leave, or were silent for long in this holder's own sight; not all at once
         where they are many."""
-        self.silent = {name: had if (had := self.silent.get(name)) and had[0] == row.n else (row.n, own)
-                       for name, row in held.rows.items()}  # fmt: skip
+        self.silent = {
+            name: had if (had := self.silent.get(name)) and had[0] == row.n else (row.n, own)
+            for name, row in held.rows.items()
+        }
         limit = GONE_AFTER * self.fresh_for
-        return [name for name, (_, at) in sorted(self.silent.items())
-                if held.rows[name].leaving or own - at > limit][:MOST_FOLDED]  # fmt: skip
+        return [
+            name
+            for name, (_, at) in sorted(self.silent.items())
+            if held.rows[name].leaving or own - at > limit
+        ][:MOST_FOLDED]
 
     def write(self, hold: Hold, held: Held, position: Position | None, gone: list[str]) -> None:
         """In one transaction, as one was decided with the other."""
@@ -176,8 +191,15 @@
             counts = warn.fold(held.counts, [held.rows[name].warned for name in gone], self.lots)
         if position is not None:
             one = position.decided
-            hold.write("ramp", token=hold.token, edition=one.edition, rung=one.rung, share=one.share,
-                       phase=position.phase, ready=len(one.ready))  # fmt: skip
+            hold.write(
+                "ramp",
+                token=hold.token,
+                edition=one.edition,
+                rung=one.rung,
+                share=one.share,
+                phase=position.phase,
+                ready=len(one.ready),
+            )
             if one.rung == self.pause[0] and one != self.ramp.position.decided:
                 pause, self.pause = self.pause[1], (0, 0)
                 time.sleep(pause / 1e9)  # fault tests: a pause after the last look, a GC's or VM's
@@ -186,8 +208,13 @@
             landed = self.link.write(self.name, self.task_key, hold.token, held, position, counts, gone)
         finally:  # None: no answer came, and what came of it is told by the next look
             if position is not None:
-                hold.write("ramped", token=hold.token, edition=position.decided.edition, phase=position.phase,
-                           landed=landed)  # fmt: skip
+                hold.write(
+                    "ramped",
+                    token=hold.token,
+                    edition=position.decided.edition,
+                    phase=position.phase,
+                    landed=landed,
+                )
         self.sent = None
         if landed:
             self.sight.went(f"rows/{name}" for name in gone)
@@ -200,19 +227,43 @@
         text = f"retirement {self.name}: {old.phase} -> {position.phase}, {one.share / 10_000:g}% of callers"
         logger.bind(kind="retirement").info(f"{text}: {position.why}")
         if self.tell is not None:
-            self.tell(RampStep(
-                self.name, self.holder, old.phase, position.phase, position.why, one.edition, one.rung,
-                one.share, hold.token, told.known, told.fresh, (told.old, told.new, told.errors), told.moved,
-                len(one.ready)))  # fmt: skip
+            self.tell(
+                RampStep(
+                    self.name,
+                    self.holder,
+                    old.phase,
+                    position.phase,
+                    position.why,
+                    one.edition,
+                    one.rung,
+                    one.share,
+                    hold.token,
+                    told.known,
+                    told.fresh,
+                    (told.old, told.new, told.errors),
+                    told.moved,
+                    len(one.ready),
+                )
+            )
         self.done = ramp.timeline is None and position.phase == Phase.WITHDRAWN.name
 
 
 class Ramps:
     """A holder for each timeline's ramp, each in a thread of its own. `clock` as the leases count."""
 
-    def __init__(self, name: str, terms: LeaseTerms, keepers: list[str], clock: OwnClock, seed: int,
-                 tell: Tell | None = None, wall: Callable[[], int] = time.time_ns, pace: int = PACE,
-                 history: IO[bytes] | None = None, clears: bool = False) -> None:  # fmt: skip
+    def __init__(
+        self,
+        name: str,
+        terms: LeaseTerms,
+        keepers: list[str],
+        clock: OwnClock,
+        seed: int,
+        tell: Tell | None = None,
+        wall: Callable[[], int] = time.time_ns,
+        pace: int = PACE,
+        history: IO[bytes] | None = None,
+        clears: bool = False,
+    ) -> None:
         self.name, self.terms, self.keepers, self.clock, self.seed = name, terms, keepers, clock, seed
         self.tell, self.wall, self.pace, self.history = tell, wall, pace, history
         self.pause, self.left = (0, 0), False
@@ -221,8 +272,9 @@
         self.began, self.lock = 0, threading.Lock()
         self.clearing: Clearing | None = None
         if clears:
-            self.clearing = Clearing(self.link(RetireLink), self.link(RulesLink), self.followed,
-                                     self.lead_out, wall, Random(seed))  # fmt: skip
+            self.clearing = Clearing(
+                self.link(RetireLink), self.link(RulesLink), self.followed, self.lead_out, wall, Random(seed)
+            )
             self.clearing.thread.start()
 
     def link(self, of: type[Link]) -> Link:
@@ -262,11 +314,22 @@
         task = f"retire-{name}"
         self.began += 1
         rules = None if self.clearing is None else self.link(RulesLink)
-        work = Ramping(name, timeline, self.name, self.link(RetireLink), self.tell, self.wall, self.pace,
-                       rules)  # fmt: skip
+        work = Ramping(
+            name, timeline, self.name, self.link(RetireLink), self.tell, self.wall, self.pace, rules
+        )
         work.pause = self.pause
-        holder = Holder(self.name, task, self.terms, self.link(KeeperLink), work, self.clock,
-                        self.seed + self.began, self.history, self.tell, self.placement)  # fmt: skip
+        holder = Holder(
+            self.name,
+            task,
+            self.terms,
+            self.link(KeeperLink),
+            work,
+            self.clock,
+            self.seed + self.began,
+            self.history,
+            self.tell,
+            self.placement,
+        )
         self.running[name] = work, holder, apart(holder)
 
     def leaving(self) -> None:
--- a/ringshift/lifecycle/recording.py
+++ b/ringshift/lifecycle/recording.py
@@ -49,7 +49,9 @@
     recorder = start(backend.name, lines, folder, round(most_mb * 1024 * 1024))
     machine = backend.machine
     recorder.started(
-        listen="{}:{}".format(*backend.listen), operations=tuple(op.name for op in machine.operations),
-        cores=machine.cores, stop_ms=backend.stop / 1e6,
-    )  # fmt: skip
+        listen="{}:{}".format(*backend.listen),
+        operations=tuple(op.name for op in machine.operations),
+        cores=machine.cores,
+        stop_ms=backend.stop / 1e6,
+    )
     return Recording(recorder, recorder.write, recorder.end)
--- a/ringshift/lifecycle/retiring.py
+++ b/ringshift/lifecycle/retiring.py
@@ -136,10 +136,19 @@
     whether callers know the fields of a warning; where not, nobody is warned, and so nobody is ever turned
     away."""
 
-    def __init__(self, backend: str, operations: Mapping[str, int], books: Callable[[], tuple[Rulebook, ...]],
-                 keepers: list[str], clock: Callable[[], int], answer_within: int, warns: bool,
-                 ramps: Ramps | None = None, wall: Callable[[], int] = time.time_ns,
-                 refresh: int = REFRESH) -> None:  # fmt: skip
+    def __init__(
+        self,
+        backend: str,
+        operations: Mapping[str, int],
+        books: Callable[[], tuple[Rulebook, ...]],
+        keepers: list[str],
+        clock: Callable[[], int],
+        answer_within: int,
+        warns: bool,
+        ramps: Ramps | None = None,
+        wall: Callable[[], int] = time.time_ns,
+        refresh: int = REFRESH,
+    ) -> None:
         self.backend, self.operations, self.books, self.ramps = backend, operations, books, ramps
         self.clock, self.wall, self.warns, self.refresh = clock, wall, warns, refresh
         self.fresh = refresh + 3 * answer_within
@@ -158,8 +167,9 @@
         while (order := self.orders.get()) is not None:
             answer = None
             with suppress(Exception):  # whatever a client raises: not answered, and put again later
-                answer = self.link.put(order.line.name, order.process, order.row, order.created,
-                                       order.line.holding)  # fmt: skip
+                answer = self.link.put(
+                    order.line.name, order.process, order.row, order.created, order.line.holding
+                )
             self.answers.put(Order(order.line, order.process, order.row, order.created, order.sent, answer))
 
     # In the caller's one thread.
--- a/ringshift/lifecycle/ruling.py
+++ b/ringshift/lifecycle/ruling.py
@@ -52,15 +52,23 @@
     in force to the disk; raises OSError. `check`: why a proposal can't be taken in, or empty. Both are called
     in the keeper's thread."""
 
-    def __init__(self, reader: Reader, name: str, keepers: list[str], clock: Callable[[], int],
-                 answer_within: int, tell: Tell | None = None,
-                 keep: Callable[[Version], None] | None = None,
-                 check: Callable[[Version], str] | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        reader: Reader,
+        name: str,
+        keepers: list[str],
+        clock: Callable[[], int],
+        answer_within: int,
+        tell: Tell | None = None,
+        keep: Callable[[Version], None] | None = None,
+        check: Callable[[Version], str] | None = None,
+    ) -> None:
         self.reader, self.name, self.clock, self.tell = reader, name, clock, tell
         self.answer_within = answer_within
         self.answers: SimpleQueue[Answer] = SimpleQueue()
-        self.asker = Confirming(name, lambda: RulesLink(keepers, clock, answer_within / 1e9), self.answers,
-                                keep, check)  # fmt: skip
+        self.asker = Confirming(
+            name, lambda: RulesLink(keepers, clock, answer_within / 1e9), self.answers, keep, check
+        )
         self.under_way, self.since, self.given_up = 0, 0, False  # the confirmation that the thread asks for
         self.next: Row | None = None
         self.kept: Stamp | None = None if reader.head_start is None else reader.head_start.stamp
@@ -158,8 +166,10 @@
     """Invocations a second of each operation, if it alone were served: the learned limit over what its runs
     take of late. Two digits, so that what only trembles is not told anew."""
     limit = controller.limited()
-    return {number: float(f"{limit * 1e9 / max(line.run.mean(now), 1.0):.2g}")
-            for number, line in enumerate(controller.lines)}  # fmt: skip
+    return {
+        number: float(f"{limit * 1e9 / max(line.run.mean(now), 1.0):.2g}")
+        for number, line in enumerate(controller.lines)
+    }
 
 
 class Timetable(Protocol):
@@ -188,9 +198,15 @@
 class Rulings:
     """For the owner, like `Shares` (ringshift/lifecycle/sharing.py): all in its greenlet."""
 
-    def __init__(self, ruler: Ruler, names: Names, timetable: Timetable | None = None,
-                 retiring: Retiring | None = None, wall: Callable[[], int] = time.time_ns,
-                 tell: Tell | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        ruler: Ruler,
+        names: Names,
+        timetable: Timetable | None = None,
+        retiring: Retiring | None = None,
+        wall: Callable[[], int] = time.time_ns,
+        tell: Tell | None = None,
+    ) -> None:
         self.ruler, self.names, self.timetable, self.retiring = ruler, names, timetable, retiring
         self.tell, self.wall, self.first, self.measured = tell, wall, True, 0
         self.rules = ruler.rules()
@@ -269,8 +285,14 @@
         self.ruler.leave(HANDED_BACK)
 
 
-def rulings(path: str, name: str, seed: int, clock: Callable[[], int], machine: face.Machine,
-            tell: Callable[[Body], None] | None) -> Rulings | None:  # fmt: skip
+def rulings(
+    path: str,
+    name: str,
+    seed: int,
+    clock: Callable[[], int],
+    machine: face.Machine,
+    tell: Callable[[Body], None] | None,
+) -> Rulings | None:
     """What the operators' file says of the rulebook, begun; None where it says nothing. Raises Malformed."""
     from ringshift.lifecycle.holder import OwnClock
     from ringshift.lifecycle.ramping import Ramps  # these are not for whoever only reads a rulebook
@@ -288,17 +310,27 @@
         logger.bind(kind="rules").info(f"no head start: {why}")
     late = Terms.of(terms).late
     operations = {one.name: index for index, one in enumerate(machine.operations)}
-    names = Names(tuple(operations), tuple(one.name for one in machine.customers), reading.place,
-                  machine.fleet)  # fmt: skip
+    names = Names(
+        tuple(operations), tuple(one.name for one in machine.customers), reading.place, machine.fleet
+    )
     reader = Reader(terms, alone, found, answer_within=reading.answer_within)
     backend = identity(reader_name(name), Random())
-    ruler = Ruler(reader, backend, leases.keepers, clock, reading.answer_within, tell,
-                  partial(keep, Path(reading.head_start)) if reading.head_start else None,
-                  lambda version: unfit(version.book, late, time.time_ns()))  # fmt: skip
-    ramps = Ramps(name, leases.terms(), leases.keepers, OwnClock(time.monotonic_ns()), seed, tell,
-                  clears=True)  # fmt: skip
-    retired = Retired(backend, operations, ruler.books, leases.keepers, clock, reading.answer_within,
-                      reading.warn, ramps)  # fmt: skip
+    ruler = Ruler(
+        reader,
+        backend,
+        leases.keepers,
+        clock,
+        reading.answer_within,
+        tell,
+        partial(keep, Path(reading.head_start)) if reading.head_start else None,
+        lambda version: unfit(version.book, late, time.time_ns()),
+    )
+    ramps = Ramps(
+        name, leases.terms(), leases.keepers, OwnClock(time.monotonic_ns()), seed, tell, clears=True
+    )
+    retired = Retired(
+        backend, operations, ruler.books, leases.keepers, clock, reading.answer_within, reading.warn, ramps
+    )
     return Rulings(ruler, names, Scheduled(late, names), retired, tell=tell)
 
 
--- a/ringshift/lifecycle/scheduling.py
+++ b/ringshift/lifecycle/scheduling.py
@@ -19,5 +19,8 @@
     for one in passed:
         logger.bind(kind="schedule").debug(f"change {one.name}: {one.old.lower()} -> {one.new.lower()}")
         if tell is not None:
-            tell(ChangeStep(one.name, one.old, one.new, one.part, round(one.left / 1e6, 3), one.withdrawn,
-                            confirmed))  # fmt: skip
+            tell(
+                ChangeStep(
+                    one.name, one.old, one.new, one.part, round(one.left / 1e6, 3), one.withdrawn, confirmed
+                )
+            )
--- a/ringshift/lifecycle/sharing.py
+++ b/ringshift/lifecycle/sharing.py
@@ -42,8 +42,15 @@
 
 
 class Sharer:
-    def __init__(self, budget: Budget, backend: str, keepers: list[str], clock: Callable[[], int],
-                 answer_within: int, tell: Tell | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        budget: Budget,
+        backend: str,
+        keepers: list[str],
+        clock: Callable[[], int],
+        answer_within: int,
+        tell: Tell | None = None,
+    ) -> None:
         self.share = Share(backend, budget, answer_within)
         self.clock, self.tell = clock, tell
         self.asks: SimpleQueue[Ask | None] = SimpleQueue()
@@ -146,8 +153,9 @@
             divider.hear(Word.UNKNOWN, self.clock())
             return
         hold.write("ledger", token=hold.token, round=ledger.round, counted=divider.counted())
-        self.revision = self.link.write(divider.budget.name, self.task_key, hold.token, self.revision, ledger,
-                                        divider.gone)  # fmt: skip
+        self.revision = self.link.write(
+            divider.budget.name, self.task_key, hold.token, self.revision, ledger, divider.gone
+        )
         divider.hear(Word.WRITTEN if self.revision else Word.REFUSED, self.clock())
 
     def rule(self) -> None:
@@ -168,9 +176,17 @@
 class Dividers:
     """A holder for each budget's divider, each in a thread of its own, until `leave`."""
 
-    def __init__(self, budgets: list[Budget], name: str, terms: LeaseTerms, keepers: list[str],
-                 clock: OwnClock, seed: int, tell: Tell | None = None,
-                 history: IO[bytes] | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        budgets: list[Budget],
+        name: str,
+        terms: LeaseTerms,
+        keepers: list[str],
+        clock: OwnClock,
+        seed: int,
+        tell: Tell | None = None,
+        history: IO[bytes] | None = None,
+    ) -> None:
         self.terms, self.holders, self.threads = terms, list[Holder](), list[threading.Thread]()
         self.works = list[Dividing]()
         placement = Placement(tuple(f"budget-{budget.name}" for budget in budgets))
@@ -179,8 +195,7 @@
             link = BudgetLink(keepers, clock.now, terms.answer_within / 1e9)
             work = Dividing(budget, f"/ringshift/tasks/{task}".encode(), link, clock.now)
             keeper = KeeperLink(keepers, clock.now, terms.answer_within / 1e9)
-            holder = Holder(name, task, terms, keeper, work, clock, seed + number, history, tell,
-                            placement)  # fmt: skip
+            holder = Holder(name, task, terms, keeper, work, clock, seed + number, history, tell, placement)
             self.holders.append(holder)
             self.works.append(work)
             self.threads.append(apart(holder))
@@ -203,8 +218,9 @@
     def __init__(self, sharers: list[Sharer], dividers: Dividers, operations: dict[str, int]) -> None:
         self.sharers, self.dividers, self.last = sharers, dividers, 0
         self.known: list[Granted | None] = [None] * len(sharers)  # what the decisions were last told
-        self.keys = [(one, one.share.budget.unit, operations.get(one.share.budget.operation, -1))
-                     for one in sharers]  # fmt: skip
+        self.keys = [
+            (one, one.share.budget.unit, operations.get(one.share.budget.operation, -1)) for one in sharers
+        ]
 
     def ruled(self, wholes: Wholes) -> None:
         """From now on the rulebook's wholes are divided; asked for in the dividers' threads."""
@@ -239,8 +255,9 @@
         self.dividers.leave()
 
 
-def shares(path: str, name: str, seed: int, clock: Callable[[], int], operations: dict[str, int],
-           tell: Tell | None) -> Shares | None:  # fmt: skip
+def shares(
+    path: str, name: str, seed: int, clock: Callable[[], int], operations: dict[str, int], tell: Tell | None
+) -> Shares | None:
     """What the operators' file says of budgets, begun; None where it names none. Raises Malformed."""
     from ringshift.settings.operators import read_operators, refused
 
@@ -253,8 +270,13 @@
             raise refused(path, "budgets", place, "operation", f"{budget.operation!r} is none of ours")
         if budget.unit is Unit.RETRIES:
             # A repeat is known by the end of the call before it, which no agent on sockets tells.
-            raise refused(path, "budgets", place, "unit", "'retries': no calls are told of on sockets, "
-                          "so nothing would be counted")  # fmt: skip
+            raise refused(
+                path,
+                "budgets",
+                place,
+                "unit",
+                "'retries': no calls are told of on sockets, so nothing would be counted",
+            )
     terms, keepers = operators.leases.terms(), operators.leases.keepers
     backend = identity(name, Random())
     sharers = [Sharer(one, backend, keepers, clock, terms.answer_within, tell) for one in budgets]
--- a/ringshift/lifecycle/works.py
+++ b/ringshift/lifecycle/works.py
@@ -50,8 +50,9 @@
             at, own = time.monotonic_ns(), hold.now()
             if not hold.may():
                 return
-            hold.write("step", token=hold.token, step=number, deadline=hold.deadline, looked=at,
-                       own_looked=own)  # fmt: skip
+            hold.write(
+                "step", token=hold.token, step=number, deadline=hold.deadline, looked=at, own_looked=own
+            )
             if self.pause is not None and number == self.pause[0]:
                 time.sleep(self.pause[1] / 1e9)  # fault tests: a pause after the last look, a GC's or VM's
             accepted, last = self.link.step(self.task, hold.token, number, self.name)
@@ -109,8 +110,14 @@
             self.plan.nothing(wanted.path)
             return
         step = self.plan.step + 1
-        hold.write("step", token=hold.token, step=step, deadline=hold.deadline, looked=time.monotonic_ns(),
-                   own_looked=hold.now())  # fmt: skip
+        hold.write(
+            "step",
+            token=hold.token,
+            step=step,
+            deadline=hold.deadline,
+            looked=time.monotonic_ns(),
+            own_looked=hold.now(),
+        )
         told = self.store.take(self.task, hold.token, step, wanted, found, hold.may)
         if told is None:
             return  # the last look said no: nothing was written
@@ -124,5 +131,3 @@
 
     def close(self) -> None:
         self.store.close()
-
-
--- a/ringshift/machine.py
+++ b/ringshift/machine.py
@@ -34,8 +34,12 @@
 BELOWS = {"none": face.Below.NONE, "common": face.Below.SHARED, "next_hop": face.Below.NEXT_TIER}
 
 KINDS: dict[type, str] = {
-    int: "a whole number", float: "a number", str: "text", dict: "an object", list: "an array",
-}  # fmt: skip
+    int: "a whole number",
+    float: "a number",
+    str: "text",
+    dict: "an object",
+    list: "an array",
+}
 
 
 def need(fields: Mapping[str, Any], key: str, message: str, kind: type) -> Any:
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -38,14 +38,27 @@
 STOOD = 100 * MS  # between two steps, which come at every beat of 50 ms: the process did not run
 QUIET = 300 * MS  # leaving early is safe when nothing has come for this long after the grace
 
-OUTCOMES = {"good": face.Outcome.SUCCEEDED, "bad": face.Outcome.ERRORED,
-            "cut": face.Outcome.STOPPED, "gone": face.Outcome.MOOT}  # fmt: skip
+OUTCOMES = {
+    "good": face.Outcome.SUCCEEDED,
+    "bad": face.Outcome.ERRORED,
+    "cut": face.Outcome.STOPPED,
+    "gone": face.Outcome.MOOT,
+}
 
 
 class Owner:
-    def __init__(self, machine: face.Machine, bounds: Bounds, deep_checks: bool, seed: int, clock: Clock,
-                 agent: Commands, ready: Callable[[bool], None],
-                 idle: Callable[[int], None], watch: Watch | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        machine: face.Machine,
+        bounds: Bounds,
+        deep_checks: bool,
+        seed: int,
+        clock: Clock,
+        agent: Commands,
+        ready: Callable[[bool], None],
+        idle: Callable[[int], None],
+        watch: Watch | None = None,
+    ) -> None:
         # Whom to turn away where the program itself holds too much is the module's to say.
         self.machine = replace(machine, in_hand=bounds.in_hand, entry_kb=entry_kb(machine, bounds))
         self.deep_checks, self.seed, self.clock = deep_checks, seed, clock
@@ -179,18 +192,27 @@
             counted.warn("request answered as errored", "job id in use")
             item.door.send(item.request, calls.errored(item.request, self.fields, 400))
             return
-        inv = self.invocations.add(item.job, item.operation, item.body, item.door, item.request,
-                                   item.item, item.caller, item.key)  # fmt: skip
+        inv = self.invocations.add(
+            item.job, item.operation, item.body, item.door, item.request, item.item, item.caller, item.key
+        )
         unread = self.clock.since(item.came)
         self.watch.arrived(item, unread)
-        self.inputs.append(face.Arrived(
-            inv=inv.index, operation=item.operation, customer=-1,
-            patience=None if item.allow is None else max(item.allow - unread, 0),
-            cost=0.0, kb=item.kb, rank=item.rank, keyed_read=bool(item.item),
-            caller=item.caller, unread=unread,
-            repeats=self.original(inv, unread),
-            lot=self.rulings.lot(item.operation, item.caller),
-        ))  # fmt: skip
+        self.inputs.append(
+            face.Arrived(
+                inv=inv.index,
+                operation=item.operation,
+                customer=-1,
+                patience=None if item.allow is None else max(item.allow - unread, 0),
+                cost=0.0,
+                kb=item.kb,
+                rank=item.rank,
+                keyed_read=bool(item.item),
+                caller=item.caller,
+                unread=unread,
+                repeats=self.original(inv, unread),
+                lot=self.rulings.lot(item.operation, item.caller),
+            )
+        )
 
     def original(self, inv: Invocation, unread: int) -> int | None:
         """Of which invocation this one is a repeat."""
@@ -423,13 +445,28 @@
 
 
 HEARD: dict[type, Callable[..., None]] = {
-    news.Called: Owner.on_called, news.Checked: Owner.on_checked, news.CallerLeft: Owner.on_caller_left,
-    news.Greeted: Owner.on_greeted, news.RunEnded: Owner.on_run_ended,
-    news.Sampled: Owner.on_sampled, news.Exercised: Owner.end_check,
-    news.CommandRefused: Owner.on_command_refused, news.ToldToLeave: Owner.on_told_to_leave}  # fmt: skip
+    news.Called: Owner.on_called,
+    news.Checked: Owner.on_checked,
+    news.CallerLeft: Owner.on_caller_left,
+    news.Greeted: Owner.on_greeted,
+    news.RunEnded: Owner.on_run_ended,
+    news.Sampled: Owner.on_sampled,
+    news.Exercised: Owner.end_check,
+    news.CommandRefused: Owner.on_command_refused,
+    news.ToldToLeave: Owner.on_told_to_leave,
+}
 
 CARRY_OUT: dict[type, Callable[..., None]] = {
-    face.Start: Owner.start, face.Halted: Owner.halt, face.Throttle: Owner.throttle, face.Fail: Owner.fail,
-    face.Readiness: Owner.tell_health, face.Advertise: Owner.advertise, face.CloseIdle: Owner.close_idle,
-    face.Remember: Owner.remember, face.Forget: Owner.forget, face.Reuse: Owner.reuse,
-    face.Wake: Owner.wake, face.Log: Owner.log}  # fmt: skip
+    face.Start: Owner.start,
+    face.Halted: Owner.halt,
+    face.Throttle: Owner.throttle,
+    face.Fail: Owner.fail,
+    face.Readiness: Owner.tell_health,
+    face.Advertise: Owner.advertise,
+    face.CloseIdle: Owner.close_idle,
+    face.Remember: Owner.remember,
+    face.Forget: Owner.forget,
+    face.Reuse: Owner.reuse,
+    face.Wake: Owner.wake,
+    face.Log: Owner.log,
+}
--- a/ringshift/records/recorder.py
+++ b/ringshift/records/recorder.py
@@ -22,7 +22,7 @@
     Ready,
     Said,
     Started,
-)  # fmt: skip
+)
 from ringshift.records.tally import BEAT, Tally
 from ringshift.store.carriers import Carrier, Lines
 
@@ -54,8 +54,18 @@
     def put(self, body: Body) -> None:
         self.seq += 1
         at, up = time.time_ns(), time.monotonic_ns() - self.born
-        data = orjson.dumps({"ringshift": VERSION, "server": self.server, "run": self.run, "seq": self.seq,
-                             "at": at, "up": up, "kind": NAMES[type(body)], "body": body})  # fmt: skip
+        data = orjson.dumps(
+            {
+                "ringshift": VERSION,
+                "server": self.server,
+                "run": self.run,
+                "seq": self.seq,
+                "at": at,
+                "up": up,
+                "kind": NAMES[type(body)],
+                "body": body,
+            }
+        )
         for carrier in self.carriers:
             carrier.put(self.run, self.seq, at, data)
 
--- a/ringshift/records/schema.py
+++ b/ringshift/records/schema.py
@@ -231,15 +231,41 @@
 
 
 Body = (
-    Started | Phase | Greeted | Ready | Second | Shedding | Said | Mark | Saw | Dropped | Ended | LeaseChange
-    | ShareChange | RampStep | RulesChange | ChangeStep
+    Started
+    | Phase
+    | Greeted
+    | Ready
+    | Second
+    | Shedding
+    | Said
+    | Mark
+    | Saw
+    | Dropped
+    | Ended
+    | LeaseChange
+    | ShareChange
+    | RampStep
+    | RulesChange
+    | ChangeStep
 )
 KINDS: dict[str, type] = {
-    "started": Started, "phase": Phase, "greeted": Greeted, "ready": Ready, "second": Second,
-    "shedding": Shedding, "said": Said, "mark": Mark, "saw": Saw, "dropped": Dropped, "ended": Ended,
-    "lease": LeaseChange, "share": ShareChange, "ramp": RampStep, "rules": RulesChange,
+    "started": Started,
+    "phase": Phase,
+    "greeted": Greeted,
+    "ready": Ready,
+    "second": Second,
+    "shedding": Shedding,
+    "said": Said,
+    "mark": Mark,
+    "saw": Saw,
+    "dropped": Dropped,
+    "ended": Ended,
+    "lease": LeaseChange,
+    "share": ShareChange,
+    "ramp": RampStep,
+    "rules": RulesChange,
     "change": ChangeStep,
-}  # fmt: skip
+}
 NAMES: dict[type, str] = {kind: name for name, kind in KINDS.items()}
 
 
--- a/ringshift/records/tally.py
+++ b/ringshift/records/tally.py
@@ -99,27 +99,56 @@
     def heartbeat(self, now: int, controller: Controller | None) -> Second:
         view = View(controller, now) if controller is not None else None
         counts = tuple(
-            Counts(name, row.arrived, row.ends[SUCCEEDED], row.ends[THROTTLED], row.ends[ERRORED],
-                   row.ends[GONE], row.launched, row.ran, round(row.ran_ns / MS, 3), row.failed_runs,
-                   view.held[index] if view else 0, round(view.levels[index], 3) if view else 0.0,
-                   row.ends[RULED] + row.ends[AWAY])
+            Counts(
+                name,
+                row.arrived,
+                row.ends[SUCCEEDED],
+                row.ends[THROTTLED],
+                row.ends[ERRORED],
+                row.ends[GONE],
+                row.launched,
+                row.ran,
+                round(row.ran_ns / MS, 3),
+                row.failed_runs,
+                view.held[index] if view else 0,
+                round(view.levels[index], 3) if view else 0.0,
+                row.ends[RULED] + row.ends[AWAY],
+            )
             for index, (name, row) in enumerate(zip(self.names, self.rows, strict=True))
-        )  # fmt: skip
+        )
         most = sorted(self.stamps.items(), key=lambda one: (-one[1][1], one[0]))[:MOST_STAMPS]
         stamps = tuple(Stamp(caller, round(least / MS, 3), count) for caller, (least, count) in most)
         told = Second(
-            span_ms=round((now - self.began) / MS, 3), counts=counts, again=self.again,
-            callers=len(self.callers), unread_ms=round(self.unread / max(self.count, 1) / MS, 3),
-            asked=self.asked, sampled=self.sampled, lag_ms=round(self.lag / MS, 3),
+            span_ms=round((now - self.began) / MS, 3),
+            counts=counts,
+            again=self.again,
+            callers=len(self.callers),
+            unread_ms=round(self.unread / max(self.count, 1) / MS, 3),
+            asked=self.asked,
+            sampled=self.sampled,
+            lag_ms=round(self.lag / MS, 3),
             stamps=stamps,
-        )  # fmt: skip
+        )
         if view is None:
             return told
         return Second(
-            told.span_ms, told.counts, view.running, view.limit, round(view.door, 3), round(view.pressure, 3),
-            round(view.slowness, 3), round(view.memory_kb, 1), told.again, told.callers, told.unread_ms,
-            told.asked, told.sampled, view.wanting, told.lag_ms, told.stamps,
-        )  # fmt: skip
+            told.span_ms,
+            told.counts,
+            view.running,
+            view.limit,
+            round(view.door, 3),
+            round(view.pressure, 3),
+            round(view.slowness, 3),
+            round(view.memory_kb, 1),
+            told.again,
+            told.callers,
+            told.unread_ms,
+            told.asked,
+            told.sampled,
+            view.wanting,
+            told.lag_ms,
+            told.stamps,
+        )
 
 
 def peek(decaying: DecayingSum, now: int) -> float:
@@ -142,8 +171,10 @@
         self.slowness, self.memory_kb = controller.slowed, controller.memory
         self.held = [len(line.queue) for line in lines]
         self.wanting = round(peek(controller.wanted, now), 2)
-        spare = [max(line.op.objective - peek(line.run, now) * self.slowness, line.op.objective * 0.1) * HOLD
-                 for line in lines]  # fmt: skip
+        spare = [
+            max(line.op.objective - peek(line.run, now) * self.slowness, line.op.objective * 0.1) * HOLD
+            for line in lines
+        ]
         held = controller.count[HELD]
         beyond = max(held - max(limit - self.running, 0), 0) / held if held else 0.0
         wait = beyond * sum(line.work * core for line, core in zip(lines, cores, strict=True))
--- a/ringshift/records/text.py
+++ b/ringshift/records/text.py
@@ -14,19 +14,22 @@
 
 LINE = re.compile(
     r"(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}) "
-    r"(DEBUG|INFO|WARNING|ERROR|CRITICAL) (\S{1,200}) (.*)")  # fmt: skip
+    r"(DEBUG|INFO|WARNING|ERROR|CRITICAL) (\S{1,200}) (.*)"
+)
 TEXT_RUN = "text-"  # runs whose `up` is made of the wall clock
 
 Told = Callable[[re.Match[str]], Body]
 LINES: list[tuple[re.Pattern[str], Told]] = [
     (re.compile(r"listening on (\S+)$"), lambda m: Started("", m[1], (), 0, 0.0)),
     (re.compile(r"(.+): (\w+) -> (\w+)$"), lambda m: Phase(m[2], m[3], m[1])),
-    (re.compile(r"agent greeted after (\d+) ms, (cold|warm) start"),
-     lambda m: Greeted(m[2] == "cold", float(m[1]))),
+    (
+        re.compile(r"agent greeted after (\d+) ms, (cold|warm) start"),
+        lambda m: Greeted(m[2] == "cold", float(m[1])),
+    ),
     (re.compile(r"overload: line (full|open)$"), lambda m: Shedding("", m[1] == "full")),
     (re.compile(r"not ready: "), lambda m: Ready(False)),
     (re.compile(r"(?:ready again: |warm after )"), lambda m: Ready(True)),
-]  # fmt: skip
+]
 
 
 class TextLog:
--- a/ringshift/report/fleetcharts.py
+++ b/ringshift/report/fleetcharts.py
@@ -42,10 +42,21 @@
             total.append((at, sum(now.values())))
         if len(told[name]) <= 12:
             for server, rows in told[name].items():
-                axis.step([moment(at) for at, _ in rows], [amount for _, amount in rows], where="post",
-                          linewidth=0.9, label=server[:20])  # fmt: skip
-        axis.step([moment(at) for at, _ in total], [amount for _, amount in total], where="post", color=INK,
-                  linewidth=1.4, label="all together")  # fmt: skip
+                axis.step(
+                    [moment(at) for at, _ in rows],
+                    [amount for _, amount in rows],
+                    where="post",
+                    linewidth=0.9,
+                    label=server[:20],
+                )
+        axis.step(
+            [moment(at) for at, _ in total],
+            [amount for _, amount in total],
+            where="post",
+            color=INK,
+            linewidth=1.4,
+            label="all together",
+        )
         axis.set_ylabel(name[:16], fontsize=8)
         axis.yaxis.set_major_locator(MaxNLocator(4))
         axis.set_ylim(bottom=0)
@@ -71,10 +82,20 @@
         times = [moment(move.at) for move in moves] + [moment(course.end)]
         shares = [move.share / 10_000 for move in moves]
         axis.step(times, [*shares, shares[-1]], where="post", color=INK, linewidth=1.2)
-        against = [move for before, move in zip([0, *(move.share for move in moves)], moves, strict=False)
-                   if move.new in STANDING or move.share < before]  # fmt: skip
-        axis.plot([moment(move.at) for move in against], [move.share / 10_000 for move in against],
-                  linestyle="", marker="X", color="#cb181d", markeredgecolor=INK, markersize=7)  # fmt: skip
+        against = [
+            move
+            for before, move in zip([0, *(move.share for move in moves)], moves, strict=False)
+            if move.new in STANDING or move.share < before
+        ]
+        axis.plot(
+            [moment(move.at) for move in against],
+            [move.share / 10_000 for move in against],
+            linestyle="",
+            marker="X",
+            color="#cb181d",
+            markeredgecolor=INK,
+            markersize=7,
+        )
         axis.set_ylabel(name[:16] + "\n% shed", fontsize=8)
         axis.set_ylim(bottom=0)
         axis.yaxis.set_major_locator(MaxNLocator(4))
@@ -114,8 +135,10 @@
     for server, stints in course.stints.items():
         for stint in stints:
             told = stint.digest.changes
-            steps += [(stint.time(up, course.alignment), name, server, state in RUNNING)
-                      for name, state, _, up in told]  # fmt: skip
+            steps += [
+                (stint.time(up, course.alignment), name, server, state in RUNNING)
+                for name, state, _, up in told
+            ]
             steps += [(stint.last, name, server, False) for name in {one[0] for one in told}]
     now = defaultdict[str, set[str]](set)
     lines = defaultdict[str, list[tuple[int, int]]](list)
@@ -148,8 +171,14 @@
     for place, name in enumerate(sorted(most)):
         told = [*lines[name], (course.end, lines[name][-1][1])]
         style = {"color": "#cb181d", "linewidth": 1.6} if name == ALONE else {"linewidth": 1.1}
-        axis.step([moment(at) for at, _ in told], [number for _, number in told], where="post",
-                  label=name[:40], linestyle=styles[place % 4], **style)  # fmt: skip
+        axis.step(
+            [moment(at) for at, _ in told],
+            [number for _, number in told],
+            where="post",
+            label=name[:40],
+            linestyle=styles[place % 4],
+            **style,
+        )
     axis.set_ylabel("servers", fontsize=8)
     axis.yaxis.set_major_locator(MaxNLocator(4, integer=True))
     axis.set_ylim(bottom=0)
--- a/ringshift/retirement/clearing.py
+++ b/ringshift/retirement/clearing.py
@@ -72,8 +72,14 @@
     return Position(phase=Phase.WITHDRAWN.name, since=now if head is None else head.since)
 
 
-def judge(name: str, agreed: Agreed, position: Position, rows: Mapping[str, Figures], now: int,
-          kept_for: int = KEPT_FOR) -> Finding:  # fmt: skip
+def judge(
+    name: str,
+    agreed: Agreed,
+    position: Position,
+    rows: Mapping[str, Figures],
+    now: int,
+    kept_for: int = KEPT_FOR,
+) -> Finding:
     """`rows`: of backends, by the name of their process and how often it began a row (`READER.1`)."""
     if agreed.in_force is None:
         return Finding.UNKNOWN
@@ -83,8 +89,10 @@
         return Finding.STANDING
     if now - position.since < kept_for:
         return Finding.RECENT
-    if any(told.owed - position.kept and backend.rpartition(".")[0] in agreed.floors
-           for backend, told in rows.items()):  # fmt: skip
+    if any(
+        told.owed - position.kept and backend.rpartition(".")[0] in agreed.floors
+        for backend, told in rows.items()
+    ):
         return Finding.OWED
     if any(floor < agreed.in_force for floor in agreed.floors.values()):
         return Finding.BEHIND
@@ -120,8 +128,9 @@
     the ramp was gone by then, or it is time to look whether their keys go."""
     if agreed.in_force is None:
         return []
-    return sorted(name for name, head in heads.items()
-                  if name not in agreed.names and due(head, now, kept_for))  # fmt: skip
+    return sorted(
+        name for name, head in heads.items() if name not in agreed.names and due(head, now, kept_for)
+    )
 
 
 def due(head: Head, now: int, kept_for: int = KEPT_FOR) -> bool:
--- a/ringshift/retirement/figures.py
+++ b/ringshift/retirement/figures.py
@@ -86,5 +86,13 @@
     def figures(self, now: int, edition: int, share: int = 0) -> Figures:
         self.turn(now)
         a, b = self.this, self.before
-        return Figures(edition, a.old + b.old, a.new + b.new, a.errors + b.errors, a.shed + b.shed,
-                       frozenset(self.moved), share, self.owed)  # fmt: skip
+        return Figures(
+            edition,
+            a.old + b.old,
+            a.new + b.new,
+            a.errors + b.errors,
+            a.shed + b.shed,
+            frozenset(self.moved),
+            share,
+            self.owed,
+        )
--- a/ringshift/retirement/judge.py
+++ b/ringshift/retirement/judge.py
@@ -93,10 +93,16 @@
     ones = list(seen.figures.values())
     moved = frozenset[int]().union(*(one.moved for one in ones)) & ready
     return Summed(
-        seen.known, len(ones), sum(one.edition < edition for one in ones), sum(one.old for one in ones),
-        sum(one.new for one in ones), sum(one.errors for one in ones), sum(one.shed for one in ones),
-        len(moved), len(ready),
-    )  # fmt: skip
+        seen.known,
+        len(ones),
+        sum(one.edition < edition for one in ones),
+        sum(one.old for one in ones),
+        sum(one.new for one in ones),
+        sum(one.errors for one in ones),
+        sum(one.shed for one in ones),
+        len(moved),
+        len(ready),
+    )
 
 
 def heard(told: Summed, conditions: Conditions) -> bool:
@@ -109,8 +115,11 @@
         return Finding.UNHEARD
     if told.new >= conditions.least_answers:
         errors = told.errors / told.new
-        for finding, most in ((Finding.WORSE, conditions.errors_back), (Finding.BAD, conditions.errors_above),
-                              (Finding.BETWEEN, conditions.errors_below)):  # fmt: skip
+        for finding, most in (
+            (Finding.WORSE, conditions.errors_back),
+            (Finding.BAD, conditions.errors_above),
+            (Finding.BETWEEN, conditions.errors_below),
+        ):
             if errors >= most:
                 return finding
     elif share and told.ready:
--- a/ringshift/retirement/lane.py
+++ b/ringshift/retirement/lane.py
@@ -68,9 +68,20 @@
     late = now - timeline.rungs[one.rung][0] if one.rung < rung else 0
     short = len(counts) - len(ready(counts, timeline.floor, key(timeline), WHOLE))
     return Standing(
-        timeline.name, position.phase, phase.name, one.edition, one.rung, rung, one.share, len(one.ready),
-        len(counts), short, stopped, late, position.why,
-    )  # fmt: skip
+        timeline.name,
+        position.phase,
+        phase.name,
+        one.edition,
+        one.rung,
+        rung,
+        one.share,
+        len(one.ready),
+        len(counts),
+        short,
+        stopped,
+        late,
+        position.why,
+    )
 
 
 def told(timeline: Timeline) -> Iterator[str]:
--- a/ringshift/retirement/plan.py
+++ b/ringshift/retirement/plan.py
@@ -39,8 +39,10 @@
     found = list[Change]()
     for start, end, share, added in parts(timeline):
         does: list[tuple[str, Does]] = [("", Quota(-(-load * (WHOLE - share) // WHOLE)))]
-        does += [(f":{one.source}", Move(added, one.source, one.target, timeline.successor))
-                 for one in timeline.onto]  # fmt: skip
+        does += [
+            (f":{one.source}", Move(added, one.source, one.target, timeline.successor))
+            for one in timeline.onto
+        ]
         name = f"{PREFIX}{timeline.name}:{start}"
         found += [Change(name + place, scope, it, start, end) for place, it in does]
     return found
--- a/ringshift/retirement/ramp.py
+++ b/ringshift/retirement/ramp.py
@@ -68,8 +68,9 @@
 TABLE: dict[tuple[Phase, Word], tuple[Phase | None, str]] = {
     (Phase[phase], Word[word]): (None if row[2].strip() == "=" else Phase[row[2].strip()], row[3].strip())
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
-    for phase in row[0].split() for word in row[1].split()
-}  # fmt: skip
+    for phase in row[0].split()
+    for word in row[1].split()
+}
 SHORT = (Finding.UNPROVEN, Finding.UNSERVED, Finding.UNMOVED)
 
 
@@ -117,10 +118,15 @@
     def picture(self) -> Picture:
         one = self.position
         return Picture(
-            self.timeline.name if self.timeline else "", one.decided.edition, one.phase,
-            self.word.name if self.word else "", self.finding.name, one.decided.rung, one.decided.share,
+            self.timeline.name if self.timeline else "",
+            one.decided.edition,
+            one.phase,
+            self.word.name if self.word else "",
+            self.finding.name,
+            one.decided.rung,
+            one.decided.share,
             self.told,
-        )  # fmt: skip
+        )
 
     # What holds.
 
--- a/ringshift/retirement/timeline.py
+++ b/ringshift/retirement/timeline.py
@@ -166,8 +166,10 @@
     def check_callers(self) -> None:
         if len(self.exemptions) > MOST_EXEMPTIONS:
             raise ValueError(f"exemptions: {len(self.exemptions)}, more than {MOST_EXEMPTIONS}")
-        for field, names in (("exemptions", [str(one.caller) for one in self.exemptions]),
-                             ("onto", [one.source for one in self.onto])):  # fmt: skip
+        for field, names in (
+            ("exemptions", [str(one.caller) for one in self.exemptions]),
+            ("onto", [one.source for one in self.onto]),
+        ):
             if len(set(names)) < len(names):
                 twice = next(name for name in names if names.count(name) > 1)
                 raise ValueError(f"{field}: two of {twice}")
--- a/ringshift/rulebook/caution.py
+++ b/ringshift/rulebook/caution.py
@@ -26,8 +26,10 @@
 share       | admits above the share at which the rules refuse
 whole       | divides more than the rules have
 """
-REASONS = {kind.strip(): f"a backend alone {reason.strip()}"
-           for kind, reason in (line.split("|") for line in SPECIFICATION.strip().splitlines())}  # fmt: skip
+REASONS = {
+    kind.strip(): f"a backend alone {reason.strip()}"
+    for kind, reason in (line.split("|") for line in SPECIFICATION.strip().splitlines())
+}
 
 
 @dataclass(frozen=True)
--- a/ringshift/rulebook/errand.py
+++ b/ringshift/rulebook/errand.py
@@ -25,8 +25,11 @@
 from ringshift.rulebook.wish import Wish as Wish
 from ringshift.rulebook.wish import numbered as numbered
 
-State = IntEnum("State", "PUBLISHING SETTLING BEGINNING LEADING REOPENING TAKING REFUSING "
-                "IN_FORCE REFUSED WITHDRAWN BEATEN NOTHING LATE")  # fmt: skip
+State = IntEnum(
+    "State",
+    "PUBLISHING SETTLING BEGINNING LEADING REOPENING TAKING REFUSING "
+    "IN_FORCE REFUSED WITHDRAWN BEATEN NOTHING LATE",
+)
 ENDS = frozenset({State.IN_FORCE, State.REFUSED, State.WITHDRAWN, State.BEATEN, State.NOTHING, State.LATE})
 
 News = IntEnum("News", "EMPTY FREE TAKEN STANDS FORCE OTHER GONE USED UNHEARD LANDED REFUSAL BEATEN LOST")
@@ -199,8 +202,9 @@
         held = told.in_force
         if memory.in_force is not None and memory.place > told.place and memory.in_force.stamp > held.stamp:
             held = memory.in_force  # the keeper lost it: published anew from here
-        past = [Publication(one, state=version.State.SUPERSEDED)
-                for one in self.before if one.stamp < held.stamp]  # fmt: skip
+        past = [
+            Publication(one, state=version.State.SUPERSEDED) for one in self.before if one.stamp < held.stamp
+        ]
         past.append(Publication(held, state=version.State.IN_FORCE))
         return Publisher(self.terms, held, found.highest, memory.place, play, past)
 
@@ -234,8 +238,9 @@
 
     def look(self, found: Found) -> None:
         assert self.publisher is not None and found.told is not None
-        effects = self.publisher.look(self.now, found.told, found.rows, found.absent, found.highest,
-                                      found.moved)  # fmt: skip
+        effects = self.publisher.look(
+            self.now, found.told, found.rows, found.absent, found.highest, found.moved
+        )
         self.out = effects[0] if effects else None
         led, play = self.led, self.publisher.play
         if play is not None and play is not led:
--- a/ringshift/rulebook/indices.py
+++ b/ringshift/rulebook/indices.py
@@ -42,8 +42,10 @@
 
     @cached_property
     def numbers(self) -> dict[Of, dict[str, int]]:
-        return {"operations": {name: n for n, name in enumerate(self.operations)},
-                "customers": {name: n for n, name in enumerate(self.customers)}}  # fmt: skip
+        return {
+            "operations": {name: n for n, name in enumerate(self.operations)},
+            "customers": {name: n for n, name in enumerate(self.customers)},
+        }
 
 
 def number(entry: str) -> int:
--- a/ringshift/rulebook/kinds.py
+++ b/ringshift/rulebook/kinds.py
@@ -166,9 +166,13 @@
     """Kinds of difference between two rows of one name. A mark is set once, and settled only by a horizon
     that was planned when the withdrawal was in force."""
     taken_back = was.withdrawn not in (None, now.withdrawn) or was.settled not in (None, now.settled)
-    early = now.settled is not None and was.settled is None and (
-        was.withdrawn is None or horizon is None
-        or nanoseconds(now.settled) < horizon.now + horizon.late)  # fmt: skip
+    early = (
+        now.settled is not None
+        and was.settled is None
+        and (
+            was.withdrawn is None or horizon is None or nanoseconds(now.settled) < horizon.now + horizon.late
+        )
+    )
     if was.plan() != now.plan() or taken_back or early:
         yield "change altered"
         return
--- a/ringshift/rulebook/loss.py
+++ b/ringshift/rulebook/loss.py
@@ -30,23 +30,34 @@
     return max((max(row.floor, *(mark[:2] for mark in row.named)) for row in rows.values()), default=NOTHING)
 
 
-def lost_epoch(told: Told, rows: Mapping[str, Row], place: tuple[int, int], used: Stamp,
-               moved: bool = False) -> int | None:  # fmt: skip
+def lost_epoch(
+    told: Told, rows: Mapping[str, Row], place: tuple[int, int], used: Stamp, moved: bool = False
+) -> int | None:
     """The epoch above which all must be published from now on; None where nothing was lost. `place`: the
     highest in the keeper's history that the publisher saw or heard of; `used`: the highest number that the
     keeper says was ever used; `moved`: another keeper answers than the one that the epoch began at. What the
     publisher itself is about to propose is no sign: another may have been first with the same number, and be
     acknowledged."""
-    found = (place_of(told, place), told.place[0] if moved else None, floor_of(told, rows),
-             number_of(told, rows, used), book_of(told, rows))  # fmt: skip
+    found = (
+        place_of(told, place),
+        told.place[0] if moved else None,
+        floor_of(told, rows),
+        number_of(told, rows, used),
+        book_of(told, rows),
+    )
     return max((epoch for epoch in found if epoch is not None), default=None)
 
 
 def signs(told: Told, row: Row, used: Stamp) -> list[str]:
     """Which of `SIGNS` this one row shows, in their order; for the operators."""
     rows = {"": row}
-    found = (place_of(told, row.seen), None, floor_of(told, rows), number_of(told, rows, used),
-             book_of(told, rows))  # fmt: skip
+    found = (
+        place_of(told, row.seen),
+        None,
+        floor_of(told, rows),
+        number_of(told, rows, used),
+        book_of(told, rows),
+    )
     return [sign for sign, epoch in zip(SIGNS, found, strict=True) if epoch is not None]
 
 
@@ -67,6 +78,10 @@
 
 def book_of(told: Told, rows: Mapping[str, Row]) -> int | None:
     books = {one.stamp: one.mark for one in (told.in_force, told.proposed) if one is not None}
-    wrong = [mark[0] for row in rows.values() for mark in row.named
-             if mark != UNMARKED and books.get(mark[:2], mark) != mark]  # fmt: skip
+    wrong = [
+        mark[0]
+        for row in rows.values()
+        for mark in row.named
+        if mark != UNMARKED and books.get(mark[:2], mark) != mark
+    ]
     return max(wrong, default=None)
--- a/ringshift/rulebook/meet.py
+++ b/ringshift/rulebook/meet.py
@@ -29,16 +29,27 @@
     """Commutative, associative and idempotent but for texts, which are a's where a has any."""
     return Rules(
         lists=met_lists(a, b),
-        quotas=[Quota(*key, value) for key, value in lesser(
-            {(one.of, one.entry): one.most for one in a.quotas},
-            {(one.of, one.entry): one.most for one in b.quotas}).items()],
-        shares=[Portion(*key, value) for key, value in lesser(
-            {(one.of, one.entry): one.share for one in a.shares},
-            {(one.of, one.entry): one.share for one in b.shares}).items()],
-        wholes=[Whole(key, value) for key, value in lesser(
-            {one.budget: one.whole for one in a.wholes},
-            {one.budget: one.whole for one in b.wholes}).items()],
-    )  # fmt: skip
+        quotas=[
+            Quota(*key, value)
+            for key, value in lesser(
+                {(one.of, one.entry): one.most for one in a.quotas},
+                {(one.of, one.entry): one.most for one in b.quotas},
+            ).items()
+        ],
+        shares=[
+            Portion(*key, value)
+            for key, value in lesser(
+                {(one.of, one.entry): one.share for one in a.shares},
+                {(one.of, one.entry): one.share for one in b.shares},
+            ).items()
+        ],
+        wholes=[
+            Whole(key, value)
+            for key, value in lesser(
+                {one.budget: one.whole for one in a.wholes}, {one.budget: one.whole for one in b.wholes}
+            ).items()
+        ],
+    )
 
 
 def lesser(a: Mapping[Key, float], b: Mapping[Key, float]) -> dict[Key, float]:
--- a/ringshift/rulebook/picture.py
+++ b/ringshift/rulebook/picture.py
@@ -96,8 +96,14 @@
     )
     proposed = None if told.proposed is None else publishing(told.proposed, last, readers)
     lost = last.moved or any(signs(told, row, last.highest) for row in last.rows.values())
-    return Picture(told.in_force, last.highest, proposed, readers, lost,
-                   tuple(ADVICE[one] for one in advice(proposed, readers, lost)))  # fmt: skip
+    return Picture(
+        told.in_force,
+        last.highest,
+        proposed,
+        readers,
+        lost,
+        tuple(ADVICE[one] for one in advice(proposed, readers, lost)),
+    )
 
 
 @dataclass(frozen=True)
--- a/ringshift/rulebook/reader.py
+++ b/ringshift/rulebook/reader.py
@@ -70,10 +70,12 @@
 """
 TABLE: dict[tuple[State, News], tuple[State | None, list[str]]] = {
     (State[state], News[row[1].strip()]): (
-        None if row[2].strip() == "=" else State[row[2].strip()], row[3].split())
+        None if row[2].strip() == "=" else State[row[2].strip()],
+        row[3].split(),
+    )
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
     for state in row[0].split()
-}  # fmt: skip
+}
 
 
 @dataclass(frozen=True)
--- a/ringshift/rulebook/version.py
+++ b/ringshift/rulebook/version.py
@@ -121,8 +121,9 @@
     # Effects, named in the specification.
 
     def propose(self, news: News, reader: str, n: int, why: str) -> None:
-        self.out.append(Effect("propose", self.version, undoes=self.undoes, by_all=self.by_all,
-                               base=self.base))  # fmt: skip
+        self.out.append(
+            Effect("propose", self.version, undoes=self.undoes, by_all=self.by_all, base=self.base)
+        )
 
     def note(self, news: News, reader: str, n: int, why: str) -> None:
         if news is News.ACK:
@@ -149,8 +150,9 @@
     """Of the first publication where the keeper holds none: above all that any reader saw, since it may
     have held some and lost them."""
     stamp = highest_of(rows)
-    epochs = [max(row.seen[0] + (row.seen != (0, 0)), row.high[0] + (row.high != UNMARKED))
-              for row in rows.values()]  # fmt: skip
+    epochs = [
+        max(row.seen[0] + (row.seen != (0, 0)), row.high[0] + (row.high != UNMARKED)) for row in rows.values()
+    ]
     return max(epochs, default=0), stamp[1] + 1
 
 
@@ -164,12 +166,16 @@
             raise PublicationError(f"{one.kind}: {one.what}: {one.reason}")
     alone = {kind for kind in kinds if kind.startswith("alone")}
     if alone and kinds - alone:
-        raise PublicationError(f"alone: changed together with {', '.join(sorted(kinds - alone))}; publish "
-                               "the one, then the other")  # fmt: skip
+        raise PublicationError(
+            f"alone: changed together with {', '.join(sorted(kinds - alone))}; publish "
+            "the one, then the other"
+        )
     if "alone changed" in alone:
         if old.alone_next is None or digest(new.alone) != digest(old.alone_next):
-            raise PublicationError("alone: differs from the one in force and was not announced; publish a "
-                                   "version that names it as alone_next first")  # fmt: skip
+            raise PublicationError(
+                "alone: differs from the one in force and was not announced; publish a "
+                "version that names it as alone_next first"
+            )
         if new.alone_next is not None:
             raise PublicationError("alone_next: another announced while alone changes; one, then the other")
     return "alone announced" in alone
@@ -194,20 +200,34 @@
             self.past.append(Publication(self.in_force, state=State.IN_FORCE))
 
     @classmethod
-    def begun(cls, terms: ReadingTerms, told: Told, highest: Stamp, undoes: Stamp | None = None,
-              by_all: bool = False, kept: Sequence[Version] = ()) -> Publisher:  # fmt: skip
+    def begun(
+        cls,
+        terms: ReadingTerms,
+        told: Told,
+        highest: Stamp,
+        undoes: Stamp | None = None,
+        by_all: bool = False,
+        kept: Sequence[Version] = (),
+    ) -> Publisher:
         """One started anew on what the keeper holds: it leads on what is proposed there. `kept`: versions
         that were in force before, ascending (others among them are passed over)."""
         play = None
         if told.proposed is not None:
             play = Publication(told.proposed, by_all, undoes, state=State.PROPOSED)
-        before = [Publication(one, state=State.SUPERSEDED) for one in kept
-                  if one.stamp < told.in_force.stamp][-KEPT - 1 :]  # fmt: skip
+        before = [
+            Publication(one, state=State.SUPERSEDED) for one in kept if one.stamp < told.in_force.stamp
+        ][-KEPT - 1 :]
         past = [*before, Publication(told.in_force, state=State.IN_FORCE)]
         return cls(terms, told.in_force, highest, told.place, play, past)
 
-    def publish(self, book: Rulebook, author: str = "", reason: str = "",
-                undoes: Stamp | None = None, anew: bool = False) -> list[Effect]:  # fmt: skip
+    def publish(
+        self,
+        book: Rulebook,
+        author: str = "",
+        reason: str = "",
+        undoes: Stamp | None = None,
+        anew: bool = False,
+    ) -> list[Effect]:
         """Proposes the next version, on the one in force; `anew`: on whatever is. Raises PublicationError
         where it may not be proposed now."""
         if self.play is not None:
@@ -226,8 +246,15 @@
             raise PublicationError("no version before the one in force is kept")
         return self.publish(self.past[-2].version.book, author, reason, undoes=self.in_force.stamp)
 
-    def look(self, now: int, told: Told, rows: Mapping[str, Row], absent: frozenset[str] = frozenset(),
-             highest: Stamp = NOTHING, moved: bool = False) -> list[Effect]:  # fmt: skip
+    def look(
+        self,
+        now: int,
+        told: Told,
+        rows: Mapping[str, Row],
+        absent: frozenset[str] = frozenset(),
+        highest: Stamp = NOTHING,
+        moved: bool = False,
+    ) -> list[Effect]:
         """What the keeper holds, read at `now`: what to write there next, in order.
 
         `absent`: those of `rows` whose lease was found to have surely ended, by whichever publisher. One that
@@ -239,8 +266,9 @@
             name: self.read[name] if name in self.read and self.read[name][0] == row.mark else (row.mark, now)
             for name, row in rows.items()
         }
-        if self.play is not None and (self.play.state is State.ACKNOWLEDGED
-                                      or told.in_force == self.play.version):  # fmt: skip
+        if self.play is not None and (
+            self.play.state is State.ACKNOWLEDGED or told.in_force == self.play.version
+        ):
             self.landed(told.in_force == self.play.version)  # its answer may be lost: what it holds counts
         self.place = max([self.place, told.place, *(row.seen for row in rows.values())])
         above = lost_epoch(told, rows, self.place, highest, moved)
@@ -263,8 +291,9 @@
             return play.hear(News.UNHEARD)
         return self.close(play, News.BEATEN, why="another publisher was first: begin from what it published")
 
-    def settle(self, play: Publication, now: int, rows: Mapping[str, Row],
-               absent: frozenset[str]) -> list[Effect]:  # fmt: skip
+    def settle(
+        self, play: Publication, now: int, rows: Mapping[str, Row], absent: frozenset[str]
+    ) -> list[Effect]:
         waited, mark = 0, play.version.mark
         play.acked.clear()  # judged anew at each look: an ended one may have confirmed since
         play.ended.clear()
--- a/ringshift/runtime/logs.py
+++ b/ringshift/runtime/logs.py
@@ -14,8 +14,13 @@
 def set_up(name: str) -> None:
     logger.remove()
     logger.configure(extra={"name": name})
-    logger.add(sys.stderr, format="{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {extra[name]} {message}",
-               level="INFO", backtrace=False, diagnose=False)  # fmt: skip
+    logger.add(
+        sys.stderr,
+        format="{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {extra[name]} {message}",
+        level="INFO",
+        backtrace=False,
+        diagnose=False,
+    )
 
 
 class Counted:
--- a/ringshift/schedule/change.py
+++ b/ringshift/schedule/change.py
@@ -74,8 +74,11 @@
         return Scope(self.operations, self.customers)
 
     def __str__(self) -> str:
-        told = [f"{field} {named(names)}" for field, names in zip(FIELDS, self.parts, strict=True)
-                if not isinstance(names, All)]  # fmt: skip
+        told = [
+            f"{field} {named(names)}"
+            for field, names in zip(FIELDS, self.parts, strict=True)
+            if not isinstance(names, All)
+        ]
         return "; ".join(told) or "everywhere"
 
     @property
@@ -153,8 +156,10 @@
         if self.ramp_in < 0 or self.ramp_out < 0:
             raise ChangeError(f"{'ramp_in' if self.ramp_in < 0 else 'ramp_out'}: below 0")
         if self.ramp_in + self.ramp_out > self.end - self.start:
-            raise ChangeError(f"ramp_out: {self.ramp_out} ns beside ramp_in, {self.ramp_in} ns, don't fit "
-                              f"into {self.end - self.start} ns")  # fmt: skip
+            raise ChangeError(
+                f"ramp_out: {self.ramp_out} ns beside ramp_in, {self.ramp_in} ns, don't fit "
+                f"into {self.end - self.start} ns"
+            )
         if self.start + self.ramp_in == self.end:
             raise ChangeError(f"ramp_in: {self.ramp_in} ns is the whole window: never in full effect")
         if self.name in self.after:
--- a/ringshift/schedule/moving.py
+++ b/ringshift/schedule/moving.py
@@ -39,8 +39,11 @@
     does, scope = change.does, change.scope
     if not isinstance(does, Move) or not world.serves:
         return None
-    named = ([one for one, there in world.serves.items() if does.source in there]
-             if isinstance(scope.operations, All) else scope.operations)  # fmt: skip
+    named = (
+        [one for one, there in world.serves.items() if does.source in there]
+        if isinstance(scope.operations, All)
+        else scope.operations
+    )
     wrong = frozenset(one for one in named if outside(does.served_as or one, does.target, world))
     return Scope(wrong, scope.customers, scope.places) if wrong else None
 
--- a/ringshift/schedule/plan.py
+++ b/ringshift/schedule/plan.py
@@ -98,8 +98,15 @@
     return ""
 
 
-def plan(base: Rulebook, rows: Sequence[Planned], now: int, terms: Terms, world: Stated | None = None,
-         timelines: Sequence[Timeline] = (), gone: Iterable[str] = ()) -> Rulebook | Against:  # fmt: skip
+def plan(
+    base: Rulebook,
+    rows: Sequence[Planned],
+    now: int,
+    terms: Terms,
+    world: Stated | None = None,
+    timelines: Sequence[Timeline] = (),
+    gone: Iterable[str] = (),
+) -> Rulebook | Against:
     """The next book: `base` with `rows` beside its own, and without what is over. A row that stands already
     is taken as it stands; a timeline takes the place of one of its name; rows named in `gone` are withdrawn
     by it, and hold their places in it. Raises PlanError, ChangeError."""
@@ -113,8 +120,12 @@
     kept = [held.get(row.name, row) for row in still_needed(kept, added, horizon)]
     lines = {one.name: one for one in (*base.timelines, *timelines)}
     book = msgspec.structs.replace(
-        base, changes=[*kept, *added], horizon=horizon, timelines=[*lines.values()],
-        world=base.world if world is None else world)  # fmt: skip
+        base,
+        changes=[*kept, *added],
+        horizon=horizon,
+        timelines=[*lines.values()],
+        world=base.world if world is None else world,
+    )
     found = validated(book)
     return book if isinstance(found, Schedule) else found
 
@@ -134,13 +145,14 @@
             return True  # as the document in force was shown
         raise PlanError(f"{row.name}: withdrawn; its name is free once its last window is over")
     if row.plan() != standing.plan():
-        raise PlanError(f"{row.name}: stands with another plan, and is never altered; withdraw it, and plan "
-                        "the other under another name")  # fmt: skip
+        raise PlanError(
+            f"{row.name}: stands with another plan, and is never altered; withdraw it, and plan "
+            "the other under another name"
+        )
     return True
 
 
-def check(added: Iterable[Planned], standing: Mapping[str, Planned], horizon: Horizon,
-          earliest: int) -> None:  # fmt: skip
+def check(added: Iterable[Planned], standing: Mapping[str, Planned], horizon: Horizon, earliest: int) -> None:
     """What holds of new rows alone, and of those that they require."""
     known = dict(standing)
     for row in added:
@@ -158,8 +170,10 @@
         if not starts:
             raise PlanError(f"{row.name}: no window within the horizon, up to {horizon.to:%Y-%m-%d}")
         if starts[0] < earliest:
-            raise PlanError(f"{row.name}: begins at {moment(starts[0])}, before {moment(earliest)}, when the "
-                            "version that holds it can be in force")  # fmt: skip
+            raise PlanError(
+                f"{row.name}: begins at {moment(starts[0])}, before {moment(earliest)}, when the "
+                "version that holds it can be in force"
+            )
 
 
 def still_needed(kept: Sequence[Planned], added: Sequence[Planned], horizon: Horizon) -> list[Planned]:
@@ -185,8 +199,12 @@
         needs = told & set(row.after)
         if needs and row.name not in told and row.withdrawn is None and not past(row, now):
             raise PlanError(f"{min(needs)}: {row.name} requires it; withdraw that as well")
-    marked = [msgspec.structs.replace(row, withdrawn=moment(now))
-              if row.name in told and row.withdrawn is None else row for row in base.changes]  # fmt: skip
+    marked = [
+        msgspec.structs.replace(row, withdrawn=moment(now))
+        if row.name in told and row.withdrawn is None
+        else row
+        for row in base.changes
+    ]
     return msgspec.structs.replace(base, changes=marked)
 
 
--- a/ringshift/schedule/planned.py
+++ b/ringshift/schedule/planned.py
@@ -158,8 +158,17 @@
             return ALL if names is None else frozenset(names)
 
         scope = Scope(some(self.operations), some(self.customers), some(self.places))
-        return Change(name, scope, self.does.does(), start, end, self.ramp_in_ms * MS, self.ramp_out_ms * MS,
-                      frozenset(self.after), dict(self.left))  # fmt: skip
+        return Change(
+            name,
+            scope,
+            self.does.does(),
+            start,
+            end,
+            self.ramp_in_ms * MS,
+            self.ramp_out_ms * MS,
+            frozenset(self.after),
+            dict(self.left),
+        )
 
     def plan(self) -> Planned:
         """What may not be altered: the row without its marks and its text."""
@@ -193,9 +202,11 @@
     load: list[Loaded] = []
 
     def __post_init__(self) -> None:
-        for field, keys in (("serves", [one.operation for one in self.serves]),
-                            ("capacity", [one.place for one in self.capacity]),
-                            ("load", [(one.operation, one.customer, one.place) for one in self.load])):
+        for field, keys in (
+            ("serves", [one.operation for one in self.serves]),
+            ("capacity", [one.place for one in self.capacity]),
+            ("load", [(one.operation, one.customer, one.place) for one in self.load]),
+        ):
             if len(set(keys)) != len(keys):
                 raise ValueError(f"{field}: two rows of the same")
 
--- a/ringshift/schedule/planner.py
+++ b/ringshift/schedule/planner.py
@@ -19,8 +19,9 @@
 
 State = IntEnum("State", "LOOKING SETTLING JUDGING PROPOSING LANDED CONTRADICTS REFUSED WITHDRAWN LATE")
 ENDS = frozenset({State.LANDED, State.CONTRADICTS, State.REFUSED, State.WITHDRAWN, State.LATE})
-News = IntEnum("News", "EMPTY TAKEN FREE FITS STANDS CONTRADICTS UNFIT GONE LANDED BEATEN TAKEN_BACK REFUSED "
-               "LATE OVER")  # fmt: skip
+News = IntEnum(
+    "News", "EMPTY TAKEN FREE FITS STANDS CONTRADICTS UNFIT GONE LANDED BEATEN TAKEN_BACK REFUSED LATE OVER"
+)
 """EMPTY: nothing was ever published; TAKEN: another's proposal is in play; FREE: none is; of the judgement:
 FITS, STANDS (all of it is in force already), CONTRADICTS, UNFIT (no plan at all), GONE (it would fit, but
 was proposed before and taken back by someone); of the proposal: LANDED, BEATEN (the compare was lost),
@@ -47,10 +48,12 @@
 """
 TABLE: dict[tuple[State, News], tuple[State | None, list[str]]] = {
     (State[state], News[row[1].strip()]): (
-        None if row[2].strip() == "=" else State[row[2].strip()], row[3].split())
+        None if row[2].strip() == "=" else State[row[2].strip()],
+        row[3].split(),
+    )
     for row in (line.split("|") for line in SPECIFICATION.strip().splitlines())
     for state in row[0].split()
-}  # fmt: skip
+}
 
 
 @dataclass(frozen=True)
@@ -66,8 +69,9 @@
         """The next book; None where all of it stands already. Raises PlanError, ChangeError."""
         standing = by_name(base.changes)
         if self.withdrawn:
-            left = {name for name in self.withdrawn if name not in standing
-                    or standing[name].withdrawn is None}  # fmt: skip
+            left = {
+                name for name in self.withdrawn if name not in standing or standing[name].withdrawn is None
+            }
             return withdraw(base, left, now) if left else None
         planned = all(stands(row, standing.get(row.name)) for row in self.rows)
         lines = all(one in base.timelines for one in self.timelines)
@@ -138,8 +142,9 @@
         if found is None:
             self.step(News.STANDS)
         elif not isinstance(found, Rulebook):
-            names = ", ".join([*(one.name for one in self.wish.rows),
-                               *(one.name for one in self.wish.timelines)])  # fmt: skip
+            names = ", ".join(
+                [*(one.name for one in self.wish.rows), *(one.name for one in self.wish.timelines)]
+            )
             # Of a sum two others may be named: those that began last.
             self.broken, self.why = found, f"with {names or 'the world'}: {found}"
             self.step(News.CONTRADICTS)
@@ -173,4 +178,3 @@
 
     def say_over(self) -> None:
         self.why = self.why or f"lost {self.lost} compares to other publishers"
-
--- a/ringshift/schedule/rules.py
+++ b/ringshift/schedule/rules.py
@@ -84,8 +84,10 @@
     def __str__(self) -> str:
         names = self.first if self.first == self.second else f"{self.first} and {self.second}"
         names += f", with {named(self.beside)}," if self.beside else ""
-        return (f"{names} contradict{'s itself' * (self.first == self.second)} at {self.instant} ns "
-                f"({self.rule.name.lower()}; {self.part}): {REASONS[self.rule]}")  # fmt: skip
+        return (
+            f"{names} contradict{'s itself' * (self.first == self.second)} at {self.instant} ns "
+            f"({self.rule.name.lower()}; {self.part}): {REASONS[self.rule]}"
+        )
 
 
 def two(a: Change, b: Change) -> tuple[Rule, Scope] | None:
@@ -116,9 +118,12 @@
     arrive."""
     for freeze, other in ((a, b), (b, a)):
         touched = (
-            {other.does.source, other.does.target} if isinstance(other.does, Move)
-            else {other.does.place} if isinstance(other.does, Drain) else set()
-        )  # fmt: skip
+            {other.does.source, other.does.target}
+            if isinstance(other.does, Move)
+            else {other.does.place}
+            if isinstance(other.does, Drain)
+            else set()
+        )
         if isinstance(freeze.does, Freeze) and touched:
             wide = Scope(other.scope.operations, other.scope.customers, frozenset(touched))
             if met := freeze.scope.meets(wide):
@@ -133,8 +138,9 @@
     for dimension in range(3):
         parts = [scope.parts[dimension] for scope in scopes]
         names = {name for part in parts if not isinstance(part, All) for name in part}
-        kinds.append({frozenset(n for n, part in enumerate(parts) if within(name, part))
-                      for name in (*names, "")})  # fmt: skip
+        kinds.append(
+            {frozenset(n for n, part in enumerate(parts) if within(name, part)) for name in (*names, "")}
+        )
     found = {a & b & c for a in kinds[0] for b in kinds[1] for c in kinds[2]}
     return {group for group in found if group}
 
--- a/ringshift/schedule/timetable.py
+++ b/ringshift/schedule/timetable.py
@@ -139,8 +139,11 @@
 
     def wait(self) -> None:
         """Those that are over are left out: they can't begin, whatever comes."""
-        self.waiting = [(change.start - self.lead, name) for name, (change, how) in self.of.items()
-                        if change.end > self.now and name not in self.near and how is not Standing.BACK]
+        self.waiting = [
+            (change.start - self.lead, name)
+            for name, (change, how) in self.of.items()
+            if change.end > self.now and name not in self.near and how is not Standing.BACK
+        ]
         heapify(self.waiting)
 
     def anew(self, wall: int) -> None:
