--- a/ringshift/schedule/validate.py
+++ b/ringshift/schedule/validate.py
@@ -107,8 +107,10 @@
 
     def broken(self, at: int, live: Sequence[Change]) -> Broken:
         """What is told of an instant at which a rule is broken by the changes in force."""
-        return min(self.all_broken(at, live), key=lambda one: (one.beneath, one.first, one.second,
-                                                               one.part.order, one.beside))  # fmt: skip
+        return min(
+            self.all_broken(at, live),
+            key=lambda one: (one.beneath, one.first, one.second, one.part.order, one.beside),
+        )
 
     def all_broken(self, at: int, live: Sequence[Change]) -> Iterator[Broken]:
         for one in live:
@@ -117,8 +119,14 @@
                     circle = self.in_circle(one, name)
                     # One that isn't there counts as never ending.
                     over = self.names[name].end if name in self.names else at + 1
-                    yield pair(Rule.CYCLE if circle else Rule.ENDS_LATE, one.name, name, at, one.scope,
-                               not circle and over <= at)  # fmt: skip
+                    yield pair(
+                        Rule.CYCLE if circle else Rule.ENDS_LATE,
+                        one.name,
+                        name,
+                        at,
+                        one.scope,
+                        not circle and over <= at,
+                    )
             if part := unserved(one, self.world):
                 yield pair(Rule.UNSERVED, one.name, one.name, at, part, one.end <= at)
         for n, one in enumerate(live):
--- a/ringshift/schedule/witness.py
+++ b/ringshift/schedule/witness.py
@@ -16,8 +16,9 @@
 from ringshift.schedule.rules import Broken, Rule, Sums, drain_of, groups, places, target
 
 
-def pair(rule: Rule, one: str, other: str, at: int, part: Scope, apart: bool,
-         beside: Sequence[str] = ()) -> Broken:  # fmt: skip
+def pair(
+    rule: Rule, one: str, other: str, at: int, part: Scope, apart: bool, beside: Sequence[str] = ()
+) -> Broken:
     first, second = sorted((one, other))
     return Broken(Rule.CLOSE if apart else rule, rule, first, second, at, part, tuple(sorted(beside)))
 
@@ -86,8 +87,14 @@
                 yield latest(Rule.SHARES, some, at, met(c.scope for c in some))
     for place in {place for c in live for place in places(c)} & sums.world.capacity.keys():
         if sums.over(place, live, at):
-            asked = [(c, sums.moved(c) * c.part(at, sums.late) if target(c) == place else Fraction(0),
-                      c.left.get(place, 0) * WHOLE) for c in live]  # fmt: skip
+            asked = [
+                (
+                    c,
+                    sums.moved(c) * c.part(at, sums.late) if target(c) == place else Fraction(0),
+                    c.left.get(place, 0) * WHOLE,
+                )
+                for c in live
+            ]
             some = needed_in_sum([one for one in asked if one[1] or one[2]], sums.free(place))
             yield latest(Rule.CAPACITY, some, at, Scope(ALL, ALL, frozenset({place})))
 
--- a/ringshift/settings/operators.py
+++ b/ringshift/settings/operators.py
@@ -56,12 +56,21 @@
         self.terms()  # refused here, by field, rather than when the first lease is sought
 
     def terms(self) -> LeaseTerms:
-        names = {"ttl": "ttl_s", "margin": "margin_ms", "answer_within": "answer_within_ms",
-                 "grace": "grace_ms"}
+        names = {
+            "ttl": "ttl_s",
+            "margin": "margin_ms",
+            "answer_within": "answer_within_ms",
+            "grace": "grace_ms",
+        }
         try:
-            return LeaseTerms(ttl=self.ttl_s * S, margin=self.margin_ms * MS, drift_ppm=self.drift_ppm,
-                              answer_within=self.answer_within_ms * MS, grace=self.grace_ms * MS,
-                              leave_share=self.leave_share)  # fmt: skip
+            return LeaseTerms(
+                ttl=self.ttl_s * S,
+                margin=self.margin_ms * MS,
+                drift_ppm=self.drift_ppm,
+                answer_within=self.answer_within_ms * MS,
+                grace=self.grace_ms * MS,
+                leave_share=self.leave_share,
+            )
         except LeaseTermsError as wrong:
             field, _, told = str(wrong).partition(": ")
             raise ValueError(f"{names.get(field, field)}: {told}") from None
@@ -102,9 +111,20 @@
     def budget(self) -> Budget:
         longest = self.longest_ms if self.unit == "calls" else 0
         try:
-            return Budget(self.name, Unit(self.unit), self.whole, self.most, self.safe, self.weight,
-                          self.operation, self.life_ms * MS, self.refresh_ms * MS, self.margin_ms * MS,
-                          longest * MS, self.drift_ppm)  # fmt: skip
+            return Budget(
+                self.name,
+                Unit(self.unit),
+                self.whole,
+                self.most,
+                self.safe,
+                self.weight,
+                self.operation,
+                self.life_ms * MS,
+                self.refresh_ms * MS,
+                self.margin_ms * MS,
+                longest * MS,
+                self.drift_ppm,
+            )
         except BudgetError as wrong:
             field, _, told = str(wrong).partition(": ")
             names = {"margin": "margin_ms", "refresh": "refresh_ms"}
@@ -158,8 +178,12 @@
     index = re.search(r"\[(\d+)\]", path)
     if not keys and not path or "unknown field" in told:
         keys += re.findall(r"`(\w+)`", told)
-    fields = {"records": RecordKeeping.__struct_fields__, "leases": Leases.__struct_fields__,
-              "budgets": FleetBudget.__struct_fields__, "rules": RulesReading.__struct_fields__}  # fmt: skip
+    fields = {
+        "records": RecordKeeping.__struct_fields__,
+        "leases": Leases.__struct_fields__,
+        "budgets": FleetBudget.__struct_fields__,
+        "rules": RulesReading.__struct_fields__,
+    }
     if not keys:
         keys = [word for word in re.findall(r"\w+", told) if word in RecordKeeping.__struct_fields__][:1]
     elif len(keys) == 1:
--- a/ringshift/settings/rules.py
+++ b/ringshift/settings/rules.py
@@ -46,8 +46,10 @@
             raise ValueError("head_start: the file of installation; it would be written over")
         terms = self.terms()  # refused here, by field, rather than when the first confirmation is due
         if not 0 < self.answer_within_ms * MS < terms.acting_time:
-            raise ValueError(f"answer_within_ms: {self.answer_within_ms}; above 0 and under the "
-                             f"{terms.acting_time // MS} ms left to act")  # fmt: skip
+            raise ValueError(
+                f"answer_within_ms: {self.answer_within_ms}; above 0 and under the "
+                f"{terms.acting_time // MS} ms left to act"
+            )
 
     def terms(self) -> ReadingTerms:
         try:
--- a/ringshift/settings/terms.py
+++ b/ringshift/settings/terms.py
@@ -108,8 +108,10 @@
         if self.unit is Unit.CALLS and (self.whole % 1 or self.safe % 1):
             raise BudgetError(f"whole: {self.whole} with safe {self.safe}; calls are whole numbers")
         if self.safe * self.most > self.whole:
-            raise BudgetError(f"whole: {self.whole} is less than the safe shares of {self.most} backends, "
-                              f"{self.safe * self.most}")  # fmt: skip
+            raise BudgetError(
+                f"whole: {self.whole} is less than the safe shares of {self.most} backends, "
+                f"{self.safe * self.most}"
+            )
         if not 0 < self.weight < inf:
             raise BudgetError(f"weight: {self.weight}; above 0")
         if not 0 <= self.drift_ppm < MILLION // 2:
@@ -117,8 +119,10 @@
         if self.margin < 0 or self.longest < 0:
             raise BudgetError(f"margin: {self.margin} ns, longest {self.longest} ns; not below 0")
         if self.refresh <= 0 or self.usable <= 2 * self.refresh:
-            raise BudgetError(f"refresh: {self.refresh} ns; two must fit into what a grant of {self.life} ns "
-                              f"leaves beside margin and longest, {self.usable} ns")  # fmt: skip
+            raise BudgetError(
+                f"refresh: {self.refresh} ns; two must fit into what a grant of {self.life} ns "
+                f"leaves beside margin and longest, {self.usable} ns"
+            )
 
     @property
     def usable(self) -> int:
--- a/ringshift/store/fenced.py
+++ b/ringshift/store/fenced.py
@@ -61,8 +61,9 @@
         except sqlite3.Error as wrong:
             raise OSError(f"{self.incident.path}: {wrong}") from None
 
-    def take(self, task: str, token: int, step: int, portion: Portion, read: Read,
-             may: Callable[[], bool]) -> Told | None:  # fmt: skip
+    def take(
+        self, task: str, token: int, step: int, portion: Portion, read: Read, may: Callable[[], bool]
+    ) -> Told | None:
         """One step. None where `may` said no at the last look: nothing was written."""
         try:
             self.db.execute("BEGIN IMMEDIATE")
--- a/ringshift/store/headstart.py
+++ b/ringshift/store/headstart.py
@@ -37,8 +37,15 @@
 
 def keep(path: Path, version: Version) -> None:
     """Raises OSError; the file is then the one before."""
-    body = msgspec.json.encode(Kept(*version.stamp, version.digest, msgspec.Raw(canonical(version.book)),
-                                    version.author, version.reason))  # fmt: skip
+    body = msgspec.json.encode(
+        Kept(
+            *version.stamp,
+            version.digest,
+            msgspec.Raw(canonical(version.book)),
+            version.author,
+            version.reason,
+        )
+    )
     data = HEAD.pack(MAGIC, FORMAT, len(body)) + body
     part = path.with_name(f"{path.name}.part")
     with part.open("wb") as out:
--- a/ringshift/store/incident.py
+++ b/ringshift/store/incident.py
@@ -126,8 +126,9 @@
 
     def runs(self) -> list[tuple[str, str, int, int]]:
         """server, run, its first time by its own clock, how many records."""
-        sql = ("SELECT server, run, min(at), count(*) FROM records GROUP BY server, run "
-               "ORDER BY server, min(at)")  # fmt: skip
+        sql = (
+            "SELECT server, run, min(at), count(*) FROM records GROUP BY server, run ORDER BY server, min(at)"
+        )
         return [
             (server, run, at, count) for server, run, at, count in self.guarded(sql, (str, str, int, int))
         ]
--- a/ringshift/store/invocations.py
+++ b/ringshift/store/invocations.py
@@ -60,8 +60,17 @@
         """How many still wait for their answer."""
         return len(self.by_request)
 
-    def add(self, job: str, operation: int, body: bytes, door: Door, request: int,
-            item: str = "", caller: int = -1, key: str = "") -> Invocation:  # fmt: skip
+    def add(
+        self,
+        job: str,
+        operation: int,
+        body: bytes,
+        door: Door,
+        request: int,
+        item: str = "",
+        caller: int = -1,
+        key: str = "",
+    ) -> Invocation:
         inv = Invocation(self.next, job, operation, body, door, request, item, caller, key)
         self.next += 1
         self.by_job[job] = self.by_index[inv.index] = self.by_request[door, request] = inv
--- a/ringshift/store/reader.py
+++ b/ringshift/store/reader.py
@@ -77,6 +77,14 @@
 
 def write(record: Record) -> bytes:
     return msgspec.json.encode(
-        {"ringshift": VERSION, "server": record.server, "run": record.run, "seq": record.seq,
-         "at": record.at, "up": record.up, "kind": record.kind, "body": record.body}
-    )  # fmt: skip
+        {
+            "ringshift": VERSION,
+            "server": record.server,
+            "run": record.run,
+            "seq": record.seq,
+            "at": record.at,
+            "up": record.up,
+            "kind": record.kind,
+            "body": record.body,
+        }
+    )
--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -179,8 +179,12 @@
         result = b64decode(maybe(fields, "data", "outcome", str, ""), validate=True)
     except ValueError:
         raise Malformed("outcome: data: not base64") from None
-    return RunEnded(need(fields, "job", "outcome", str), need(fields, "state", "outcome", str),
-                    ns(maybe(fields, "took", "outcome", float, 0.0)), result)  # fmt: skip
+    return RunEnded(
+        need(fields, "job", "outcome", str),
+        need(fields, "state", "outcome", str),
+        ns(maybe(fields, "took", "outcome", float, 0.0)),
+        result,
+    )
 
 
 def read_sampled(fields: Fields) -> News:
@@ -203,5 +207,10 @@
 
 
 NOTICES: dict[str, Callable[[Fields], News | None]] = {
-    "greeting": read_greeting, "outcome": read_outcome, "sampled": read_sampled,
-    "exercised": read_exercised, "refusal": read_refusal, "aside": read_aside}  # fmt: skip
+    "greeting": read_greeting,
+    "outcome": read_outcome,
+    "sampled": read_sampled,
+    "exercised": read_exercised,
+    "refusal": read_refusal,
+    "aside": read_aside,
+}
--- a/ringshift/wire/announce.py
+++ b/ringshift/wire/announce.py
@@ -21,8 +21,9 @@
 
 
 class Announcer:
-    def __init__(self, address: tuple[str, int], name: str,
-                 mark: Callable[[str, float], None] | None = None) -> None:  # fmt: skip
+    def __init__(
+        self, address: tuple[str, int], name: str, mark: Callable[[str, float], None] | None = None
+    ) -> None:
         self.address, self.name, self.ready, self.mark = address, name, True, mark
         self.changed = Event()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)  # now, while descriptors are to be had
--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -31,9 +31,17 @@
 
 
 class Connection:
-    def __init__(self, sock: socket.socket, operations: Mapping[str, int], post: Post, unread: Budget,
-                 coming: Budget, buffer: bytearray, table: ConnectionTable[Connection],
-                 over: Callable[[Connection], None]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        sock: socket.socket,
+        operations: Mapping[str, int],
+        post: Post,
+        unread: Budget,
+        coming: Budget,
+        buffer: bytearray,
+        table: ConnectionTable[Connection],
+        over: Callable[[Connection], None],
+    ) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNELS_PART)
         self.sock, self.operations, self.post = sock, operations, post
--- a/ringshift/wire/keeper.py
+++ b/ringshift/wire/keeper.py
@@ -76,11 +76,16 @@
         sent = self.clock()
         try:
             lease = int(self.call("/lease/grant", {"TTL": ttl_s})["ID"])
-            answer = self.call("/kv/txn", {
-                "compare": [{"key": b64(key), "result": "EQUAL", "target": "CREATE", "create_revision": "0"}],
-                "success": [{"request_put": {"key": b64(key), "value": b64(value), "lease": str(lease)}}],
-                "failure": [{"request_range": {"key": b64(key)}}],
-            })  # fmt: skip
+            answer = self.call(
+                "/kv/txn",
+                {
+                    "compare": [
+                        {"key": b64(key), "result": "EQUAL", "target": "CREATE", "create_revision": "0"}
+                    ],
+                    "success": [{"request_put": {"key": b64(key), "value": b64(value), "lease": str(lease)}}],
+                    "failure": [{"request_range": {"key": b64(key)}}],
+                },
+            )
         except Exception:
             return Heard(News.UNANSWERED, self.clock(), sent)
         revision = int(answer["header"]["revision"])
@@ -91,8 +96,13 @@
         if found and base64.b64decode(found.get("value", "")) == value:
             # An earlier seek of ours was carried out after we gave it up: the key is ours under a lease whose
             # grant time we do not know. STALE: take it as doubtful, and act only after a renewal is answered.
-            return Heard(News.STALE, self.clock(), sent, lease=int(found.get("lease", 0)),
-                         token=int(found["create_revision"]))  # fmt: skip
+            return Heard(
+                News.STALE,
+                self.clock(),
+                sent,
+                lease=int(found.get("lease", 0)),
+                token=int(found["create_revision"]),
+            )
         return Heard(News.TAKEN, self.clock(), sent, revision=revision)
 
     def renew(self, lease: int, key: bytes, token: int) -> Heard:
@@ -145,8 +155,9 @@
         def follow() -> None:
             try:
                 request = {"create_request": {"key": b64(key), "start_revision": str(revision)}}
-                with client.session.post(client.get_url("/watch"), json=request, stream=True,
-                                         timeout=(self.timeout_s, quiet_s)) as stream:  # fmt: skip
+                with client.session.post(
+                    client.get_url("/watch"), json=request, stream=True, timeout=(self.timeout_s, quiet_s)
+                ) as stream:
                     deleted = self.deletion(stream.iter_content(chunk_size=None))
                 if deleted:
                     heard.put(Heard(News.FREED, self.clock(), revision=deleted))
--- a/ringshift/wire/retiring.py
+++ b/ringshift/wire/retiring.py
@@ -110,10 +110,13 @@
     return Held(
         {name: row for name, (_, row) in rows.items() if isinstance(row, Row)},
         {name: revision for name, (revision, _) in rows.items()},
-        position[1] if isinstance(position[1], Position) else None, position[0],
-        counts[1] if isinstance(counts[1], dict) else {}, counts[0],
-        word[1] if isinstance(word[1], Word) else Word(), word[0],
-    )  # fmt: skip
+        position[1] if isinstance(position[1], Position) else None,
+        position[0],
+        counts[1] if isinstance(counts[1], dict) else {},
+        counts[0],
+        word[1] if isinstance(word[1], Word) else Word(),
+        word[0],
+    )
 
 
 def read_head(data: bytes) -> Head:
@@ -175,8 +178,10 @@
         """Of all retirements that the keeper has anything of."""
         span = {"key": b64(HEADS.encode()), "range_end": b64(f"{HEADS[:-1]}0".encode())}  # '0' follows '/'
         kvs = self.call("/kv/range", span).get("kvs", [])
-        return {base64.b64decode(kv["key"]).decode(errors="replace").removeprefix(HEADS): read_head(value(kv))
-                for kv in kvs}  # fmt: skip
+        return {
+            base64.b64decode(kv["key"]).decode(errors="replace").removeprefix(HEADS): read_head(value(kv))
+            for kv in kvs
+        }
 
     def put(self, name: str, backend: str, row: Row, created: int, holding: Holding | None = None) -> Answer:
         """The row put, where it is at its create revision `created` still (0: nowhere yet). Where one is
@@ -185,11 +190,21 @@
         holding, prefix = holding or Holding(), self.prefix(name)
         key = f"{prefix}rows/{backend}"
         reads = [ranged(self.head(name)), ranged(f"{prefix}state", True), ranged(key, True)]
-        answer = self.call("/kv/txn", {
-            "compare": [{"key": b64(key.encode()), "result": "EQUAL", "target": "CREATE",
-                         "create_revision": str(created)}],
-            "success": [put(key, msgspec.json.encode(row)), *reads], "failure": reads,
-        })  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [
+                    {
+                        "key": b64(key.encode()),
+                        "result": "EQUAL",
+                        "target": "CREATE",
+                        "create_revision": str(created),
+                    }
+                ],
+                "success": [put(key, msgspec.json.encode(row)), *reads],
+                "failure": reads,
+            },
+        )
         named, state, mine = (found(one) for one in answer["responses"][-3:])
         said = read_head(value(named[0])).digest if named else ""
         if holding.told(Seen(revision(state), revision(named), said)):
@@ -220,13 +235,21 @@
     def look(self, name: str, ask: Ask) -> Told[Kept]:
         """The ramp holder's: what `ask` says, and its mark written, in one transaction."""
         key = self.mark(name)
-        expects = {"key": b64(key.encode()), "result": "EQUAL", "target": "VALUE",
-                   "value": b64(ask.expects.encode())}  # fmt: skip
+        expects = {
+            "key": b64(key.encode()),
+            "result": "EQUAL",
+            "target": "VALUE",
+            "value": b64(ask.expects.encode()),
+        }
         mark = put(key, ask.mark.encode())
-        answer = self.call("/kv/txn", {
-            "compare": [expects] if ask.since else [], "success": [mark, self.under(name, ask.since)],
-            "failure": [mark, self.under(name)],
-        })  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [expects] if ask.since else [],
+                "success": [mark, self.under(name, ask.since)],
+                "failure": [mark, self.under(name)],
+            },
+        )
         whole = not ask.since or not answer.get("succeeded")
         count = int(answer["responses"][1]["response_range"].get("count", 0))
         keys = self.keys(name, found(answer["responses"][1]))
@@ -239,8 +262,16 @@
             out[key] = int(kv["mod_revision"]), kept(key, value(kv))
         return out
 
-    def write(self, name: str, task_key: bytes, token: int, held: Held, position: Position | None = None,
-              counts: Counts | None = None, gone: Iterable[str] = ()) -> bool:  # fmt: skip
+    def write(
+        self,
+        name: str,
+        task_key: bytes,
+        token: int,
+        held: Held,
+        position: Position | None = None,
+        counts: Counts | None = None,
+        gone: Iterable[str] = (),
+    ) -> bool:
         """Whether it was written; not where the lease is another's by now, or what it was decided on changed
         since `held` was read. Rows may have, but for those of `gone`: they go, added up in `counts`."""
         prefix = self.prefix(name)
@@ -259,34 +290,52 @@
 
     def unchanged(self, name: str, task_key: bytes, token: int, held: Held) -> list[dict[str, Any]]:
         prefix = self.prefix(name)
-        return [*self.fence(task_key, token), at_revision(f"{prefix}state", held.revision),
-                at_revision(f"{prefix}counts", held.counts_revision),
-                at_revision(f"{prefix}word", held.word_revision)]  # fmt: skip
+        return [
+            *self.fence(task_key, token),
+            at_revision(f"{prefix}state", held.revision),
+            at_revision(f"{prefix}counts", held.counts_revision),
+            at_revision(f"{prefix}word", held.word_revision),
+        ]
 
     def cleared(self) -> tuple[int, int]:
         """The highest edition of all retirements whose keys went, and the revision of its key; 0 for none."""
         kvs = self.call("/kv/range", {"key": b64(CLEARED.encode())}).get("kvs", [])
         return (msgspec.json.decode(value(kvs[0]), type=int) if kvs else 0), revision(kvs)
 
-    def clear(self, name: str, task_key: bytes, token: int, held: Held, rules: int, highest: int,
-              cleared: int) -> bool:  # fmt: skip
+    def clear(
+        self, name: str, task_key: bytes, token: int, held: Held, rules: int, highest: int, cleared: int
+    ) -> bool:
         """Whether all that the keeper has of it went, and `highest` is written instead, for all names; not
         where the lease is another's by now, or what it was decided on changed: `rules` and `cleared` are the
         revisions of the rulebook's head and of the number's key. A backend that told of it all the same finds
         its row gone, and begins another from nothing."""
-        compares = [*self.unchanged(name, task_key, token, held), at_rules("head", rules),
-                    at_revision(CLEARED, cleared)]  # fmt: skip
+        compares = [
+            *self.unchanged(name, task_key, token, held),
+            at_rules("head", rules),
+            at_revision(CLEARED, cleared),
+        ]
         gone = {"request_delete_range": self.span(name)}
-        writes = [gone, deleted(self.head(name)), deleted(self.mark(name)),
-                  put(CLEARED, msgspec.json.encode(highest))]  # fmt: skip
-        return bool(self.call("/kv/txn", {"compare": compares, "success": writes, "failure": []})
-                    .get("succeeded"))  # fmt: skip
+        writes = [
+            gone,
+            deleted(self.head(name)),
+            deleted(self.mark(name)),
+            put(CLEARED, msgspec.json.encode(highest)),
+        ]
+        return bool(
+            self.call("/kv/txn", {"compare": compares, "success": writes, "failure": []}).get("succeeded")
+        )
 
     def name_head(self, name: str, task_key: bytes, token: int, head: Head) -> bool:
         """The head alone is written, of a ramp that is withdrawn: whoever still follows it fetches its state
         at each refresh."""
-        answer = self.call("/kv/txn", {"compare": self.fence(task_key, token), "failure": [],
-                                       "success": [put(self.head(name), msgspec.json.encode(head))]})
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": self.fence(task_key, token),
+                "failure": [],
+                "success": [put(self.head(name), msgspec.json.encode(head))],
+            },
+        )
         return bool(answer.get("succeeded"))
 
     @staticmethod
--- a/ringshift/wire/rules.py
+++ b/ringshift/wire/rules.py
@@ -119,21 +119,34 @@
         """The reader's row put, what the head says then; None where nothing was ever published."""
         check_name(name)
         put_row, head = put(f"readers/{name}", write_row(row)), {"request_range": {"key": key("head")}}
-        answer = self.call("/kv/txn", {
-            "compare": [{"key": key(f"readers/{name}"), "result": "GREATER", "target": "VERSION",
-                         "version": "0"}],
-            "success": [put_row, head],
-            "failure": [put_row, put("joins", name.encode()), delete(f"absent/{name}"), head],
-        })  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [
+                    {"key": key(f"readers/{name}"), "result": "GREATER", "target": "VERSION", "version": "0"}
+                ],
+                "success": [put_row, head],
+                "failure": [put_row, put("joins", name.encode()), delete(f"absent/{name}"), head],
+            },
+        )
         found = got(answer, 1 if answer.get("succeeded") else 3)
         return self.told(found[0])[0] if found else None
 
     def read(self) -> Held:
-        answer = self.call("/kv/txn", {"compare": [], "failure": [], "success": [
-            {"request_range": {"key": key("head")}}, {"request_range": {"key": key("kept")}},
-            {"request_range": {"key": key("joins")}}, {"request_range": under("readers/")},
-            {"request_range": under("absent/")},
-        ]})  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [],
+                "failure": [],
+                "success": [
+                    {"request_range": {"key": key("head")}},
+                    {"request_range": {"key": key("kept")}},
+                    {"request_range": {"key": key("joins")}},
+                    {"request_range": under("readers/")},
+                    {"request_range": under("absent/")},
+                ],
+            },
+        )
         head, kept, joins, readers, absent = (got(answer, place) for place in range(5))
         rows, revisions, away = dict[str, Row](), dict[str, int](), set[str]()
         for kv in absent:
@@ -150,14 +163,35 @@
         common = (frozenset(away), rows, revisions, int(joins[0]["mod_revision"]) if joins else 0, stamps)
         return self.held(head[0] if head else None, *common)
 
-    def held(self, head: dict[str, Any] | None, absent: frozenset[str], rows: dict[str, Row],
-             revisions: dict[str, int], joins: int, kept: tuple[Stamp, ...]) -> Held:  # fmt: skip
+    def held(
+        self,
+        head: dict[str, Any] | None,
+        absent: frozenset[str],
+        rows: dict[str, Row],
+        revisions: dict[str, int],
+        joins: int,
+        kept: tuple[Stamp, ...],
+    ) -> Held:
         if head is None:
-            return Held(None, rows, absent, joins_revision=joins, revisions=revisions, kept=kept,
-                        keeper=self.cluster)  # fmt: skip
+            return Held(
+                None, rows, absent, joins_revision=joins, revisions=revisions, kept=kept, keeper=self.cluster
+            )
         told, said = self.told(head)
-        return Held(told, rows, absent, said.highest, said.undoes, said.by_all, value(head),
-                    int(head["mod_revision"]), joins, revisions, kept, self.cluster, said.keeper)  # fmt: skip
+        return Held(
+            told,
+            rows,
+            absent,
+            said.highest,
+            said.undoes,
+            said.by_all,
+            value(head),
+            int(head["mod_revision"]),
+            joins,
+            revisions,
+            kept,
+            self.cluster,
+            said.keeper,
+        )
 
     def told(self, kv: dict[str, Any]) -> tuple[Told, Head]:
         head = decoded("head", value(kv), Head)
@@ -194,16 +228,26 @@
         """The first publication of all, in force at once; only where no head is. Its stamp is `opening` of
         the rows (ringshift/rulebook/version.py): a keeper that lost all still has readers that saw more."""
         head = Head((*version.stamp, version.digest), None, None, version.stamp, False, self.cluster)
-        answer = self.call("/kv/txn", {"compare": [at_revision("head", 0)], "failure": [], "success": [
-            put("head", msgspec.json.encode(head)), put("kept", orjson.dumps([version.stamp])),
-            put(version_key(version.stamp), write_version(version)),
-        ]})  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [at_revision("head", 0)],
+                "failure": [],
+                "success": [
+                    put("head", msgspec.json.encode(head)),
+                    put("kept", orjson.dumps([version.stamp])),
+                    put(version_key(version.stamp), write_version(version)),
+                ],
+            },
+        )
         return bool(answer.get("succeeded"))
 
     def gone(self, name: str) -> None:
         check_name(name)
-        self.call("/kv/txn", {"compare": [], "failure": [], "success": [
-            delete(f"readers/{name}"), delete(f"absent/{name}")]})  # fmt: skip
+        self.call(
+            "/kv/txn",
+            {"compare": [], "failure": [], "success": [delete(f"readers/{name}"), delete(f"absent/{name}")]},
+        )
 
     def do(self, effect: Effect, held: Held) -> bool:
         """Whether the keeper's compare held. Nothing is written where what was read rules it out already."""
@@ -231,44 +275,71 @@
         find that data was lost."""
         version = effect.version
         fresh = not held.named or version.stamp[0] > held.highest[0]
-        head = Head((*stays.stamp, stays.digest), (*version.stamp, version.digest), effect.undoes,
-                    version.stamp, effect.by_all, held.keeper if fresh else held.named)  # fmt: skip
+        head = Head(
+            (*stays.stamp, stays.digest),
+            (*version.stamp, version.digest),
+            effect.undoes,
+            version.stamp,
+            effect.by_all,
+            held.keeper if fresh else held.named,
+        )
         past = sorted(set(held.kept) - {stays.stamp})
         gone, past = past[: max(len(past) - KEPT, 0)], past[max(len(past) - KEPT, 0) :]
-        writes = [put(version_key(version.stamp), write_version(version)),
-                  *(delete(version_key(one)) for one in gone[:MOST_MOVED])]  # fmt: skip
+        writes = [
+            put(version_key(version.stamp), write_version(version)),
+            *(delete(version_key(one)) for one in gone[:MOST_MOVED]),
+        ]
         kept = tuple(sorted({*gone[MOST_MOVED:], *past, stays.stamp, version.stamp}))
         return self.write(held, head, kept, [], writes)
 
-    def write(self, held: Held, head: Head, kept: tuple[Stamp, ...], compare: list[dict[str, Any]],
-              writes: list[dict[str, Any]]) -> bool:  # fmt: skip
+    def write(
+        self,
+        held: Held,
+        head: Head,
+        kept: tuple[Stamp, ...],
+        compare: list[dict[str, Any]],
+        writes: list[dict[str, Any]],
+    ) -> bool:
         # By its value, which never comes again, as its numbers only grow; a revision may, once data was lost.
-        answer = self.call("/kv/txn", {
-            "compare": [at_value("head", held.head), *compare], "failure": [],
-            "success": [put("head", msgspec.json.encode(head)), put("kept", orjson.dumps(kept)), *writes],
-        })  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [at_value("head", held.head), *compare],
+                "failure": [],
+                "success": [put("head", msgspec.json.encode(head)), put("kept", orjson.dumps(kept)), *writes],
+            },
+        )
         return bool(answer.get("succeeded"))
 
     def settled(self, effect: Effect, held: Held) -> bool:
         """The readers whose leases ended moved to the absent ones; one that confirmed since breaks it. A
         moved one that confirms again joins anew, which breaks the compare of `joins`."""
         unmoved = held.revisions.keys() - effect.known
-        stale = [name for name, n in effect.ended.items()
-                 if name not in held.revisions or held.rows[name].n != n]  # fmt: skip
+        stale = [
+            name for name, n in effect.ended.items() if name not in held.revisions or held.rows[name].n != n
+        ]
         if unmoved or stale:
             return False
         if len(held.absent) + len(effect.ended) > MOST_ABSENT:  # none is dropped: one may act by its `alone`
-            raise ValueError(f"more than {MOST_ABSENT} absent readers: `ringshift rules forget` those of "
-                             "processes that are no more")  # fmt: skip
+            raise ValueError(
+                f"more than {MOST_ABSENT} absent readers: `ringshift rules forget` those of "
+                "processes that are no more"
+            )
         return all(self.move(batch, held) for batch in batches(sorted(effect.ended), MOST_MOVED))
 
     def move(self, names: list[str], held: Held) -> bool:
-        answer = self.call("/kv/txn", {
-            "compare": [at_revision(f"readers/{name}", held.revisions[name]) for name in names],
-            "success": [one for name in names for one in (
-                put(f"absent/{name}", write_row(held.rows[name])), delete(f"readers/{name}"))],
-            "failure": [],
-        })  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [at_revision(f"readers/{name}", held.revisions[name]) for name in names],
+                "success": [
+                    one
+                    for name in names
+                    for one in (put(f"absent/{name}", write_row(held.rows[name])), delete(f"readers/{name}"))
+                ],
+                "failure": [],
+            },
+        )
         return bool(answer.get("succeeded"))
 
 
--- a/ringshift/wire/shares.py
+++ b/ringshift/wire/shares.py
@@ -43,16 +43,26 @@
 def write_ledger(ledger: Ledger, at: float = 0.0) -> bytes:
     """`at`: Unix seconds, for those who look; 0 for not known. Older texts pass over it and `left`."""
     rows = {name: [grant.n, grant.extra, grant.held] for name, grant in ledger.rows.items()}
-    return orjson.dumps({"round": ledger.round, "whole": ledger.whole, "life": ledger.life, "rows": rows,
-                         "left": ledger.left, "at": at})  # fmt: skip
+    return orjson.dumps(
+        {
+            "round": ledger.round,
+            "whole": ledger.whole,
+            "life": ledger.life,
+            "rows": rows,
+            "left": ledger.left,
+            "at": at,
+        }
+    )
 
 
 def read_ledger(data: bytes) -> Ledger:
     """Raises ValueError: a ledger that can't be read is never taken for an empty one."""
     try:
         told = orjson.loads(data)
-        rows = {str(name): Grant(int(n), float(extra), float(held))
-                for name, (n, extra, held) in told["rows"].items()}  # fmt: skip
+        rows = {
+            str(name): Grant(int(n), float(extra), float(held))
+            for name, (n, extra, held) in told["rows"].items()
+        }
         left = {str(name): int(span) for name, span in told.get("left", {}).items()}
         return Ledger(int(told["round"]), float(told["whole"]), rows, int(told["life"]), left)
     except (KeyError, TypeError, AttributeError) as wrong:
@@ -88,10 +98,17 @@
     def ask(self, name: str, ask: Ask) -> Ledger | None:
         """The ask put, the ledger as it is then."""
         key, ledger = f"{self.prefix(name)}asks/{ask.backend}", f"{self.prefix(name)}ledger"
-        answer = self.call("/kv/txn", {"compare": [], "failure": [], "success": [
-            {"request_put": {"key": b64(key.encode()), "value": b64(write_ask(ask))}},
-            {"request_range": {"key": b64(ledger.encode())}},
-        ]})  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [],
+                "failure": [],
+                "success": [
+                    {"request_put": {"key": b64(key.encode()), "value": b64(write_ask(ask))}},
+                    {"request_range": {"key": b64(ledger.encode())}},
+                ],
+            },
+        )
         found = answer["responses"][1]["response_range"].get("kvs", [])
         return read_ledger(base64.b64decode(found[0]["value"])) if found else None
 
@@ -115,8 +132,9 @@
         found = self.call("/kv/range", {"key": b64(key)}).get("kvs", [])
         return base64.b64decode(found[0].get("value", "")).decode(errors="replace") if found else ""
 
-    def write(self, name: str, task_key: bytes, token: int, revision: int, ledger: Ledger,
-              gone: Iterable[str]) -> int:  # fmt: skip
+    def write(
+        self, name: str, task_key: bytes, token: int, revision: int, ledger: Ledger, gone: Iterable[str]
+    ) -> int:
         """The revision at which the ledger was written, 0 where the lease or the ledger is another's by
         now."""
         prefix = self.prefix(name)
@@ -125,11 +143,20 @@
         writes: list[dict[str, Any]] = [{"request_put": {"key": key, "value": data}}]
         for backend in list(gone)[:MOST_DELETED]:
             writes.append({"request_delete_range": {"key": b64(f"{prefix}asks/{backend}".encode())}})
-        answer = self.call("/kv/txn", {
-            "compare": [
-                {"key": b64(task_key), "result": "EQUAL", "target": "CREATE", "create_revision": str(token)},
-                {"key": key, "result": "EQUAL", "target": "MOD", "mod_revision": str(revision)},
-            ],
-            "success": writes, "failure": [],
-        })  # fmt: skip
+        answer = self.call(
+            "/kv/txn",
+            {
+                "compare": [
+                    {
+                        "key": b64(task_key),
+                        "result": "EQUAL",
+                        "target": "CREATE",
+                        "create_revision": str(token),
+                    },
+                    {"key": key, "result": "EQUAL", "target": "MOD", "mod_revision": str(revision)},
+                ],
+                "success": writes,
+                "failure": [],
+            },
+        )
         return int(answer["header"]["revision"]) if answer.get("succeeded") else 0
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -31,8 +31,9 @@
 class Sidecars:
     """The listening socket and all connections that came through it."""
 
-    def __init__(self, address: tuple[str, int], operations: Mapping[str, int], post: Post,
-                 bounds: Bounds) -> None:  # fmt: skip
+    def __init__(
+        self, address: tuple[str, int], operations: Mapping[str, int], post: Post, bounds: Bounds
+    ) -> None:
         self.operations, self.post = operations, post
         self.most = bounds.connections
         self.spare = min(MOST_FOR_ROOM, bounds.connections // LEAST_PART)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -67,8 +67,14 @@
 
 
 class Caller:
-    def __init__(self, number: int, clock: Skew, random: Random, targets: Callable[[], list[Target]],
-                 heard: Callable[[str, str, int], None]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        number: int,
+        clock: Skew,
+        random: Random,
+        targets: Callable[[], list[Target]],
+        heard: Callable[[str, str, int], None],
+    ) -> None:
         self.number, self.clock, self.random = number, clock, random
         self.targets, self.heard = targets, heard
         self.links: dict[Address, Link] = {}
@@ -100,9 +106,14 @@
                 return
         now = time.time_ns()
         answer = link.ask(
-            operation, body, self.random.getrandbits(64), 3.0, HTTP_X_SENDER=str(self.number),
-            HTTP_X_DOOR_TIME=str(target.clock.wall(now) // 10**6), HTTP_X_PRECEDENCE=f"{rank:.4f}",
+            operation,
+            body,
+            self.random.getrandbits(64),
+            3.0,
+            HTTP_X_SENDER=str(self.number),
+            HTTP_X_DOOR_TIME=str(target.clock.wall(now) // 10**6),
+            HTTP_X_PRECEDENCE=f"{rank:.4f}",
             HTTP_X_SENT_TIME=str(self.clock.wall(now) // 10**6),
-        )  # fmt: skip
+        )
         if answer is not None:
             self.heard(target.name, operation, answer.status)
--- a/standins/census/site/sitecustomize.py
+++ b/standins/census/site/sitecustomize.py
@@ -64,9 +64,15 @@
     largest = sorted(held.items(), key=lambda item: item[1][1], reverse=True)[:MOST]
     with open(f"/proc/{os.getpid()}/status") as status:
         rss = next(int(line.split()[1]) for line in status if line.startswith("VmRSS"))
-    return {"rss_kb": rss, "objects": len(objects), "kinds": kinds.most_common(MOST),
-            "largest": [{"held_by": name, "holders": n, "length": total, "most": most}
-                        for name, (n, total, most) in largest]}  # fmt: skip
+    return {
+        "rss_kb": rss,
+        "objects": len(objects),
+        "kinds": kinds.most_common(MOST),
+        "largest": [
+            {"held_by": name, "holders": n, "length": total, "most": most}
+            for name, (n, total, most) in largest
+        ],
+    }
 
 
 if os.environ.get("RINGSHIFT_CENSUS"):
--- a/standins/checkers/budget_model.py
+++ b/standins/checkers/budget_model.py
@@ -26,8 +26,9 @@
 from ringshift.interface import Unit
 
 TICK, DIVIDER_TICKS = 3 * S, (3 * S, 4 * S)
-BUDGET = Budget("one", Unit.CALLS, 1, 2, 0, life=12 * S, refresh=2 * S, margin=0, longest=3 * S,
-                drift_ppm=333_334)  # fmt: skip
+BUDGET = Budget(
+    "one", Unit.CALLS, 1, 2, 0, life=12 * S, refresh=2 * S, margin=0, longest=3 * S, drift_ppm=333_334
+)
 NOW, BASE = 1000 * S, 1000  # every clock's own now; what the newest ask and round are counted from
 OLD = -12  # what is further back than that is all the same
 NAMES = ("a", "b")
@@ -63,8 +64,16 @@
 def freeze_share(one: Share) -> Frozen:
     sent = tuple((n - one.n, max(at - NOW, -BUDGET.life)) for n, at in one.sent if n - one.n > OLD)
     asked = None if one.asked is None else max(one.asked - NOW, -TICK)
-    return (int(one.state), one.extra, one.round, max(one.ends - NOW, -1), one.n, sent, asked,
-            max(one.next_ask - NOW, 0))  # fmt: skip
+    return (
+        int(one.state),
+        one.extra,
+        one.round,
+        max(one.ends - NOW, -1),
+        one.n,
+        sent,
+        asked,
+        max(one.next_ask - NOW, 0),
+    )
 
 
 def thaw_share(name: str, told: Frozen, use: float) -> Share:
@@ -79,13 +88,26 @@
 
 def freeze_divider(one: Divider) -> Frozen:
     rows = tuple(
-        (name, row.n, row.want, row.extra, max(row.read_at - NOW, -BUDGET.counted - 1),
-         None if row.odd_at is None else max(row.odd_at - NOW, -ODD), row.leaving,
-         tuple((number, extra, until - NOW) for number, extra, until in row.out if until > NOW))
+        (
+            name,
+            row.n,
+            row.want,
+            row.extra,
+            max(row.read_at - NOW, -BUDGET.counted - 1),
+            None if row.odd_at is None else max(row.odd_at - NOW, -ODD),
+            row.leaving,
+            tuple((number, extra, until - NOW) for number, extra, until in row.out if until > NOW),
+        )
         for name, row in sorted(one.rows.items())
-    )  # fmt: skip
-    return (int(one.stage), rows, one.round, max(one.until - NOW, 0),
-            tuple(sorted((name, *told) for name, told in one.told.items())), one.written_whole)  # fmt: skip
+    )
+    return (
+        int(one.stage),
+        rows,
+        one.round,
+        max(one.until - NOW, 0),
+        tuple(sorted((name, *told) for name, told in one.told.items())),
+        one.written_whole,
+    )
 
 
 def thaw_divider(told: Frozen) -> Divider:
@@ -127,18 +149,30 @@
             one.sent.append((BASE, NOW))
         divider = Divider(BUDGET, Stage.DIVIDING, round=BASE, written_whole=BUDGET.whole)
         until = NOW + BUDGET.counted
-        divider.rows = {"b": Row(BASE, 1.0, 1.0, 1.0, NOW, NOW, False, [(BASE, 1.0, until)]),
-                        "a": Row(BASE, 1.0, 1.0, 0.0, NOW)}  # fmt: skip
+        divider.rows = {
+            "b": Row(BASE, 1.0, 1.0, 1.0, NOW, NOW, False, [(BASE, 1.0, until)]),
+            "a": Row(BASE, 1.0, 1.0, 0.0, NOW),
+        }
         divider.told = {"b": (BASE, 1.0), "a": (BASE, 0.0)}
-        ledger = Ledger(BASE, BUDGET.whole, {"b": Grant(BASE, 1.0, 1.0), "a": Grant(BASE, 0.0, 0.0)},
-                        BUDGET.life)  # fmt: skip
+        ledger = Ledger(
+            BASE, BUDGET.whole, {"b": Grant(BASE, 1.0, 1.0), "a": Grant(BASE, 0.0, 0.0)}, BUDGET.life
+        )
         b.round = BASE - 1
         b.hear(News.LEDGER, NOW, ledger)
         asks = tuple((one.n, 1.0, 0.0, BASE, False) for one in (a, b))
         frozen = freeze_ledger(ledger)
-        state = State(freeze_share(a), freeze_share(b), freeze_divider(divider), asks=asks,  # type: ignore[arg-type]
-                      ledger=frozen, known=frozen, stalls=self.faults[0], crashes=self.faults[1],
-                      leaves=self.faults[2], failovers=self.faults[3])  # fmt: skip
+        state = State(
+            freeze_share(a),
+            freeze_share(b),
+            freeze_divider(divider),
+            asks=asks,  # type: ignore[arg-type]
+            ledger=frozen,
+            known=frozen,
+            stalls=self.faults[0],
+            crashes=self.faults[1],
+            leaves=self.faults[2],
+            failovers=self.faults[3],
+        )
         return self.taken(state._replace(asks=((), ()), ledger=())) if self.empty else state
 
     @staticmethod
@@ -146,8 +180,13 @@
         """A new divider; what the one before had on its way may still arrive."""
         fresh = Divider(BUDGET)
         fresh.hear(Word.TAKEN, NOW)
-        return state._replace(divider=freeze_divider(fresh), known=(), token=state.token + 1, writing=(),
-                              late=state.writing or state.late)  # fmt: skip
+        return state._replace(
+            divider=freeze_divider(fresh),
+            known=(),
+            token=state.token + 1,
+            writing=(),
+            late=state.writing or state.late,
+        )
 
     # Events.
 
@@ -162,15 +201,29 @@
     def ticked(self, state: State, fast: int) -> State:
         told = [self.older(getattr(state, name)) for name in NAMES]
         stage, rows, number, until, last, whole = state.divider
-        rows = tuple((name, n, want, extra, max(read - fast, -BUDGET.counted - 1),
-                      None if odd is None else max(odd - fast, -ODD), leaving,
-                      tuple((r, e, left - fast) for r, e, left in out if left > fast))
-                     for name, n, want, extra, read, odd, leaving, out in rows)  # fmt: skip
+        rows = tuple(
+            (
+                name,
+                n,
+                want,
+                extra,
+                max(read - fast, -BUDGET.counted - 1),
+                None if odd is None else max(odd - fast, -ODD),
+                leaving,
+                tuple((r, e, left - fast) for r, e, left in out if left > fast),
+            )
+            for name, n, want, extra, read, odd, leaving, out in rows
+        )
         # A call lasts a tick at the most: what was under way for one has ended.
         calls = tuple(-1 if age < 0 or age + TICK >= BUDGET.longest else age + TICK for age in state.calls)
         stray = tuple(age + TICK for age in state.stray if age + TICK < BUDGET.longest)
-        state = state._replace(a=told[0], b=told[1], calls=calls, stray=stray,  # type: ignore[arg-type]
-                               divider=(stage, rows, number, max(until - fast, 0), last, whole))  # fmt: skip
+        state = state._replace(
+            a=told[0],
+            b=told[1],
+            calls=calls,  # type: ignore[arg-type]
+            stray=stray,
+            divider=(stage, rows, number, max(until - fast, 0), last, whole),
+        )
         for which in (0, 1):
             if not state.stalled[which] and not state.gone[which]:
                 state = self.hear(self.begun(state, which), which, News.TICK)
@@ -242,8 +295,11 @@
             divider.hear(Word.REFUSED, NOW)
             yield "divider finds another's writing", state._replace(divider=freeze_divider(divider))
         elif not state.writing:
-            asks = [Ask(NAMES[which], told[0], told[1], told[2], told[3], 1.0, told[4])
-                    for which, told in enumerate(state.asks) if told]  # fmt: skip
+            asks = [
+                Ask(NAMES[which], told[0], told[1], told[2], told[3], 1.0, told[4])
+                for which, told in enumerate(state.asks)
+                if told
+            ]
             ledger = divider.hear(Word.ROUND, NOW, asks)
             divided = state._replace(divider=freeze_divider(divider))
             if ledger is None:
@@ -258,12 +314,18 @@
             good, written = carried_out(state, state.writing)
             heard = thaw_divider(state.divider)
             heard.hear(Word.WRITTEN if good else Word.REFUSED, NOW)
-            yield "the writing arrives", written._replace(
-                divider=freeze_divider(heard), writing=(), known=written.ledger if good else state.known)
+            yield (
+                "the writing arrives",
+                written._replace(
+                    divider=freeze_divider(heard), writing=(), known=written.ledger if good else state.known
+                ),
+            )
             reread = thaw_divider(state.divider)
             reread.hear(Word.UNKNOWN, NOW)
-            yield "the writing is given up", state._replace(
-                divider=freeze_divider(reread), writing=(), late=state.writing)
+            yield (
+                "the writing is given up",
+                state._replace(divider=freeze_divider(reread), writing=(), late=state.writing),
+            )
         if state.late:
             yield "a late writing arrives", carried_out(state, state.late)[1]._replace(late=())
         if state.failovers:
@@ -321,15 +383,32 @@
         return *told[:2], number(told[2]), told[3], asked(name, told[4]), *told[5:]
 
     stage, rows, round_, until, last, whole = state.divider
-    rows = tuple((name, asked(name, n), want, extra, read, odd, leaving,
-                  tuple((number(r), e, left) for r, e, left in out))
-                 for name, n, want, extra, read, odd, leaving, out in rows)  # fmt: skip
+    rows = tuple(
+        (
+            name,
+            asked(name, n),
+            want,
+            extra,
+            read,
+            odd,
+            leaving,
+            tuple((number(r), e, left) for r, e, left in out),
+        )
+        for name, n, want, extra, read, odd, leaving, out in rows
+    )
     last = tuple((name, asked(name, n), extra) for name, n, extra in last)
-    asks = tuple((asked(name, told[0]), told[1], told[2], number(told[3]), told[4]) if told else ()
-                 for name, told in zip(NAMES, state.asks, strict=True))  # fmt: skip
+    asks = tuple(
+        (asked(name, told[0]), told[1], told[2], number(told[3]), told[4]) if told else ()
+        for name, told in zip(NAMES, state.asks, strict=True)
+    )
     return state._replace(
-        a=share("a", state.a), b=share("b", state.b), asks=asks,  # type: ignore[arg-type]
-        divider=(stage, rows, number(round_), until, last, whole), ledger=ledger(state.ledger),
+        a=share("a", state.a),
+        b=share("b", state.b),
+        asks=asks,  # type: ignore[arg-type]
+        divider=(stage, rows, number(round_), until, last, whole),
+        ledger=ledger(state.ledger),
         on_way=tuple(way(name, told) for name, told in zip(NAMES, state.on_way, strict=True)),  # type: ignore[arg-type]
-        known=ledger(state.known), writing=writing(state.writing), late=writing(state.late),
-    )  # fmt: skip
+        known=ledger(state.known),
+        writing=writing(state.writing),
+        late=writing(state.late),
+    )
--- a/standins/checkers/budgets.py
+++ b/standins/checkers/budgets.py
@@ -61,9 +61,11 @@
             if line["count"] - line["late"] <= script.whole:
                 verdict.stalled += 1
                 continue
-            verdict.wrong.append(f"over the whole of {script.whole}: {line['count']} with a call of "
-                                 f"{line['name']} {late / 1e6:.1f} ms after its look; "
-                                 f"under way {line['by']}")  # fmt: skip
+            verdict.wrong.append(
+                f"over the whole of {script.whole}: {line['count']} with a call of "
+                f"{line['name']} {late / 1e6:.1f} ms after its look; "
+                f"under way {line['by']}"
+            )
     shares: dict[str, list[dict[str, Any]]] = {}
     for path in sorted(folder.glob("h*.jsonl")):
         for line in lines(path):
@@ -91,8 +93,12 @@
     return int(samples[0]["t"]) + SETTLED + (0 if script.ledger else script.life_ms * 1_000_000)
 
 
-def usage(samples: list[dict[str, Any]], shares: dict[str, list[dict[str, Any]]], script: BudgetScript,
-          verdict: Verdict) -> None:  # fmt: skip
+def usage(
+    samples: list[dict[str, Any]],
+    shares: dict[str, list[dict[str, Any]]],
+    script: BudgetScript,
+    verdict: Verdict,
+) -> None:
     used, granted, could, reachable = 0.0, 0.0, 0.0, 0.0
     for sample in samples[::5]:
         if sample["t"] < begun(samples, script):
@@ -108,8 +114,13 @@
         verdict.reached = granted / max(reachable, 1e-9)
 
 
-def moves(samples: list[dict[str, Any]], shares: dict[str, list[dict[str, Any]]], script: BudgetScript,
-          faults: list[dict[str, Any]], verdict: Verdict) -> None:  # fmt: skip
+def moves(
+    samples: list[dict[str, Any]],
+    shares: dict[str, list[dict[str, Any]]],
+    script: BudgetScript,
+    faults: list[dict[str, Any]],
+    verdict: Verdict,
+) -> None:
     """By the members' own words, which they write at each change; told apart: who never had it."""
     if not samples:
         return
@@ -121,22 +132,34 @@
         wanted = next((line["t"] for line in words if line["demand"] > script.safe), None)
         if wanted is None:
             continue
-        granted = next((line["t"] for line in words if line["t"] >= wanted and line["share"] > script.safe),
-                       None)  # fmt: skip
+        granted = next(
+            (line["t"] for line in words if line["t"] >= wanted and line["share"] > script.safe), None
+        )
         verdict.moved("joins", None if granted is None else granted - wanted)
     told = [(int(line["t"]), key, line) for key, history in shares.items() for line in history]
     told.sort(key=lambda one: one[0])
     for fault in faults:
         if fault["kind"] not in ("leave", "kill") or fault["t"] < start:
             continue
-        gone = next((key for key, history in shares.items() if key.startswith(f"h{fault['target']}.")
-                     and at(history, fault["t"])), None)  # fmt: skip
+        gone = next(
+            (
+                key
+                for key, history in shares.items()
+                if key.startswith(f"h{fault['target']}.") and at(history, fault["t"])
+            ),
+            None,
+        )
         if gone is not None:
             again(told, gone, fault, script, verdict)
 
 
-def again(words: list[tuple[int, str, dict[str, Any]]], gone: str, fault: dict[str, Any],
-          script: BudgetScript, verdict: Verdict) -> None:  # fmt: skip
+def again(
+    words: list[tuple[int, str, dict[str, Any]]],
+    gone: str,
+    fault: dict[str, Any],
+    script: BudgetScript,
+    verdict: Verdict,
+) -> None:
     """How long until the others have what they want, or all that there is, of what one that went had; nothing
     moves where it had nothing beyond its safe share, or they lacked nothing."""
     pool, live = script.whole - script.safe * script.most, dict[str, dict[str, Any]]()
--- a/standins/checkers/changes.py
+++ b/standins/checkers/changes.py
@@ -77,8 +77,9 @@
     else:
         start, end = nanoseconds(row["from"]), nanoseconds(row["to"])
     rising, falling = row.get("ramp_in_ms", 0) * MS, row.get("ramp_out_ms", 0) * MS
-    return Change(name, scope, does, start, end, rising, falling, frozenset(row.get("after", ())),
-                  row.get("left", {}))  # fmt: skip
+    return Change(
+        name, scope, does, start, end, rising, falling, frozenset(row.get("after", ())), row.get("left", {})
+    )
 
 
 def is_window(row: dict[str, Any], change: Change) -> bool:
@@ -91,10 +92,11 @@
 
 
 def read_world(told: dict[str, Any]) -> World:
-    return World({one["operation"]: frozenset(one["places"]) for one in told["serves"]},
-                 {one["place"]: one["most"] for one in told.get("capacity", ())},
-                 {(one["operation"], one["customer"], one["place"]): one["rate"]
-                  for one in told.get("load", ())})  # fmt: skip
+    return World(
+        {one["operation"]: frozenset(one["places"]) for one in told["serves"]},
+        {one["place"]: one["most"] for one in told.get("capacity", ())},
+        {(one["operation"], one["customer"], one["place"]): one["rate"] for one in told.get("load", ())},
+    )
 
 
 @dataclass
@@ -135,8 +137,9 @@
     return found
 
 
-def in_force(backend: str, history: list[dict[str, Any]], plans: dict[str, Change], late: int,
-             found: Found) -> list[Stretch]:  # fmt: skip
+def in_force(
+    backend: str, history: list[dict[str, Any]], plans: dict[str, Change], late: int, found: Found
+) -> list[Stretch]:
     stretches, before = list[Stretch](), dict[str, int]()
     last = 0
     for line in history:
@@ -148,8 +151,10 @@
             for name in line["force"]:
                 change, wall = plans[name], line["wall"]
                 if not change.start - late <= wall <= change.end + late:
-                    found.wrong.append(f"outside its window: {name} at {backend}, {wall - change.start} ns "
-                                       f"after its start, {wall - change.end} after its end")  # fmt: skip
+                    found.wrong.append(
+                        f"outside its window: {name} at {backend}, {wall - change.start} ns "
+                        f"after its start, {wall - change.end} after its end"
+                    )
             before = line["force"]
             for name, part in before.items():
                 found.most[name] = max(found.most.get(name, 0), part)
@@ -172,9 +177,12 @@
             if one.start < first.get(name, one.start + 1):
                 first[name], where[name] = one.start, one.backend
             last[name] = max(last.get(name, 0), one.end)
-    return [f"begun too early: {name} at {where[name]}, {last[other] - first[name]} ns before {other} ended"
-            for name in first for other in sorted(plans[name].after)
-            if other in last and last[other] > first[name]]  # fmt: skip
+    return [
+        f"begun too early: {name} at {where[name]}, {last[other] - first[name]} ns before {other} ended"
+        for name in first
+        for other in sorted(plans[name].after)
+        if other in last and last[other] > first[name]
+    ]
 
 
 def judge_together(stretches: list[Stretch], plans: dict[str, Change], world: World, found: Found) -> None:
--- a/standins/checkers/lease_model.py
+++ b/standins/checkers/lease_model.py
@@ -24,8 +24,9 @@
 from ringshift.fleet.lease import DOUBTFUL, HOLDING, RELEASED, SEEKING, Heard, Lease, LeaseTerms, News, S
 
 TICK, KEEPER_TICKS = 3 * S, (3 * S, 4 * S)
-TERMS = LeaseTerms(ttl=12 * S, margin=0, drift_ppm=250_000, renew_share=0.5, seek_after=TICK,
-                   answer_within=TICK)  # fmt: skip
+TERMS = LeaseTerms(
+    ttl=12 * S, margin=0, drift_ppm=250_000, renew_share=0.5, seek_after=TICK, answer_within=TICK
+)
 NOW = 1000 * S  # every holder's own now: all else is an age against it
 NONE = -1
 
@@ -92,9 +93,14 @@
     @staticmethod
     def lease(holder: Holder) -> Lease:
         return Lease(
-            TERMS, [SEEKING, HOLDING, DOUBTFUL, RELEASED][holder.phase - 1], holder.lease, holder.token,
-            NOW + holder.left, None if holder.asked == NONE else NOW - holder.asked, NOW + holder.due,
-        )  # fmt: skip
+            TERMS,
+            [SEEKING, HOLDING, DOUBTFUL, RELEASED][holder.phase - 1],
+            holder.lease,
+            holder.token,
+            NOW + holder.left,
+            None if holder.asked == NONE else NOW - holder.asked,
+            NOW + holder.due,
+        )
 
     def acting(self, holder: Holder) -> bool:
         if holder not in self.acts:
@@ -118,11 +124,15 @@
                 late = Call("revoke", 0, effect.lease, effect.token)
         held = lease.phase in (HOLDING, DOUBTFUL)
         return holder._replace(
-            phase=int(lease.phase), lease=lease.lease, token=lease.token,
+            phase=int(lease.phase),
+            lease=lease.lease,
+            token=lease.token,
             left=max(lease.deadline - NOW, -1) if held else 0,
             asked=NONE if lease.asked is None else min(NOW - lease.asked, TERMS.answer_within),
-            due=max(lease.next_ask - NOW, 0), call=call, late=late,
-        )  # fmt: skip
+            due=max(lease.next_ask - NOW, 0),
+            call=call,
+            late=late,
+        )
 
     # Events.
 
@@ -140,16 +150,19 @@
             call = holder.call
             call = call._replace(age=min(call.age + TICK, 4 * TICK)) if call else ()
             holder = holder._replace(
-                left=max(holder.left - TICK, -1) if holder.token else 0, call=call,
+                left=max(holder.left - TICK, -1) if holder.token else 0,
+                call=call,
                 asked=NONE if holder.asked == NONE else min(holder.asked + TICK, TERMS.answer_within),
                 due=max(holder.due - TICK, 0),
-            )  # fmt: skip
+            )
             holders.append(holder)
         left = state.key_left - fast
         state = state._replace(holders=tuple(holders))
         state = state._replace(key_left=left) if left > 0 else without_key(state)
-        heard = [holder if holder.stalled or holder.gone else self.hear(holder, Heard(News.TICK, NOW))
-                 for holder in state.holders]  # fmt: skip
+        heard = [
+            holder if holder.stalled or holder.gone else self.hear(holder, Heard(News.TICK, NOW))
+            for holder in state.holders
+        ]
         return canonical(state._replace(holders=tuple(heard)))
 
     def of(self, state: State, number: int, holder: Holder) -> Iterator[tuple[str, State]]:
@@ -276,13 +289,22 @@
         token, told = rank[call.token], rank[call.told_token]
         return call._replace(token=token, lease=token, told_token=told, told_lease=told)
 
-    holders = [holder._replace(token=rank[holder.token], lease=rank[holder.token], step=rank[holder.step],
-                               call=renamed(holder.call), late=renamed(holder.late))
-               for holder in state.holders]  # fmt: skip
+    holders = [
+        holder._replace(
+            token=rank[holder.token],
+            lease=rank[holder.token],
+            step=rank[holder.step],
+            call=renamed(holder.call),
+            late=renamed(holder.late),
+        )
+        for holder in state.holders
+    ]
     order = sorted(range(len(holders)), key=lambda place: holders[place])
     owner = state.key_owner if state.key_owner == NONE else order.index(state.key_owner)
     return state._replace(
-        holders=tuple(holders[place] for place in order), key_owner=owner, highest=rank[state.highest],
-        key_token=rank[state.key_token], key_lease=rank[state.key_token],
-    )  # fmt: skip
-
+        holders=tuple(holders[place] for place in order),
+        key_owner=owner,
+        highest=rank[state.highest],
+        key_token=rank[state.key_token],
+        key_lease=rank[state.key_token],
+    )
--- a/standins/checkers/leases.py
+++ b/standins/checkers/leases.py
@@ -28,8 +28,15 @@
 import orjson
 
 S = 1_000_000_000
-KINDS = {"kill": "crash", "kill_all": "crash", "stop": "stall", "blackhole": "cut", "blackhole_up": "cut",
-         "blackhole_down": "cut", "refuse": "cut"}  # fmt: skip
+KINDS = {
+    "kill": "crash",
+    "kill_all": "crash",
+    "stop": "stall",
+    "blackhole": "cut",
+    "blackhole_up": "cut",
+    "blackhole_down": "cut",
+    "refuse": "cut",
+}
 
 
 @dataclass
@@ -61,8 +68,9 @@
 
 def check(folder: Path, most: int = 20) -> Verdict:
     verdict = Verdict()
-    created = sorted((line["t"], line["token"]) for line in lines(folder / "keeper.jsonl")
-                     if line["ev"] == "created")  # fmt: skip
+    created = sorted(
+        (line["t"], line["token"]) for line in lines(folder / "keeper.jsonl") if line["ev"] == "created"
+    )
     acting = acting_time(folder / "script.toml")
     for path in sorted(folder.glob("h*.jsonl")):
         sent(lines(path), created, acting, verdict)
@@ -86,8 +94,9 @@
     return int(ttl - ttl * told["drift_ppm"] // 1_000_000 - told["margin_ms"] * 1_000_000)
 
 
-def sent(history: list[dict[str, Any]], created: list[tuple[int, int]], acting: int,
-         verdict: Verdict) -> None:  # fmt: skip
+def sent(
+    history: list[dict[str, Any]], created: list[tuple[int, int]], acting: int, verdict: Verdict
+) -> None:
     """A holder's own steps against its deadline and the keys that the keeper created."""
     times = [t for t, _ in created]
     renewed: dict[tuple[int, int], int] = {}  # pid, token -> when its last answered renewal was sent
@@ -99,12 +108,14 @@
             continue
         what = f"{line['holder']} sent step {line['step']} with token {line['token']}"
         if line["own_looked"] >= line["deadline"]:
-            verdict.wrong.append(f"past deadline: {what} at {line['own_looked']} ns, its deadline "
-                                 f"{line['deadline']}")  # fmt: skip
+            verdict.wrong.append(
+                f"past deadline: {what} at {line['own_looked']} ns, its deadline {line['deadline']}"
+            )
         if line["deadline"] > renewed.get((line["pid"], line["token"]), 0) + acting:
             verdict.wrong.append(f"deadline too late: {what}, its deadline {line['deadline']}")
-        newer = [later for _, later in created[: bisect_right(times, line["looked"])]
-                 if later > line["token"]]  # fmt: skip
+        newer = [
+            later for _, later in created[: bisect_right(times, line["looked"])] if later > line["token"]
+        ]
         if newer:
             verdict.wrong.append(f"overlap: {what} after the key was created anew at token {min(newer)}")
 
--- a/standins/checkers/rules.py
+++ b/standins/checkers/rules.py
@@ -128,8 +128,12 @@
     faults = lines(folder / "faults.jsonl")
     published = [line for path in sorted(folder.glob("p*.jsonl")) for line in lines(path)]
     histories = {path.stem: lines(path) for path in sorted(folder.glob("h*.jsonl"))}
-    rules = {line["id"]: line["rules"] for history in histories.values() for line in history
-             if line["ev"] == "rules"}  # fmt: skip
+    rules = {
+        line["id"]: line["rules"]
+        for history in histories.values()
+        for line in history
+        if line["ev"] == "rules"
+    }
     losses = [fault["t"] for fault in faults if fault["kind"] in LOSSES]
     versions(published, histories, losses, verdict)
     spans = list[Span]()
@@ -137,8 +141,11 @@
         for pid in dict.fromkeys(line["pid"] for line in history):
             own = [line for line in history if line["pid"] == pid]
             spans += acted(f"{slot}.{pid}", own, rules, script, b, verdict)
-    verdict.wrong += [f"crashed: slot {fault['target']}: {last_words(folder, fault['target'])}"
-                      for fault in faults if fault["kind"] == "crashed"]  # fmt: skip
+    verdict.wrong += [
+        f"crashed: slot {fault['target']}: {last_words(folder, fault['target'])}"
+        for fault in faults
+        if fault["kind"] == "crashed"
+    ]
     alones = {line["alone"] for history in histories.values() for line in history if line["ev"] == "version"}
     together(spans, b if losses else 0, len(alones) > 1, verdict)
     verdict.backends = len({span.backend for span in spans})
@@ -163,8 +170,12 @@
     return " / ".join(line.strip() for line in said[-12:])[-1500:] or "its log is empty"
 
 
-def versions(published: list[dict[str, Any]], histories: dict[str, list[dict[str, Any]]],
-             losses: list[int], verdict: Verdict) -> None:  # fmt: skip
+def versions(
+    published: list[dict[str, Any]],
+    histories: dict[str, list[dict[str, Any]]],
+    losses: list[int],
+    verdict: Verdict,
+) -> None:
     """Numbers and digests over all that was published and acted by; how long publications took. `losses`:
     the true times at which the keeper lost data."""
     digests = dict[tuple[int, ...], dict[str, int]]()  # of a stamp: digest -> first line that names it
@@ -175,8 +186,10 @@
         stamp = tuple(line["stamp"])
         if line.get("digest") and line["digest"] not in (books := digests.setdefault(stamp, {})):
             if not all(any(first <= loss <= line["t"] for loss in losses) for first in books.values()):
-                verdict.wrong.append(f"number used twice: {stamp} is {next(iter(books))[:12]} and "
-                                     f"{line['digest'][:12]}, by {line['holder']}")  # fmt: skip
+                verdict.wrong.append(
+                    f"number used twice: {stamp} is {next(iter(books))[:12]} and "
+                    f"{line['digest'][:12]}, by {line['holder']}"
+                )
             verdict.again += bool(books)
             books[line["digest"]] = line["t"]
         if line["ev"] == "propose":
@@ -191,8 +204,14 @@
     verdict.in_force, verdict.refused, verdict.withdrawn = (len(found) for found in ends.values())
 
 
-def acted(backend: str, history: list[dict[str, Any]], rules: dict[str, Any], script: RulesScript, b: int,
-          verdict: Verdict) -> list[Span]:  # fmt: skip
+def acted(
+    backend: str,
+    history: list[dict[str, Any]],
+    rules: dict[str, Any],
+    script: RulesScript,
+    b: int,
+    verdict: Verdict,
+) -> list[Span]:
     spans, margin, confirmed = list[Span](), script.margin_ms * MS, 0
     begun, lowest = dict[int, int](), (0, 0)
     now: dict[str, Any] = {}
@@ -208,8 +227,10 @@
             now = line
             admitted = mask([rules[part] for part in line["parts"]])
             if admitted != int(line["mask"], 16):
-                verdict.wrong.append(f"judged otherwise: {backend} by {line['stamps']}, fresh "
-                                     f"{line['fresh']}: {admitted ^ int(line['mask'], 16):x}")  # fmt: skip
+                verdict.wrong.append(
+                    f"judged otherwise: {backend} by {line['stamps']}, fresh "
+                    f"{line['fresh']}: {admitted ^ int(line['mask'], 16):x}"
+                )
             if line["fresh"]:
                 stamp = tuple(line["stamps"][0])
                 verdict.switches += lowest not in ((0, 0), stamp)
@@ -223,15 +244,25 @@
         verdict.stalled += stalled
         end = line["b"] if stalled else line["a"]
         if now["fresh"] and line["b"] > confirmed + b:
-            verdict.wrong.append(f"past deadline: {backend} looked {(line['b'] - confirmed - b) / MS:.1f} ms "
-                                 f"after it by {now['stamps']}")  # fmt: skip
+            verdict.wrong.append(
+                f"past deadline: {backend} looked {(line['b'] - confirmed - b) / MS:.1f} ms "
+                f"after it by {now['stamps']}"
+            )
         last = spans[-1] if spans else None
         if line["ev"] == "look" and last is not None and line["b"] - last.end <= GAP:
             last.end = max(last.end, end)
         else:
-            spans.append(Span(backend, line["m"], max(end, line["m"]) if not stalled else line["m"],
-                              now["fresh"], frozenset(now["parts"]), int(now["mask"], 16),
-                              not now["fresh"] and not now["stamps"]))  # fmt: skip
+            spans.append(
+                Span(
+                    backend,
+                    line["m"],
+                    max(end, line["m"]) if not stalled else line["m"],
+                    now["fresh"],
+                    frozenset(now["parts"]),
+                    int(now["mask"], 16),
+                    not now["fresh"] and not now["stamps"],
+                )
+            )
     return spans
 
 
@@ -261,8 +292,8 @@
             verdict.wrong.append(
                 f"contradiction: {one.backend} by {parts[0]} and {other.backend} by {parts[1]}, "
                 f"{'fresh' if one.fresh else 'alone'}, for {longest / MS:.1f} ms from {start}; allowed "
-                f"{allowed / MS:.1f} ms")  # fmt: skip
-
+                f"{allowed / MS:.1f} ms"
+            )
 
 
 def contradict(a: Span, b: Span, alone_changed: bool) -> bool:
--- a/standins/checkers/rules_keeper.py
+++ b/standins/checkers/rules_keeper.py
@@ -27,8 +27,9 @@
 def forgotten(state: State, which: int) -> State:
     """A process that is no more taken from the readers."""
     slot = state.slots[which]._replace(row=(), absent=False)
-    writes = tuple(one._replace(ended=put(one.ended, which, 2)) if one.ended[which] else one
-                   for one in state.writes)  # fmt: skip
+    writes = tuple(
+        one._replace(ended=put(one.ended, which, 2)) if one.ended[which] else one for one in state.writes
+    )
     return state._replace(slots=put(state.slots, which, slot), writes=writes)
 
 
@@ -39,11 +40,16 @@
 def moved(state: State, at: int) -> State:
     """The readers whose leases ended, from the readers to the absent ones."""
     write = state.writes[at]
-    slots = tuple(slot._replace(absent=True) if ended and slot.row else slot
-                  for slot, ended in zip(state.slots, write.ended, strict=True))  # fmt: skip
-    writes = tuple(one._replace(ended=tuple(2 if mine and too else mine for mine, too in
-                                            zip(one.ended, write.ended, strict=True)))
-                   for one in state.writes)  # fmt: skip
+    slots = tuple(
+        slot._replace(absent=True) if ended and slot.row else slot
+        for slot, ended in zip(state.slots, write.ended, strict=True)
+    )
+    writes = tuple(
+        one._replace(
+            ended=tuple(2 if mine and too else mine for mine, too in zip(one.ended, write.ended, strict=True))
+        )
+        for one in state.writes
+    )
     return state._replace(slots=slots, writes=put(writes, at, write._replace(moved=True)))
 
 
@@ -57,8 +63,13 @@
         free = not head.proposed and vid[:2] > head.highest
         if compares and not (free and write.base in (None, head.in_force[:2])):
             return state, False
-        head = head._replace(in_force=write.stays, proposed=vid, highest=(vid[0], vid[1]),
-                             undoes=write.undoes, by_all=write.by_all)  # fmt: skip
+        head = head._replace(
+            in_force=write.stays,
+            proposed=vid,
+            highest=(vid[0], vid[1]),
+            undoes=write.undoes,
+            by_all=write.by_all,
+        )
     elif compares and head.proposed != vid:
         return state, False
     elif write.kind == "take_back":
@@ -67,8 +78,10 @@
         return state, False
     else:
         head = Head(vid, highest=head.highest, revision=head.revision, before=head.in_force)
-        if compares and any(counted(slot, ended) and not took(slot, vid)
-                            for slot, ended in zip(state.slots, write.ended, strict=True)):  # fmt: skip
+        if compares and any(
+            counted(slot, ended) and not took(slot, vid)
+            for slot, ended in zip(state.slots, write.ended, strict=True)
+        ):
             state = state._replace(broken=f"{vid[:2]} in force by the word of one that took in another book")
     if state.lost < 0 and head.in_force[:2] < state.head.in_force[:2]:
         state = state._replace(broken=f"{head.in_force[:2]} in force after {state.head.in_force[:2]}")
@@ -94,7 +107,11 @@
 def restored(state: State) -> State:
     """From the copy; every connection is cut, so what was on its way is lost."""
     assert isinstance(state.copy, Head)
-    slots = tuple(slot._replace(row=slot.copied[0], absent=slot.copied[1], put=slot.copied[2], copied=(),
-                                asks=(), answers=()) for slot in state.slots)  # fmt: skip
+    slots = tuple(
+        slot._replace(
+            row=slot.copied[0], absent=slot.copied[1], put=slot.copied[2], copied=(), asks=(), answers=()
+        )
+        for slot in state.slots
+    )
     left = state.left._replace(restores=state.left.restores - 1)
     return state._replace(slots=slots, head=state.copy, copy=(), writes=(), lost=0, left=left)
--- a/standins/checkers/rules_model.py
+++ b/standins/checkers/rules_model.py
@@ -64,9 +64,15 @@
     `plant`: `no_compare`, a bug of the keeper's. `rates`: what a tick may add to a reader's and a publisher's
     clock, in ns. `allowed`: ticks for which two may contradict after a loss of data."""
 
-    def __init__(self, faults: Faults = NONE, publishers: int = 1, odd: bool = False, plant: str = "",
-                 rates: tuple[tuple[int, ...], tuple[int, ...]] = ((SLOW,), (FAST,)),
-                 allowed: int = B_TICKS) -> None:  # fmt: skip
+    def __init__(
+        self,
+        faults: Faults = NONE,
+        publishers: int = 1,
+        odd: bool = False,
+        plant: str = "",
+        rates: tuple[tuple[int, ...], tuple[int, ...]] = ((SLOW,), (FAST,)),
+        allowed: int = B_TICKS,
+    ) -> None:
         super().__init__(faults, publishers, plant)
         self.odd, self.rates, self.allowed = odd, rates, allowed
         self.heard: dict[Frozen, tuple[Frozen, Frozen]] = {}  # a reader's answer to a fact never varies
@@ -87,8 +93,14 @@
         """A second version is proposed and acknowledged by one reader; the other's confirmation of before
         is answered with the first version alone, and that answer is on its way. The publisher has looked."""
         state = self.led(self.first(), "tick", "reader 0 confirmation 2 arrives")
-        return self.led(state, "publisher 0 publishes a list", "publisher 0 looks", "reader 0 confirms",
-                        "reader 1 confirms", "publisher 0 looks")  # fmt: skip
+        return self.led(
+            state,
+            "publisher 0 publishes a list",
+            "publisher 0 looks",
+            "reader 0 confirms",
+            "reader 1 confirms",
+            "publisher 0 looks",
+        )
 
     def announced(self) -> State:
         """A second version is in force that announces another `alone`; both readers act by it."""
@@ -103,7 +115,7 @@
 
     def quiet(self, state: State) -> State:
         """Every confirmation goes there and back, until none is on its way; the publisher looks."""
-        while (to := next((to for name, to in self.after(state) if name.endswith(" confirms")), None)):
+        while to := next((to for name, to in self.after(state) if name.endswith(" confirms")), None):
             state = to
         return self.led(state, "publisher 0 looks")
 
@@ -119,8 +131,9 @@
 
     # The program's own decisions, on values.
 
-    def hear(self, frozen: Frozen, news: News, n: int = 0, told: Frozen = (),
-             odd: bool = False) -> tuple[Frozen, Frozen]:  # fmt: skip
+    def hear(
+        self, frozen: Frozen, news: News, n: int = 0, told: Frozen = (), odd: bool = False
+    ) -> tuple[Frozen, Frozen]:
         key = frozen, news, n, told, odd
         if key not in self.heard:
             one = thaw_reader(frozen, odd)
@@ -146,8 +159,9 @@
         for which in range(len(state.slots)):
             yield from ((f"reader {which} {event}", canonical(to)) for event, to in self.of(state, which))
         for which in range(len(state.publishers)):
-            yield from ((f"publisher {which} {event}", canonical(to))
-                        for event, to in self.of_publisher(state, which))  # fmt: skip
+            yield from (
+                (f"publisher {which} {event}", canonical(to)) for event, to in self.of_publisher(state, which)
+            )
         yield from ((event, canonical(to)) for event, to in self.of_keeper(state))
 
     def products(self, slots: int, publishers: int) -> Iterator[tuple[tuple[int, ...], tuple[int, ...]]]:
@@ -158,9 +172,12 @@
     def ticked(self, state: State, rates: tuple[int, ...], fast: tuple[int, ...]) -> State:
         slots = []
         for slot, rate in zip(state.slots, rates, strict=True):
-            slot = slot._replace(reads=tuple(
-                (*one[:2], min(one[2] + more, TERMS.surely_ended)) if one else ()
-                for one, more in zip(slot.reads, fast, strict=True)))  # fmt: skip
+            slot = slot._replace(
+                reads=tuple(
+                    (*one[:2], min(one[2] + more, TERMS.surely_ended)) if one else ()
+                    for one, more in zip(slot.reads, fast, strict=True)
+                )
+            )
             if slot.reader:
                 slot = slot._replace(reader=older(slot.reader, rate))
                 if not slot.stopped:
@@ -222,8 +239,12 @@
         if kept:
             fresh = (*fresh[:-1], (kept,))
         dead = slot._replace(reader=(), answers=(), stopped=False)
-        new = Slot(fresh, odd=slot.odd, reads=((),) * len(state.publishers),
-                   copied=((), False, 0) if state.copy else ())  # fmt: skip
+        new = Slot(
+            fresh,
+            odd=slot.odd,
+            reads=((),) * len(state.publishers),
+            copied=((), False, 0) if state.copy else (),
+        )
         writes = tuple(one._replace(ended=(*one.ended, 0)) for one in state.writes)
         return state._replace(slots=(*put(state.slots, which, dead), new), writes=writes)
 
@@ -256,8 +277,9 @@
                         continue  # the keeper lost data: at most B from then on
                     return f"two act by {by}: {sorted(refused)} {one[1]}, {sorted(too)} {other[1]}"
         if state.lost < 0:
-            known = {vid for slot in state.slots if slot.reader
-                     for vid in (*slot.reader[1], *slot.reader[10])}  # fmt: skip
+            known = {
+                vid for slot in state.slots if slot.reader for vid in (*slot.reader[1], *slot.reader[10])
+            }
             known |= {state.head.in_force, state.head.proposed or state.head.in_force}
             if len({vid[:2] for vid in known}) < len(known):
                 return f"a number used twice: {sorted(known)}"
--- a/standins/checkers/rules_publishing.py
+++ b/standins/checkers/rules_publishing.py
@@ -36,8 +36,11 @@
         self.faults, self.most, self.plant = faults, most, plant
 
     def publisher(self, state: State, which: int) -> Publisher:
-        reads = {str(at): (slot.reads[which][:2], NOW - slot.reads[which][2])
-                 for at, slot in enumerate(state.slots) if slot.reads[which]}  # fmt: skip
+        reads = {
+            str(at): (slot.reads[which][:2], NOW - slot.reads[which][2])
+            for at, slot in enumerate(state.slots)
+            if slot.reads[which]
+        }
         return thaw_publisher(state.publishers[which], reads)
 
     def with_publisher(self, state: State, which: int, one: Publisher, reads: bool = False) -> State:
@@ -53,8 +56,9 @@
 
     def look(self, state: State, which: int) -> tuple[State, list[Effect]]:
         """It reads the keeper: what it waited for an answer to is given up, and may arrive later."""
-        state = state._replace(writes=tuple(one._replace(owner=-1) if one.owner == which else one
-                                            for one in state.writes))  # fmt: skip
+        state = state._replace(
+            writes=tuple(one._replace(owner=-1) if one.owner == which else one for one in state.writes)
+        )
         one, rows = self.publisher(state, which), {str(at): slot for at, slot in enumerate(state.slots)}
         held = {name: thaw_row(slot.row, slot.put) for name, slot in rows.items() if slot.row}
         absent = frozenset(name for name, slot in rows.items() if slot.row and slot.absent)
@@ -65,8 +69,16 @@
         """The first effect on its way; what follows it would be judged by a new look."""
         for effect in effects[:1]:
             ended = tuple(int(str(at) in effect.ended) for at in range(len(state.slots)))
-            write = Write(which, effect.kind, vid_of(effect.version), effect.undoes, effect.by_all,
-                          effect.base, state.head.in_force, ended=ended)  # fmt: skip
+            write = Write(
+                which,
+                effect.kind,
+                vid_of(effect.version),
+                effect.undoes,
+                effect.by_all,
+                effect.base,
+                state.head.in_force,
+                ended=ended,
+            )
             state = state._replace(writes=(*state.writes, write)[-WAYS:])
         return state
 
--- a/standins/checkers/rules_values.py
+++ b/standins/checkers/rules_values.py
@@ -105,8 +105,11 @@
 @lru_cache(None)
 def version(vid: Vid) -> Version:
     epoch, number, entry, alone, coming = vid
-    book = Rulebook(listing(f"rule {entry}"), alone=Rules(listing(f"alone {alone}")),
-                    alone_next=None if coming < 0 else Rules(listing(f"alone {coming}")))  # fmt: skip
+    book = Rulebook(
+        listing(f"rule {entry}"),
+        alone=Rules(listing(f"alone {alone}")),
+        alone_next=None if coming < 0 else Rules(listing(f"alone {coming}")),
+    )
     one = Version((epoch, number), book, digest(book))
     VIDS[one.stamp, one.digest] = vid
     return one
@@ -139,14 +142,29 @@
     asked = None if one.asked is None else max(one.asked - NOW, -one.answer_within)
     seen = tuple(sorted(VIDS[known] for known in one.digests.items()))
     basis = tuple(vid_of(version) for version in one.basis)
-    return (int(one.state), basis, max(one.deadline - NOW, 0), one.n, sent, asked,
-            max(one.next_ask - NOW, 0), one.place, one.row.acked, one.row.refused, seen)  # fmt: skip
+    return (
+        int(one.state),
+        basis,
+        max(one.deadline - NOW, 0),
+        one.n,
+        sent,
+        asked,
+        max(one.next_ask - NOW, 0),
+        one.place,
+        one.row.acked,
+        one.row.refused,
+        seen,
+    )
 
 
 def thaw_reader(frozen: Frozen, odd: bool) -> Reader:
     state, basis, left, n, sent, asked, due, place, acked, refused, seen = frozen
-    one = Reader(TERMS, version(FIRST).book.alone, answer_within=SLOW,
-                 check=(lambda told: "older" if told.stamp[1] % 2 == 0 else "") if odd else readers.fits)
+    one = Reader(
+        TERMS,
+        version(FIRST).book.alone,
+        answer_within=SLOW,
+        check=(lambda told: "older" if told.stamp[1] % 2 == 0 else "") if odd else readers.fits,
+    )
     one.state, one.basis = readers.State(state), tuple(map(version, basis))
     one.deadline, one.n = NOW + left, n
     one.sent = deque(((number, NOW + at) for number, at in sent), maxlen=readers.REMEMBERED)
@@ -158,8 +176,9 @@
 
 def freeze_publisher(one: Publisher) -> Frozen:
     play = one.play
-    frozen = () if play is None else (
-        vid_of(play.version), play.by_all, play.undoes, play.base, int(play.state))
+    frozen = (
+        () if play is None else (vid_of(play.version), play.by_all, play.undoes, play.base, int(play.state))
+    )
     before = vid_of(one.past[-2].version) if len(one.past) > 1 else ()
     return vid_of(one.in_force), one.highest, one.place, frozen, before
 
@@ -215,11 +234,13 @@
         sent = tuple((rank[n], at) for n, at in reader[4])
         reader = (*reader[:3], rank[reader[3]], sent, *reader[5:])
     slot = slot._replace(
-        reader=reader, asks=tuple(map(row, slot.asks)), row=row(slot.row),
+        reader=reader,
+        asks=tuple(map(row, slot.asks)),
+        row=row(slot.row),
         put=puts.get(slot.put, 0),
         answers=tuple((rank[n], told) for n, told in slot.answers),
         reads=tuple((rank[one[0]], puts[one[1]], one[2]) if one else () for one in reads),
         copied=(row(slot.copied[0]), slot.copied[1], puts.get(slot.copied[2], 0)) if slot.copied else (),
-    )  # fmt: skip
+    )
     left = slot.reader or slot.row or slot.asks or (slot.copied and slot.copied[0])
     return repr(slot) if left else "", slot
--- a/standins/checkers/schedule.py
+++ b/standins/checkers/schedule.py
@@ -14,8 +14,19 @@
 
 from ringshift.schedule.change import WHOLE, All, Change, Drain, Freeze, Move, World
 
-ORDER = ("cycle", "ends_late", "frozen", "two_ways", "ring", "chained", "into_drained", "unserved",
-         "last_place", "shares", "capacity")  # fmt: skip
+ORDER = (
+    "cycle",
+    "ends_late",
+    "frozen",
+    "two_ways",
+    "ring",
+    "chained",
+    "into_drained",
+    "unserved",
+    "last_place",
+    "shares",
+    "capacity",
+)
 Point = tuple[str, str, str]
 Where = dict[str, set[Point]]
 Found = tuple[int, str, str, str, bool]
@@ -54,8 +65,11 @@
     for operation, customer, place in world.load:
         operations, customers, places = operations | {operation}, customers | {customer}, places | {place}
     for c in changes:
-        for found, named in ((operations, c.scope.operations), (customers, c.scope.customers),
-                             (places, c.scope.places)):  # fmt: skip
+        for found, named in (
+            (operations, c.scope.operations),
+            (customers, c.scope.customers),
+            (places, c.scope.places),
+        ):
             found |= set() if isinstance(named, All) else named
         places |= touched(c)
     return list(product(sorted(operations), sorted(customers), sorted(places)))
@@ -102,13 +116,19 @@
             for _ in changes:
                 reached |= {far for near in reached if near in named for far in named[near].after}
             known = named.get(name)
-            if known and not any(at < known.start or live(known, at, late)
-                                 for at in range(now, known.end + late + 1)):  # fmt: skip
+            if known and not any(
+                at < known.start or live(known, at, late) for at in range(now, known.end + late + 1)
+            ):
                 continue
             circle = c.name in reached
             apart = not circle and known is not None and known.end <= now
-            yield (ORDER.index("cycle" if circle else "ends_late"), min(c.name, name), max(c.name, name),
-                   apart, frozenset(where[c.name]))  # fmt: skip
+            yield (
+                ORDER.index("cycle" if circle else "ends_late"),
+                min(c.name, name),
+                max(c.name, name),
+                apart,
+                frozenset(where[c.name]),
+            )
 
 
 def pairs(here: Sequence[Change], where: Where, now: int) -> Iterator[Wrong]:
@@ -191,14 +211,18 @@
             yield wrong("ring", *last_two(some), now, part)
 
 
-def sums(here: Sequence[Change], points: list[Point], where: Where, world: World,
-         now: int, late: int) -> Iterator[Wrong]:  # fmt: skip
+def sums(
+    here: Sequence[Change], points: list[Point], where: Where, world: World, now: int, late: int
+) -> Iterator[Wrong]:
     moving = [(c, c.does, most(c, now, late)) for c in here if isinstance(c.does, Move)]
     callers = {c.name: {point[:2] for point in where[c.name]} for c in here}
     for caller in sorted({point[:2] for point in points}):  # wherever they arrive
         serving = world.serves.get(caller[0], frozenset())
-        drains = [c for c in here if isinstance(c.does, Drain) and c.does.place in serving
-                  and caller in callers[c.name]]  # fmt: skip
+        drains = [
+            c
+            for c in here
+            if isinstance(c.does, Drain) and c.does.place in serving and caller in callers[c.name]
+        ]
 
         def emptied(ones: Sequence[Change], all_of: frozenset[str] = serving) -> bool:
             return {place for c in ones for place in touched(c)} == all_of
@@ -228,13 +252,22 @@
         brought = {}
         for c, move, part_of in moving:
             if move.target == place:
-                brought[c.name] = part_of * Fraction(move.share, WHOLE) * sum(
-                    rate for cell, rate in world.load.items()
-                    if cell[2] == move.source and cell[:2] in callers[c.name]
-                )  # fmt: skip
-
-        def too_much(ones: Sequence[Change], place: str = place, free: int = capacity - there,
-                     brought: dict[str, Fraction] = brought) -> bool:  # fmt: skip
+                brought[c.name] = (
+                    part_of
+                    * Fraction(move.share, WHOLE)
+                    * sum(
+                        rate
+                        for cell, rate in world.load.items()
+                        if cell[2] == move.source and cell[:2] in callers[c.name]
+                    )
+                )
+
+        def too_much(
+            ones: Sequence[Change],
+            place: str = place,
+            free: int = capacity - there,
+            brought: dict[str, Fraction] = brought,
+        ) -> bool:
             asked = sum(brought.get(c.name, 0) for c in ones)
             asked += max((c.left.get(place, 0) for c in ones), default=0)
             return asked > 0 and asked > free
--- a/standins/checkers/shedding.py
+++ b/standins/checkers/shedding.py
@@ -41,8 +41,9 @@
     found, sent = Found(), dict[int, list[int]]()
     histories = {path.stem: lines(path) for path in sorted(folder.glob("h*.jsonl"))}
     told = (line | {"slot": slot} for slot, history in histories.items() for line in history)
-    everything = sorted((line for line in told if line["ev"] in ("warned", "shed", "through")),
-                        key=lambda line: line["t"])  # fmt: skip
+    everything = sorted(
+        (line for line in told if line["ev"] in ("warned", "shed", "through")), key=lambda line: line["t"]
+    )
     for line in everything:
         if line["ev"] == "warned":
             sent.setdefault(line["caller"], []).append(line["t"])
@@ -54,8 +55,9 @@
     return found
 
 
-def floor(everything: list[dict[str, Any]], sent: dict[int, list[int]], answers: int, over_s: int,
-          found: Found) -> None:  # fmt: skip
+def floor(
+    everything: list[dict[str, Any]], sent: dict[int, list[int]], answers: int, over_s: int, found: Found
+) -> None:
     for line in everything:
         if line["ev"] != "shed":
             continue
@@ -65,8 +67,10 @@
         over = before[-1] - before[0] if before else 0
         # A millisecond for the clocks: the wall clock counts the span, the machine's monotonic one judges.
         if len(before) < answers or over < over_s * S - 1_000_000:
-            found.wrong.append(f"shed early: caller {line['caller']} at {line['slot']}, warned {len(before)} "
-                               f"times over {over / S:.2f} s, by edition {line['edition']}")  # fmt: skip
+            found.wrong.append(
+                f"shed early: caller {line['caller']} at {line['slot']}, warned {len(before)} "
+                f"times over {over / S:.2f} s, by edition {line['edition']}"
+            )
 
 
 def alike(judged: list[dict[str, Any]], found: Found) -> None:
@@ -84,21 +88,32 @@
             found.through += 1
     for (_, edition, caller), told in verdicts.items():
         if len(told) > 1:
-            found.wrong.append(f"shed and let through: caller {caller} by edition {edition}, shed at "
-                               f"{sorted(told['shed'])}, through at {sorted(told['through'])}")  # fmt: skip
+            found.wrong.append(
+                f"shed and let through: caller {caller} by edition {edition}, shed at "
+                f"{sorted(told['shed'])}, through at {sorted(told['through'])}"
+            )
     for line in judged:
         first = lowest.get((line["key"], line["caller"]))
         if line["ev"] == "through" and first and line["edition"] > first[0] and line["share"] >= first[1]:
-            found.wrong.append(f"shed and let through: caller {line['caller']} shed at {first[1]} by edition "
-                               f"{first[0]}, through at {line['share']} by {line['edition']}")  # fmt: skip
+            found.wrong.append(
+                f"shed and let through: caller {line['caller']} shed at {first[1]} by edition "
+                f"{first[0]}, through at {line['share']} by {line['edition']}"
+            )
     found.editions = len({(key, edition) for key, edition, _ in verdicts})
     found.both = sum(len(slots) > 1 for slots in shed_at.values())
 
 
-def steps(histories: dict[str, list[dict[str, Any]]], keeper: list[dict[str, Any]], restored: list[int],
-          found: Found) -> None:  # fmt: skip
-    created = [(line["t"], line["token"]) for line in keeper
-               if line["ev"] == "created" and line["key"].startswith("/ringshift/tasks/retire-")]  # fmt: skip
+def steps(
+    histories: dict[str, list[dict[str, Any]]],
+    keeper: list[dict[str, Any]],
+    restored: list[int],
+    found: Found,
+) -> None:
+    created = [
+        (line["t"], line["token"])
+        for line in keeper
+        if line["ev"] == "created" and line["key"].startswith("/ringshift/tasks/retire-")
+    ]
 
     def another(token: int, sent: int) -> bool:
         """Whether the key was created anew since the holder's own creation. A keeper restored from a copy
@@ -118,5 +133,7 @@
                 found.steps += line["landed"]
                 found.refused += not line["landed"]
                 if line["landed"] and another(line["token"], sent):
-                    found.wrong.append(f"stale step: of {slot} with token {line['token']}, sent at {sent}, "
-                                       "after the key was created anew")  # fmt: skip
+                    found.wrong.append(
+                        f"stale step: of {slot} with token {line['token']}, sent at {sent}, "
+                        "after the key was created anew"
+                    )
--- a/standins/checkers/truth.py
+++ b/standins/checkers/truth.py
@@ -9,11 +9,29 @@
 WITHIN = 1 * S
 # Findings that only an injection may bring about; the others (shedding, clocks) are judged apart.
 PRIMARY = {
-    "vanished", "crashed", "drained", "killed in its drain", "came back", "cold start", "slow",
-    "everything slower", "agent hung", "paused", "traffic jump", "retry storm", "runs err", "not ready",
-    "agent lost", "announce service lost", "gap in records", "records missing", "clock stepped",
-    "two under one name", "only ever restarted", "clock tied to nothing",
-}  # fmt: skip
+    "vanished",
+    "crashed",
+    "drained",
+    "killed in its drain",
+    "came back",
+    "cold start",
+    "slow",
+    "everything slower",
+    "agent hung",
+    "paused",
+    "traffic jump",
+    "retry storm",
+    "runs err",
+    "not ready",
+    "agent lost",
+    "announce service lost",
+    "gap in records",
+    "records missing",
+    "clock stepped",
+    "two under one name",
+    "only ever restarted",
+    "clock tied to nothing",
+}
 
 
 @dataclass
@@ -54,8 +72,12 @@
         # Those that lie closer together than a report may be off can't be told apart.
         if next_at - at > WITHIN and next_start < start:
             score.out_of_order.append(f"{at} before {next_at}")
-    parts = [(part["server"], part["operation"], part["start"]) for one in told["findings"]
-             if one["what"] == "shedding" for part in one["parts"]]  # fmt: skip
+    parts = [
+        (part["server"], part["operation"], part["start"])
+        for one in told["findings"]
+        if one["what"] == "shedding"
+        for part in one["parts"]
+    ]
     for spell in truth["shed"]:
         operation, server = spell["what"].removeprefix("shedding "), spell["servers"][0]
         offs = [(start - spell["at"]) / S for name, op, start in parts if (name, op) == (server, operation)]
--- a/standins/fleet/budgets.py
+++ b/standins/fleet/budgets.py
@@ -25,8 +25,24 @@
 from standins.fleet.harness import Fault, Fleet, Script
 from standins.fleet.proxy import DOWN, UP
 
-KINDS = ["stop", "kill", "delay", "blackhole", "blackhole_up", "blackhole_down", "cut", "cut_mid", "refuse",
-         "keeper_kill", "keeper_stop", "join", "leave", "partition", "stop", "kill"]  # fmt: skip
+KINDS = [
+    "stop",
+    "kill",
+    "delay",
+    "blackhole",
+    "blackhole_up",
+    "blackhole_down",
+    "cut",
+    "cut_mid",
+    "refuse",
+    "keeper_kill",
+    "keeper_stop",
+    "join",
+    "leave",
+    "partition",
+    "stop",
+    "kill",
+]
 
 
 @dataclass
@@ -107,10 +123,25 @@
             return str(values[number % len(values)] if values else otherwise)
 
         argv = self.program("member") + [
-            "--settings", str(self.settings(number)), "--name", f"h{number}", "--dependency",
-            f"127.0.0.1:{self.resource_port}", "--history", str(self.folder / f"h{number}.jsonl"), "--seed",
-            str(script.seed * 100 + number), "--skew-ppm", of(script.skew_ppm, 0), "--demand",
-            of(script.demand, -1), "--lie", of(script.lie, 1.0), "--plant", self.plant]  # fmt: skip
+            "--settings",
+            str(self.settings(number)),
+            "--name",
+            f"h{number}",
+            "--dependency",
+            f"127.0.0.1:{self.resource_port}",
+            "--history",
+            str(self.folder / f"h{number}.jsonl"),
+            "--seed",
+            str(script.seed * 100 + number),
+            "--skew-ppm",
+            of(script.skew_ppm, 0),
+            "--demand",
+            of(script.demand, -1),
+            "--lie",
+            of(script.lie, 1.0),
+            "--plant",
+            self.plant,
+        ]
         return self.started(number, argv)
 
     def alive(self) -> int:
--- a/standins/fleet/dependency.py
+++ b/standins/fleet/dependency.py
@@ -78,8 +78,14 @@
         late = now - int(looked) > self.slack
         if self.count >= self.whole:
             # Calls that took longer on their way than the terms allow are told apart (standins/checkers).
-            self.write(ev="over", count=self.count + 1, name=name, looked=int(looked), late=self.late + late,
-                       by={one: n for one, n in self.by.items() if n})  # fmt: skip
+            self.write(
+                ev="over",
+                count=self.count + 1,
+                name=name,
+                looked=int(looked),
+                late=self.late + late,
+                by={one: n for one, n in self.by.items() if n},
+            )
             self.answer(sock, f"FULL {number}")
             return
         self.count += 1
--- a/standins/fleet/drawn.py
+++ b/standins/fleet/drawn.py
@@ -29,14 +29,29 @@
 
 PLACES = ("p0", "p1", "p2")
 FLOOR = Floor(answers=14, over_s=1, clocks_apart_s=0)
-WORLD = Stated([Serving("o0", ["p0", "p1"]), Serving("o1", list(PLACES)), Serving("o2", list(PLACES)),
-                Serving("old", ["p0"]), Serving("new", ["p0"])],
-               [Taking("p0", 90), Taking("p1", 60), Taking("p2", 45)],
-               [Loaded("o0", "k0", "p0", 20), Loaded("o1", "k0", "p0", 30), Loaded("o1", "k1", "p0", 10),
-                Loaded("o2", "k1", "p1", 20), Loaded("o2", "k0", "p2", 10)])  # fmt: skip
+WORLD = Stated(
+    [
+        Serving("o0", ["p0", "p1"]),
+        Serving("o1", list(PLACES)),
+        Serving("o2", list(PLACES)),
+        Serving("old", ["p0"]),
+        Serving("new", ["p0"]),
+    ],
+    [Taking("p0", 90), Taking("p1", 60), Taking("p2", 45)],
+    [
+        Loaded("o0", "k0", "p0", 20),
+        Loaded("o1", "k0", "p0", 30),
+        Loaded("o1", "k1", "p0", 10),
+        Loaded("o2", "k1", "p1", 20),
+        Loaded("o2", "k0", "p2", 10),
+    ],
+)
 """All of `o1` fits into `p1`, 0.7 of it into `p2`: but not beside all of `o0`, or what a row wants left."""
-FIRST = Rulebook([Listing("callers", "held_back", ["c0"])], world=WORLD,
-                 alone=Rules([Listing("callers", "held_back", ["c0"])]))  # fmt: skip
+FIRST = Rulebook(
+    [Listing("callers", "held_back", ["c0"])],
+    world=WORLD,
+    alone=Rules([Listing("callers", "held_back", ["c0"])]),
+)
 
 
 def names(random: Random, letter: str) -> list[str]:
@@ -46,8 +61,12 @@
 def drawn_rules(random: Random) -> Rules:
     """Lists and amounts of the names that standins/checkers/rules.py probes."""
     kinds = (("callers", "c"), ("customers", "k"), ("places", "p"), ("operations", "o"))
-    lists = [Listing(of, effect, names(random, letter)) for of, letter in kinds  # type: ignore[arg-type]
-             for effect in ("held_back", "let_through") if random.random() < 0.4]  # fmt: skip
+    lists = [
+        Listing(of, effect, names(random, letter))  # type: ignore[arg-type]
+        for of, letter in kinds
+        for effect in ("held_back", "let_through")
+        if random.random() < 0.4
+    ]
     some = [one for one in range(2) if random.random() < 0.6]
     return Rules(
         lists,
@@ -69,8 +88,9 @@
         return msgspec.structs.replace(base, alone=alone, alone_next=None)
     rules = drawn_rules(random)
     text = f"new {text}" if word == "new" else text
-    return msgspec.structs.replace(base, lists=rules.lists, quotas=rules.quotas, shares=rules.shares,
-                                   wholes=rules.wholes, text=text)  # fmt: skip
+    return msgspec.structs.replace(
+        base, lists=rules.lists, quotas=rules.quotas, shares=rules.shares, wholes=rules.wholes, text=text
+    )
 
 
 def row(name: str, does: Any, start: int, lasting: int, **more: Any) -> Planned:
@@ -86,7 +106,12 @@
         here, there = random.sample(PLACES, 2)
         moved = Moved(random.choice([0.3, 0.7, 1.0]), here, there)
         some: list[Moved | Drained | HeldDown | Frozen] = [
-            Drained(here), moved, moved, HeldDown(random.choice([1, 10])), Frozen()]  # fmt: skip
+            Drained(here),
+            moved,
+            moved,
+            HeldDown(random.choice([1, 10])),
+            Frozen(),
+        ]
         does = random.choice(some)
         start, lasting = earliest + random.randrange(2_000) * MS, random.randrange(300, 2_500) * MS
         more = drawn_scope(random, does)
@@ -123,8 +148,10 @@
     """Two windows of a second, from the next whole second at or after `start` (ns) and 3 s later."""
     first = moment(-(-start // S) * S).astimezone(UTC).replace(tzinfo=None)
     times = [first, first + timedelta(seconds=3)]
-    parts = {f"BY{unit.upper()}={','.join(str(getattr(at, unit)) for at in times)}"
-             for unit in ("hour", "minute", "second")}  # fmt: skip
+    parts = {
+        f"BY{unit.upper()}={','.join(str(getattr(at, unit)) for at in times)}"
+        for unit in ("hour", "minute", "second")
+    }
     return Recurring(f"FREQ=DAILY;COUNT=2;{';'.join(sorted(parts))}", first, "UTC", 1)
 
 
@@ -138,8 +165,26 @@
     """Warned from now on, with two steps and an end within seconds."""
     begins = now + 500 * MS + FLOOR.span + 1_500 * MS
     steps = [Step(moment(begins), 0.3), Step(moment(begins + 1_000 * MS), 0.7)]
-    conditions = Conditions(successor_share=0.0, errors_below=0.2, errors_above=0.4, errors_back=0.6,
-                            moved=0.0, least_answers=1, heard=0.6, fresh_s=2, dwell_s=0,
-                            back_after_s=0)  # fmt: skip
-    return Timeline("old-one", "old", "new", moment(now), moment(now + 500 * MS), steps,
-                    moment(begins + 3_000 * MS), floor=FLOOR, conditions=conditions)  # fmt: skip
+    conditions = Conditions(
+        successor_share=0.0,
+        errors_below=0.2,
+        errors_above=0.4,
+        errors_back=0.6,
+        moved=0.0,
+        least_answers=1,
+        heard=0.6,
+        fresh_s=2,
+        dwell_s=0,
+        back_after_s=0,
+    )
+    return Timeline(
+        "old-one",
+        "old",
+        "new",
+        moment(now),
+        moment(now + 500 * MS),
+        steps,
+        moment(begins + 3_000 * MS),
+        floor=FLOOR,
+        conditions=conditions,
+    )
--- a/standins/fleet/emulated.py
+++ b/standins/fleet/emulated.py
@@ -142,8 +142,9 @@
             one.calls, self.under_way = one.calls + 1, self.under_way + 1
             self.most = max(self.most, self.under_way)
             if self.under_way > self.budget.whole:
-                self.over.append(f"{self.under_way} under way at {self.now / S:.3f} s, begun by "
-                                 f"{one.share.backend}")  # fmt: skip
+                self.over.append(
+                    f"{self.under_way} under way at {self.now / S:.3f} s, begun by {one.share.backend}"
+                )
             longest = int(self.budget.longest / one.rate)
             self.at(self.random.randint(min(30 * MS, longest), longest), lambda: self.ended(one))
 
@@ -168,8 +169,10 @@
         def arrives() -> None:
             self.asks[ask.backend] = ask  # a late one overwrites a newer one, as a put does
             ledger = self.ledger
-            self.send(lambda: answered(News.LEDGER if ledger else News.UNANSWERED, ledger),
-                      lambda: self.now < one.cut_until)  # fmt: skip
+            self.send(
+                lambda: answered(News.LEDGER if ledger else News.UNANSWERED, ledger),
+                lambda: self.now < one.cut_until,
+            )
 
         self.send(arrives, lambda: self.now < one.cut_until)
         self.at(600 * MS, lambda: answered(News.UNANSWERED, None))
--- a/standins/fleet/emulated_clearing.py
+++ b/standins/fleet/emulated_clearing.py
@@ -78,8 +78,9 @@
     def lead(self, timeline: Timeline | None) -> None:
         """Another holder takes the lease; None: to lead out."""
         _, token = self.link.seized(self.timeline.name)
-        self.work = Ramping(self.timeline.name, timeline, "n1", self.link, None, lambda: self.now, S,
-                            self.rules)  # fmt: skip
+        self.work = Ramping(
+            self.timeline.name, timeline, "n1", self.link, None, lambda: self.now, S, self.rules
+        )
         self.work.taken(token, self.now)
         self.hold = Hold(token, 0, lambda: True, lambda: self.now, lambda kind, **more: None)
 
@@ -104,8 +105,7 @@
 
     def shed(self, name: str) -> frozenset[int]:
         line = self.lines[name]
-        return frozenset(one for one in self.callers
-                         if sheds(line.share(self.now), line.lot(one, self.now)))  # fmt: skip
+        return frozenset(one for one in self.callers if sheds(line.share(self.now), line.lot(one, self.now)))
 
     def sheds(self) -> list[frozenset[int]]:
         return [self.shed(name) for name in self.lines]
--- a/standins/fleet/emulated_ramp.py
+++ b/standins/fleet/emulated_ramp.py
@@ -30,12 +30,19 @@
 BEGIN, APART, HOLD = 180, 180, 90  # seconds: the first step, from one to the next, each one's hold
 REFRESH, LOOK = 4, 10  # in steps: a backend's, the holder's
 TIMELINE = Timeline(
-    "order-book", "order-book", "order-book-2", START, START,
-    [Step(START + timedelta(seconds=BEGIN + APART * place), share, HOLD)
-     for place, share in enumerate(SHARES[:-1])],
-    START + timedelta(seconds=BEGIN + APART * (len(SHARES) - 1)), floor=Floor(5, 60, 1),
+    "order-book",
+    "order-book",
+    "order-book-2",
+    START,
+    START,
+    [
+        Step(START + timedelta(seconds=BEGIN + APART * place), share, HOLD)
+        for place, share in enumerate(SHARES[:-1])
+    ],
+    START + timedelta(seconds=BEGIN + APART * (len(SHARES) - 1)),
+    floor=Floor(5, 60, 1),
     conditions=Conditions(0.6, moved=0.7, least_answers=20, fresh_s=10, dwell_s=15, back_after_s=10),
-)  # fmt: skip
+)
 LINE = key(TIMELINE)
 
 
@@ -83,8 +90,15 @@
 
 
 class Fleet:
-    def __init__(self, backends: int, callers: int, seed: int, lost: float = 0.02, cuts: float = 0.002,
-                 never: float = 0.05) -> None:  # fmt: skip
+    def __init__(
+        self,
+        backends: int,
+        callers: int,
+        seed: int,
+        lost: float = 0.02,
+        cuts: float = 0.002,
+        never: float = 0.05,
+    ) -> None:
         self.chance, self.lost, self.cuts, self.now = Random(seed), lost, cuts, ns(START)
         self.backends = [Backend(self.chance, self.now) for _ in range(backends)]
         self.rates = [self.chance.choice((0.05, 0.1, 0.2, 0.4, 0.8)) for _ in range(callers)]
--- a/standins/fleet/emulated_readers.py
+++ b/standins/fleet/emulated_readers.py
@@ -192,8 +192,11 @@
 
     def contradict(self) -> bool:
         """Whether two whose deadlines have not passed, ticked or not, act by no common version."""
-        held = [set(stamps) for stamps, names in self.bases.items()
-                if any(self.backends[name].reader.acting(self.clock(self.backends[name])) for name in names)]
+        held = [
+            set(stamps)
+            for stamps, names in self.bases.items()
+            if any(self.backends[name].reader.acting(self.clock(self.backends[name])) for name in names)
+        ]
         return any(not a & b for place, a in enumerate(held) for b in held[place + 1 :])
 
     # The publisher, as ringshift/lifecycle/publishing.py drives it.
@@ -238,8 +241,11 @@
         """Runs until every reader acts by one version and by that alone."""
 
         def even() -> bool:
-            return len(self.bases) == 1 and len(next(iter(self.bases.values()))) == self.size and all(
-                len(stamps) == 1 for stamps in self.bases)  # fmt: skip
+            return (
+                len(self.bases) == 1
+                and len(next(iter(self.bases.values()))) == self.size
+                and all(len(stamps) == 1 for stamps in self.bases)
+            )
 
         self.run(self.now + 60 * S, even)
         return even()
--- a/standins/fleet/emulated_rules.py
+++ b/standins/fleet/emulated_rules.py
@@ -82,8 +82,9 @@
         return self.told
 
     def held(self) -> Held:
-        return Held(self.told, dict(self.rows), self.absent, self.highest, self.undoes, self.by_all,
-                    self.joins)  # fmt: skip
+        return Held(
+            self.told, dict(self.rows), self.absent, self.highest, self.undoes, self.by_all, self.joins
+        )
 
     def write(self, in_force: Version, proposed: Version | None, effect: Effect) -> bool:
         self.undoes, self.by_all = (effect.undoes, effect.by_all) if proposed else (None, False)
@@ -183,11 +184,13 @@
         entry = str(self.chance.randrange(4))
         old = set(book.lists[0].entries) if book.lists else set[str]()
         alone = Rules(lists=held("x", str(self.chance.randrange(1000))))
-        new = self.chance.choice([
-            Rulebook(held(*sorted(old ^ {entry})), alone=book.alone, alone_next=book.alone_next),
-            Rulebook(book.lists, alone=book.alone, alone_next=alone),
-            Rulebook(book.lists, alone=book.alone_next or alone),
-        ])  # fmt: skip
+        new = self.chance.choice(
+            [
+                Rulebook(held(*sorted(old ^ {entry})), alone=book.alone, alone_next=book.alone_next),
+                Rulebook(book.lists, alone=book.alone, alone_next=alone),
+                Rulebook(book.lists, alone=book.alone_next or alone),
+            ]
+        )
         try:
             self.effects(self.publisher.publish(new))
         except PublicationError:
@@ -199,8 +202,11 @@
         for effect in effects[:1]:
             if effect.kind == "put_in_force":
                 mark = effect.version.mark
-                self.miscounted += [f"{name} for {mark}" for name in effect.known - effect.ended.keys()
-                                    if mark not in self.taken.get(name, set())]  # fmt: skip
+                self.miscounted += [
+                    f"{name} for {mark}"
+                    for name in effect.known - effect.ended.keys()
+                    if mark not in self.taken.get(name, set())
+                ]
                 self.at(self.now + self.chance.choice([MS, S]), partial(self.land, effect, held))
             else:
                 self.land(effect, held)
@@ -215,13 +221,15 @@
 
     def look(self) -> None:
         held = self.keeper.held()
-        self.effects(self.publisher.look(self.clock("publisher"), held.told, held.rows, held.absent,
-                                         held.highest))  # fmt: skip
+        self.effects(
+            self.publisher.look(self.clock("publisher"), held.told, held.rows, held.absent, held.highest)
+        )
 
     def killed(self) -> None:
         held = self.keeper.held()
-        self.publisher = Publisher.begun(TERMS, held.told, held.highest, held.undoes, held.by_all,
-                                         self.keeper.kept)  # fmt: skip
+        self.publisher = Publisher.begun(
+            TERMS, held.told, held.highest, held.undoes, held.by_all, self.keeper.kept
+        )
 
     def step(self, faults: bool = True) -> None:
         dice = self.chance.random()
--- a/standins/fleet/harness.py
+++ b/standins/fleet/harness.py
@@ -70,8 +70,14 @@
 
     def start_keeper(self) -> None:
         argv = self.program("keeper") + [
-            str(self.folder / "keeper"), "--listen", "127.0.0.1:0", "--rate",
-            str(self.script.keeper_rate), "--history", str(self.folder / "keeper.jsonl")]  # fmt: skip
+            str(self.folder / "keeper"),
+            "--listen",
+            "127.0.0.1:0",
+            "--rate",
+            str(self.script.keeper_rate),
+            "--history",
+            str(self.folder / "keeper.jsonl"),
+        ]
         if self.script.keeper_bytes:
             argv += ["--disk-bytes", str(self.script.keeper_bytes)]
         self.keeper = subprocess.Popen(argv, cwd=ROOT, stdout=subprocess.PIPE)
@@ -100,10 +106,26 @@
         back = script.step_back_ms[number] if number < len(script.step_back_ms) else 0
         name = "h0" if script.one_name and number == 1 else f"h{number}"
         argv = self.program("ringshift") + [
-            "lease", "hold", TASK, "--settings", str(settings), "--name", name, "--resource",
-            f"127.0.0.1:{self.resource_port}", "--history", str(self.folder / f"h{number}.jsonl"), "--seed",
-            str(script.seed * 100 + number), "--skew-ppm", str(skew), "--step-ms", str(-back),
-            "--step-at-ms", str(int(script.seconds * 400))]  # fmt: skip
+            "lease",
+            "hold",
+            TASK,
+            "--settings",
+            str(settings),
+            "--name",
+            name,
+            "--resource",
+            f"127.0.0.1:{self.resource_port}",
+            "--history",
+            str(self.folder / f"h{number}.jsonl"),
+            "--seed",
+            str(script.seed * 100 + number),
+            "--skew-ppm",
+            str(skew),
+            "--step-ms",
+            str(-back),
+            "--step-at-ms",
+            str(int(script.seconds * 400)),
+        ]
         if script.pause and script.pause[0] == number:
             argv += ["--pause-at-step", str(script.pause[1]), "--pause-ms", str(script.pause[2])]
         if script.die and script.die[0] == number and number not in self.died:
--- a/standins/fleet/member.py
+++ b/standins/fleet/member.py
@@ -41,11 +41,13 @@
         self.clock = OwnClock(time.monotonic_ns(), told.skew_ppm)
         self.history = Path(told.history).open("ab")  # noqa: SIM115  (for the life of the process)
         terms, keepers = operators.leases.terms(), operators.leases.keepers
-        self.sharer = Sharer(self.budget, identity(told.name, self.random), keepers, self.clock.now,
-                             terms.answer_within)  # fmt: skip
+        self.sharer = Sharer(
+            self.budget, identity(told.name, self.random), keepers, self.clock.now, terms.answer_within
+        )
         logger.info(f"{told.name}: seeking as {self.sharer.share.backend}")
-        self.dividers = Dividers([self.budget], told.name, terms, keepers, self.clock, told.seed,
-                                 history=self.history)  # fmt: skip
+        self.dividers = Dividers(
+            [self.budget], told.name, terms, keepers, self.clock, told.seed, history=self.history
+        )
         self.leaving, self.demand, self.change_at = False, 0, 0.0
         self.calls: dict[int, float] = {}  # under way: number -> when it has surely ended
         self.number, self.pending, self.written = 0, b"", 0.0
@@ -82,8 +84,14 @@
         changed = self.sharer.poll(len(self.calls), waiting)
         if changed or now - self.written > 0.2:
             self.written = now
-            self.write("share", demand=wanted, use=len(self.calls), share=self.sharer.allowed(),
-                       state=self.sharer.share.state.name, round=self.sharer.share.round)  # fmt: skip
+            self.write(
+                "share",
+                demand=wanted,
+                use=len(self.calls),
+                share=self.sharer.allowed(),
+                state=self.sharer.share.state.name,
+                round=self.sharer.share.round,
+            )
         while len(self.calls) < wanted and self.begin():
             pass
 
--- a/standins/fleet/planner.py
+++ b/standins/fleet/planner.py
@@ -50,8 +50,15 @@
 class Blind(Publishing):
     """Planted: proposes on whatever is in force by then, whose changes are lost."""
 
-    def publish(self, book: Rulebook, author: str = "", reason: str = "", undoes: Stamp | None = None,
-                within: int = WITHIN, base: Stamp | None = None) -> Outcome:  # fmt: skip
+    def publish(
+        self,
+        book: Rulebook,
+        author: str = "",
+        reason: str = "",
+        undoes: Stamp | None = None,
+        within: int = WITHIN,
+        base: Stamp | None = None,
+    ) -> Outcome:
         import ringshift.rulebook.version as version
 
         version.check_step = lambda old, new: False
@@ -62,8 +69,11 @@
 def begun_in(rows: tuple[Planned, ...], start: int) -> list[Planned]:
     first = min(one.start for one in rows if one.start is not None)
     by = moment(start) - first
-    return [msgspec.structs.replace(one, start=one.start + by, end=one.end + by) for one in rows
-            if one.start is not None and one.end is not None]  # fmt: skip
+    return [
+        msgspec.structs.replace(one, start=one.start + by, end=one.end + by)
+        for one in rows
+        if one.start is not None and one.end is not None
+    ]
 
 
 def main() -> int:
@@ -92,10 +102,17 @@
     planning = Planning(publishing, Terms.of(reading.terms(), DAY))
     ended = planning.carry(wish, "planner", "", told.within_ms * 1_000_000)
     planner, broken = ended.planner, ended.planner.broken
-    against = broken and {"rule": broken.rule.name, "changes": [broken.first, broken.second],
-                          "first_ns": broken.instant}  # fmt: skip
-    print(json.dumps({"state": planner.state.name, "why": planner.why, "lost": planner.lost,
-                      "against": against}), flush=True)  # fmt: skip
+    against = broken and {
+        "rule": broken.rule.name,
+        "changes": [broken.first, broken.second],
+        "first_ns": broken.instant,
+    }
+    print(
+        json.dumps(
+            {"state": planner.state.name, "why": planner.why, "lost": planner.lost, "against": against}
+        ),
+        flush=True,
+    )
     return 0 if ended.landed else 1
 
 
--- a/standins/fleet/planted.py
+++ b/standins/fleet/planted.py
@@ -30,7 +30,8 @@
 def no_drift() -> None:
     """The bound on the clocks' drift taken as zero."""
     LeaseTerms.acting_time = property(  # type: ignore[assignment, method-assign]
-        lambda self: self.ttl - self.margin)  # fmt: skip
+        lambda self: self.ttl - self.margin
+    )
 
 
 def act_doubtful() -> None:
@@ -91,13 +92,30 @@
             setattr(kind, name, was)
 
 
-CHANGED: list[tuple[type, str]] = [(Lease, "extend"), (Lease, "acting"), (Lease, "halt"),
-                                   (LeaseTerms, "acting_time"), (Store, "from_image"), (Row, "held"),
-                                   (Share, "end_of"), (Budget, "counted"), (Divider, "take_back"),
-                                   (Divider, "wait")]  # fmt: skip
+CHANGED: list[tuple[type, str]] = [
+    (Lease, "extend"),
+    (Lease, "acting"),
+    (Lease, "halt"),
+    (LeaseTerms, "acting_time"),
+    (Store, "from_image"),
+    (Row, "held"),
+    (Share, "end_of"),
+    (Budget, "counted"),
+    (Divider, "take_back"),
+    (Divider, "wait"),
+]
 BUGS: dict[str, Callable[[], None]] = {
-    bug.__name__: bug for bug in (answer_deadline, no_drift, act_doubtful, restart_expires,
-                              early_regrant, no_fall, drift_ignored, no_waiting)
+    bug.__name__: bug
+    for bug in (
+        answer_deadline,
+        no_drift,
+        act_doubtful,
+        restart_expires,
+        early_regrant,
+        no_fall,
+        drift_ignored,
+        no_waiting,
+    )
 }
 
 
--- a/standins/fleet/planted_rules.py
+++ b/standins/fleet/planted_rules.py
@@ -115,6 +115,16 @@
 
 
 BUGS: dict[str, Callable[[], None]] = {
-    bug.__name__: bug for bug in (answer_deadline, no_waiting, alone_at_once, no_compare, number_alone,
-                              no_late, salted, counted_early, stale_ramp)
+    bug.__name__: bug
+    for bug in (
+        answer_deadline,
+        no_waiting,
+        alone_at_once,
+        no_compare,
+        number_alone,
+        no_late,
+        salted,
+        counted_early,
+        stale_ramp,
+    )
 }
--- a/standins/fleet/publisher.py
+++ b/standins/fleet/publisher.py
@@ -77,8 +77,14 @@
         self.die, self.stop, self.slow = False, False, False
         self.digests = dict[Stamp, str]()
         self.words: dict[str, Callable[[Random, list[str]], None]] = {
-            "begin": self.begin, "settle": self.settle, "withdraw": self.withdraw, "forget": self.forget,
-            "close": self.close, "unplan": self.unplan, "retire": self.retire}  # fmt: skip
+            "begin": self.begin,
+            "settle": self.settle,
+            "withdraw": self.withdraw,
+            "forget": self.forget,
+            "close": self.close,
+            "unplan": self.unplan,
+            "retire": self.retire,
+        }
         for word in ("plan", "plan_two_ways", "plan_touching", "plan_slow", "plan_long"):
             self.words[word] = partial(self.plan, word)
         self.touches = 0  # when the first of two windows that touch begins
@@ -185,8 +191,17 @@
             rows = [row(name, Moved(0.5, "p0", target), earliest, 2_000 * MS, operations=["o1"])]
         elif word in ("plan_slow", "plan_long"):
             lasting, ramp = (5_000, 2_500) if word == "plan_slow" else (14_000, 10_000)
-            rows = [row(name, Moved(1.0, "p0", "p1"), earliest, lasting * MS, operations=["o1"],
-                        ramp_in_ms=ramp, ramp_out_ms=1_000)]  # fmt: skip
+            rows = [
+                row(
+                    name,
+                    Moved(1.0, "p0", "p1"),
+                    earliest,
+                    lasting * MS,
+                    operations=["o1"],
+                    ramp_in_ms=ramp,
+                    ramp_out_ms=1_000,
+                )
+            ]
         else:
             rows = drawn_rows(random, name, earliest, self.terms.late)
         self.carry(Wish(tuple(rows)), word)
@@ -208,8 +223,13 @@
             ended = [time.time_ns() + WALKED_BACK] * len(wish.withdrawn)
             for name, end in zip(names, [*map(ends, wish.rows), *ended], strict=True):
                 print(f"over {name} {end}", file=sys.stderr, flush=True)
-        self.history.write("planned", state=planned.planner.state.name, why=planned.planner.why, names=names,
-                           lost=planned.planner.lost)  # fmt: skip
+        self.history.write(
+            "planned",
+            state=planned.planner.state.name,
+            why=planned.planner.why,
+            names=names,
+            lost=planned.planner.lost,
+        )
 
     # What the operators do beside.
 
@@ -239,8 +259,12 @@
             print(f"closed {last.stamp[0]}.{last.stamp[1]}", file=sys.stderr, flush=True)
 
     def ended(self, outcome: Outcome) -> None:
-        self.history.write("ended", state=outcome.state.name, why=outcome.why,
-                           at=None if outcome.version is None else outcome.version.stamp)  # fmt: skip
+        self.history.write(
+            "ended",
+            state=outcome.state.name,
+            why=outcome.why,
+            at=None if outcome.version is None else outcome.version.stamp,
+        )
 
 
 def main() -> int:
--- a/standins/fleet/resource.py
+++ b/standins/fleet/resource.py
@@ -68,11 +68,21 @@
         else:  # the planted bug: nothing checked, whatever comes is taken
             accepted = True
             fence.highest, fence.step = max(fence.highest, token), max(fence.step, step)
-        self.history.write(orjson.dumps({"t": time.monotonic_ns(), "ev": "resource", "task": task,
-                                         "token": token, "step": step, "holder": holder,
-                                         "accepted": accepted}) + b"\n")  # fmt: skip
+        self.history.write(
+            orjson.dumps(
+                {
+                    "t": time.monotonic_ns(),
+                    "ev": "resource",
+                    "task": task,
+                    "token": token,
+                    "step": step,
+                    "holder": holder,
+                    "accepted": accepted,
+                }
+            )
+            + b"\n"
+        )
         self.history.flush()
         if accepted:
             self.last_holder, self.last_token = holder, token
         return f"OK {step}" if accepted else f"NO {fence.highest} {fence.step}"
-
--- a/standins/fleet/retired.py
+++ b/standins/fleet/retired.py
@@ -50,18 +50,43 @@
 
 
 class Retired:
-    def __init__(self, told: argparse.Namespace, ruler: Ruler, leases: Leases, clock: OwnClock,
-                 answer_within: int, history: History) -> None:  # fmt: skip
+    def __init__(
+        self,
+        told: argparse.Namespace,
+        ruler: Ruler,
+        leases: Leases,
+        clock: OwnClock,
+        answer_within: int,
+        history: History,
+    ) -> None:
         self.history, self.random = history, Random(told.seed)
         ramp_listened(history)
         self.wall = lambda: time.time_ns() + told.wall_ms * 1_000_000
-        ramps = Ramps(told.name, leases.terms(), leases.keepers, clock, told.seed, wall=self.wall, pace=PACE,
-                      history=history.out)  # fmt: skip
+        ramps = Ramps(
+            told.name,
+            leases.terms(),
+            leases.keepers,
+            clock,
+            told.seed,
+            wall=self.wall,
+            pace=PACE,
+            history=history.out,
+        )
         rung, pause_ms = told.ramp_pause.split(":")
         ramps.pause = int(rung), int(pause_ms) * 1_000_000
         self.ramps, self.paused_at = ramps, Path(told.history).parent / "ramp-paused"
-        self.retiring = Retiring(ruler.name, OPERATIONS, ruler.books, leases.keepers, clock.now,
-                                 answer_within, True, ramps, self.wall, REFRESH)  # fmt: skip
+        self.retiring = Retiring(
+            ruler.name,
+            OPERATIONS,
+            ruler.books,
+            leases.keepers,
+            clock.now,
+            answer_within,
+            True,
+            ramps,
+            self.wall,
+            REFRESH,
+        )
         self.clock, self.looks, self.edition = clock, 0, 0
 
     def turn(self) -> None:
--- a/standins/fleet/retiring.py
+++ b/standins/fleet/retiring.py
@@ -42,12 +42,22 @@
         self.told, self.clock = told, OwnClock(time.monotonic_ns(), told.skew_ppm)
         self.book = read(Path(told.book).read_text(), told.book)
         terms, out = leases.terms(), sys.stdout.buffer
-        ramps = Ramps(told.name, terms, leases.keepers, self.clock, told.seed, pace=told.pace_ms * MS,
-                      history=out)  # fmt: skip
+        ramps = Ramps(
+            told.name, terms, leases.keepers, self.clock, told.seed, pace=told.pace_ms * MS, history=out
+        )
         ramps.pause = (told.pause_rung, told.pause_ms * MS)
         backend = identity(told.name, Random(time.time_ns()))
-        self.retiring = Retiring(backend, OPERATIONS, lambda: (self.book,), leases.keepers, self.clock.now,
-                                 terms.answer_within, True, ramps, refresh=told.refresh_ms * MS)  # fmt: skip
+        self.retiring = Retiring(
+            backend,
+            OPERATIONS,
+            lambda: (self.book,),
+            leases.keepers,
+            self.clock.now,
+            terms.answer_within,
+            True,
+            ramps,
+            refresh=told.refresh_ms * MS,
+        )
         self.edition, self.busy, self.leaving, self.pending = -1, 0.0, False, b""
 
     def write(self, kind: str, **more: Any) -> None:
@@ -73,8 +83,13 @@
             decided = line.follower.acts_by
             if decided.edition != self.edition:
                 self.edition = decided.edition
-                self.write("acts", edition=decided.edition, rung=decided.rung, share=decided.share,
-                           ready=sorted(decided.ready))  # fmt: skip
+                self.write(
+                    "acts",
+                    edition=decided.edition,
+                    rung=decided.rung,
+                    share=decided.share,
+                    ready=sorted(decided.ready),
+                )
         if self.told.busy_ms and time.monotonic() - self.busy > self.told.busy_ms / 1000:
             self.busy = time.monotonic()
             self.retiring.ended(1, 0, SUCCEEDED)
@@ -97,8 +112,16 @@
         lot, share = self.retiring.lot(operation, caller), self.retiring.shed().get(operation, 0)
         shed, edition = 0 <= lot < share, self.edition
         fields = {} if shed else dict(self.retiring.fields(operation, caller))
-        self.write("called", operation=operation, caller=caller, shed=shed, lot=lot, share=share,
-                   edition=edition, fields=fields)  # fmt: skip
+        self.write(
+            "called",
+            operation=operation,
+            caller=caller,
+            shed=shed,
+            lot=lot,
+            share=share,
+            edition=edition,
+            fields=fields,
+        )
         if fields:
             self.retiring.answered(operation, caller)
         self.retiring.ended(operation, caller, RULED if shed else SUCCEEDED)
@@ -109,8 +132,15 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
     for name in ("settings", "book", "name"):
         parser.add_argument(f"--{name}", required=True)
-    for name, default in (("seed", 1), ("skew-ppm", 0), ("refresh-ms", 150), ("pace-ms", 100),
-                          ("busy-ms", 50), ("pause-rung", 0), ("pause-ms", 0)):  # fmt: skip
+    for name, default in (
+        ("seed", 1),
+        ("skew-ppm", 0),
+        ("refresh-ms", 150),
+        ("pace-ms", 100),
+        ("busy-ms", 50),
+        ("pause-rung", 0),
+        ("pause-ms", 0),
+    ):
         parser.add_argument(f"--{name}", type=int, default=default)
     return Backend(parser.parse_args()).run()
 
--- a/standins/fleet/ruled.py
+++ b/standins/fleet/ruled.py
@@ -47,9 +47,15 @@
 
 
 INVOCATIONS = [
-    Invocation(one.callers, one.customers, one.places, one.operations,
-               {(one.kind, one.name): one.amount} if one.kind else {}) for one in PROBES
-]  # fmt: skip
+    Invocation(
+        one.callers,
+        one.customers,
+        one.places,
+        one.operations,
+        {(one.kind, one.name): one.amount} if one.kind else {},
+    )
+    for one in PROBES
+]
 
 
 class History:
@@ -104,8 +110,15 @@
         name = identity(told.name, Random())
         print(f"seeking as {name}", file=sys.stderr, flush=True)
         self.late = Terms.of(reading.terms()).late
-        self.ruler = Ruler(reader, name, leases.keepers, self.clock.now, reading.answer_within,
-                           keep=None if self.head_at is None else self.keep, check=self.check)  # fmt: skip
+        self.ruler = Ruler(
+            reader,
+            name,
+            leases.keepers,
+            self.clock.now,
+            reading.answer_within,
+            keep=None if self.head_at is None else self.keep,
+            check=self.check,
+        )
         names = Names(("o0", "o1", "o2", "o3"), ("k0", "k1", "k2", "k3"), reading.place)
         self.timetable = Timetable(self.late, names, lead=1_000 * MS)
         self.force: dict[str, int] = {}
@@ -172,11 +185,20 @@
         reader = self.ruler.reader
         parts = self.texts(fresh)
         for version in reader.basis:
-            self.history.write("version", stamp=version.stamp, digest=version.digest,
-                               alone=digest(version.book.alone))  # fmt: skip
+            self.history.write(
+                "version", stamp=version.stamp, digest=version.digest, alone=digest(version.book.alone)
+            )
         stamps = [one.stamp for one in reader.basis]
-        self.history.write("acts", **times, fresh=fresh, stamps=stamps, parts=parts, mask=f"{mask:x}",
-                           state=reader.state.name, until=reader.deadline)  # fmt: skip
+        self.history.write(
+            "acts",
+            **times,
+            fresh=fresh,
+            stamps=stamps,
+            parts=parts,
+            mask=f"{mask:x}",
+            state=reader.state.name,
+            until=reader.deadline,
+        )
         said = "+".join(f"{epoch}.{number}" for epoch, number in stamps) or "installation"
         print(f"acts {said} {'fresh' if fresh else 'alone'}", file=sys.stderr, flush=True)
 
@@ -193,8 +215,9 @@
         force = {name: part for name, (state, part) in states if State[state] in RUNNING}
         if force != self.force:
             self.force = force
-            self.history.write("force", b=before, m=had, a=time.monotonic_ns(), wall=wall, fresh=fresh,
-                               force=force)  # fmt: skip
+            self.history.write(
+                "force", b=before, m=had, a=time.monotonic_ns(), wall=wall, fresh=fresh, force=force
+            )
 
     def rows(self, book: Rulebook) -> None:
         for row in book.changes:
--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -93,9 +93,21 @@
         skew = script.skew_ppm[number % len(script.skew_ppm)] if script.skew_ppm else 0
         wall = script.wall_ms[number % len(script.wall_ms)] if script.wall_ms else 0
         argv = self.program("publisher" if publisher else "ruled") + [
-            "--settings", str(self.settings(number)), "--name", name, "--history",
-            str(self.folder / f"{name}.jsonl"), "--seed", str(script.seed * 100 + number), "--skew-ppm",
-            str(skew), "--wall-ms", str(wall), "--plant", self.plant]  # fmt: skip
+            "--settings",
+            str(self.settings(number)),
+            "--name",
+            name,
+            "--history",
+            str(self.folder / f"{name}.jsonl"),
+            "--seed",
+            str(script.seed * 100 + number),
+            "--skew-ppm",
+            str(skew),
+            "--wall-ms",
+            str(wall),
+            "--plant",
+            self.plant,
+        ]
         if publisher:
             argv += ["--limit-ms", str(script.limit_ms)]
         if script.retires and not publisher:
@@ -115,8 +127,10 @@
         for ready in self.ready.values():
             ready.wait()
         self.tell(0, "begin 0")
-        self.wait_for(lambda: all(self.acting.get(number, "").endswith("fresh")
-                                  for number in self.backends()), BEGINNING)  # fmt: skip
+        self.wait_for(
+            lambda: all(self.acting.get(number, "").endswith("fresh") for number in self.backends()),
+            BEGINNING,
+        )
         began = time.monotonic()
         gevent.spawn(self.give_orders, began)
 
@@ -166,8 +180,11 @@
         return True
 
     def backends(self) -> list[int]:
-        return [number for number, process in enumerate(self.holders)
-                if process is not None and not self.is_publisher(number)]  # fmt: skip
+        return [
+            number
+            for number, process in enumerate(self.holders)
+            if process is not None and not self.is_publisher(number)
+        ]
 
     # Orders.
 
@@ -239,8 +256,13 @@
     def closing(self) -> None:
         script = self.terms
         within = time.monotonic() + CLOSING
-        self.wait_for(lambda: min((self.editions.get(number, 0) for number in self.backends()), default=0)
-                      >= script.until_edition, CLOSING)  # fmt: skip
+        self.wait_for(
+            lambda: (
+                min((self.editions.get(number, 0) for number in self.backends()), default=0)
+                >= script.until_edition
+            ),
+            CLOSING,
+        )
         while (left := max(self.over.values(), default=0) - time.time_ns()) > 0 and within > time.monotonic():
             gevent.sleep(min(left / 1e9, 0.5))
         for proxy in self.proxies:
@@ -263,10 +285,18 @@
             self.ready[0].wait()
         self.close()
         everywhere = self.wait_for(
-            lambda: bool(self.last) and all(self.acting.get(number) == f"{self.last} fresh"
-                                            for number in self.backends()), CLOSING)  # fmt: skip
-        self.note("settled" if everywhere else "not settled", -1, last=self.last,
-                  acting={str(number): told for number, told in self.acting.items()})  # fmt: skip
+            lambda: (
+                bool(self.last)
+                and all(self.acting.get(number) == f"{self.last} fresh" for number in self.backends())
+            ),
+            CLOSING,
+        )
+        self.note(
+            "settled" if everywhere else "not settled",
+            -1,
+            last=self.last,
+            acting={str(number): told for number, told in self.acting.items()},
+        )
 
     def close(self) -> None:
         self.tell(0, f"close 0 {' '.join(self.dead)}")  # the operators forget them
--- a/standins/fleet/rulescript.py
+++ b/standins/fleet/rulescript.py
@@ -7,9 +7,26 @@
 
 from standins.fleet.harness import Fault, Script
 
-KINDS = ["stop", "kill", "delay", "blackhole", "blackhole_up", "blackhole_down", "cut", "cut_mid", "refuse",
-         "keeper_kill", "keeper_stop", "join", "leave", "partition", "partition", "stop", "kill",
-         "roll"]  # fmt: skip
+KINDS = [
+    "stop",
+    "kill",
+    "delay",
+    "blackhole",
+    "blackhole_up",
+    "blackhole_down",
+    "cut",
+    "cut_mid",
+    "refuse",
+    "keeper_kill",
+    "keeper_stop",
+    "join",
+    "leave",
+    "partition",
+    "partition",
+    "stop",
+    "kill",
+    "roll",
+]
 LOSSES = ("keeper_restore", "keeper_rollback")  # how a keeper loses data
 ORDERS = ["publish"] * 6 + ["announce", "alone", "withdraw", "text", "slow", "die_proposed", "stop_proposed"]
 
--- a/standins/fleet/scripts.py
+++ b/standins/fleet/scripts.py
@@ -10,8 +10,20 @@
 
 import orjson
 
-KINDS = ["stop", "kill", "delay", "blackhole", "blackhole_up", "blackhole_down", "cut", "cut_mid", "refuse",
-         "keeper_kill", "keeper_stop", "kill_all"]  # fmt: skip
+KINDS = [
+    "stop",
+    "kill",
+    "delay",
+    "blackhole",
+    "blackhole_up",
+    "blackhole_down",
+    "cut",
+    "cut_mid",
+    "refuse",
+    "keeper_kill",
+    "keeper_stop",
+    "kill_all",
+]
 
 
 @dataclass(frozen=True)
@@ -44,8 +56,11 @@
 
     def write(self, path: Path) -> None:
         # JSON's words for numbers, texts, truth and lists are TOML's too.
-        lines = [f"{name} = {orjson.dumps(value).decode()}" for name, value in asdict(self).items()
-                 if name != "faults"]  # fmt: skip
+        lines = [
+            f"{name} = {orjson.dumps(value).decode()}"
+            for name, value in asdict(self).items()
+            if name != "faults"
+        ]
         for fault in self.faults:
             row = [f"{name} = {orjson.dumps(value).decode()}" for name, value in asdict(fault).items()]
             lines += ["", "[[faults]]", *row]
--- a/standins/guard/__init__.py
+++ b/standins/guard/__init__.py
@@ -39,8 +39,9 @@
     return seen
 
 
-def busy(before: dict[int, Thread], after: dict[int, Thread], seconds: float,
-         share: float = 0.8) -> list[str]:  # fmt: skip
+def busy(
+    before: dict[int, Thread], after: dict[int, Thread], seconds: float, share: float = 0.8
+) -> list[str]:
     """Threads that ran more than `share` of a stretch of `seconds` of two readings: they never waited. The
     time that a crowded machine had no core for them does not count: it tells nothing of them."""
     found = []
--- a/standins/guard/site/sitecustomize.py
+++ b/standins/guard/site/sitecustomize.py
@@ -16,8 +16,18 @@
 from typing import Any
 
 # Every way to a second process or another program; `os.exec` covers the whole execv* family.
-PROCESSES = frozenset({"os.fork", "os.forkpty", "os.posix_spawn", "os.spawn", "os.exec", "os.system",
-                       "subprocess.Popen", "pty.spawn"})  # fmt: skip
+PROCESSES = frozenset(
+    {
+        "os.fork",
+        "os.forkpty",
+        "os.posix_spawn",
+        "os.spawn",
+        "os.exec",
+        "os.system",
+        "subprocess.Popen",
+        "pty.spawn",
+    }
+)
 FAMILIES = frozenset({socket.AF_INET})
 KINDS = frozenset({socket.SOCK_STREAM, socket.SOCK_DGRAM})
 
--- a/standins/guard/trace.py
+++ b/standins/guard/trace.py
@@ -29,8 +29,18 @@
 from standins.agent import Agent
 from standins.room import ROOT, Room
 
-REFUSED = {"fork", "vfork", "execve", "execveat", "io_uring_setup", "io_uring_enter", "splice", "sendfile",
-           "tee", "vmsplice"}  # fmt: skip
+REFUSED = {
+    "fork",
+    "vfork",
+    "execve",
+    "execveat",
+    "io_uring_setup",
+    "io_uring_enter",
+    "splice",
+    "sendfile",
+    "tee",
+    "vmsplice",
+}
 TASK = re.compile(r"^(\d+) ")
 CALL = re.compile(r"^(?P<pid>\d+) +(?P<name>\w+)\((?P<args>.*)")
 
@@ -123,8 +133,10 @@
         serve(room)
     seen = read(out.read_text().splitlines())
     print(f"run line under strace: {line}\n")
-    print(f"{sum(seen.calls.values())} calls of {len(seen.calls)} kinds; {len(seen.pids)} tasks; "
-          f"{seen.threads} threads started, {seen.processes} processes started\n")  # fmt: skip
+    print(
+        f"{sum(seen.calls.values())} calls of {len(seen.calls)} kinds; {len(seen.pids)} tasks; "
+        f"{seen.threads} threads started, {seen.processes} processes started\n"
+    )
     print("| call | times |\n| --- | --- |")
     for name, times in sorted(seen.calls.items()):
         print(f"| {name} | {times} |")
--- a/standins/keeper/server.py
+++ b/standins/keeper/server.py
@@ -32,8 +32,16 @@
 
 MEMBER = "10276657743932975437"
 BYTES = ("key", "value", "range_end")
-INTS = ("lease", "create_revision", "mod_revision", "version", "ID", "TTL", "start_revision",
-        "min_mod_revision")  # fmt: skip
+INTS = (
+    "lease",
+    "create_revision",
+    "mod_revision",
+    "version",
+    "ID",
+    "TTL",
+    "start_revision",
+    "min_mod_revision",
+)
 STREAM_EVERY = 0.5  # seconds between a watch's looks at the store when nothing woke it; a bound, not a pace
 
 
@@ -86,8 +94,9 @@
 
 
 class Keeper:
-    def __init__(self, folder: Path, clock: Clock, disk_bytes: int | None = None,
-                 history: IO[bytes] | None = None) -> None:  # fmt: skip
+    def __init__(
+        self, folder: Path, clock: Clock, disk_bytes: int | None = None, history: IO[bytes] | None = None
+    ) -> None:
         self.folder, self.clock, self.disk_bytes, self.history = folder, clock, disk_bytes, history
         self.image = folder / "member.json"
         self.changed = Event()
@@ -142,9 +151,14 @@
                 created = event.kv.create_revision if event.kind == "PUT" else event.created
                 if event.kind == "PUT" and event.kv.version != 1:
                     continue
-                line = {"t": time.monotonic_ns(), "ev": "created" if event.kind == "PUT" else "deleted",
-                        "key": event.kv.key.decode(errors="replace"), "token": created, "revision": revision}
-                self.history.write(orjson.dumps(line) + b"\n")  # fmt: skip
+                line = {
+                    "t": time.monotonic_ns(),
+                    "ev": "created" if event.kind == "PUT" else "deleted",
+                    "key": event.kv.key.decode(errors="replace"),
+                    "token": created,
+                    "revision": revision,
+                }
+                self.history.write(orjson.dumps(line) + b"\n")
         self.history.flush()
 
     # The gateway's calls: each takes the decoded body and gives the answer before encoding.
@@ -192,8 +206,13 @@
         return {"leases": [{"ID": lease} for lease in sorted(self.store.leases)]}
 
     def status(self, body: dict[str, Any]) -> dict[str, Any]:
-        return {"version": "3.5.0", "dbSize": self.image.stat().st_size, "leader": MEMBER, "raftIndex":
-                self.store.revision, "raftTerm": 2}  # fmt: skip
+        return {
+            "version": "3.5.0",
+            "dbSize": self.image.stat().st_size,
+            "leader": MEMBER,
+            "raftIndex": self.store.revision,
+            "raftTerm": 2,
+        }
 
     def watch(self, body: dict[str, Any]) -> Iterator[bytes]:
         """The stream of one watch: created, then each revision's events in order, until the client goes."""
@@ -215,13 +234,22 @@
         return orjson.dumps({"result": encoded({"header": self.header()} | result)}) + b"\n"
 
 
-CALLS = {"/v3/kv/range": "range", "/v3/kv/put": "put", "/v3/kv/deleterange": "deleterange",
-         "/v3/kv/txn": "txn", "/v3/lease/grant": "grant", "/v3/lease/keepalive": "keepalive",
-         "/v3/lease/revoke": "revoke", "/v3/lease/timetolive": "timetolive", "/v3/lease/leases": "leases",
-         "/v3/maintenance/status": "status",
-         # etcd serves its first gateway paths of leases too, and some clients use them
-         "/v3/kv/lease/revoke": "revoke", "/v3/kv/lease/timetolive": "timetolive",
-         "/v3/kv/lease/leases": "leases"}  # fmt: skip
+CALLS = {
+    "/v3/kv/range": "range",
+    "/v3/kv/put": "put",
+    "/v3/kv/deleterange": "deleterange",
+    "/v3/kv/txn": "txn",
+    "/v3/lease/grant": "grant",
+    "/v3/lease/keepalive": "keepalive",
+    "/v3/lease/revoke": "revoke",
+    "/v3/lease/timetolive": "timetolive",
+    "/v3/lease/leases": "leases",
+    "/v3/maintenance/status": "status",
+    # etcd serves its first gateway paths of leases too, and some clients use them
+    "/v3/kv/lease/revoke": "revoke",
+    "/v3/kv/lease/timetolive": "timetolive",
+    "/v3/kv/lease/leases": "leases",
+}
 STREAMED = {"keepalive"}  # answered under `result`, as the gateway answers a stream of one
 
 
@@ -248,8 +276,10 @@
             start("200 OK", [("Content-Type", "application/json")])
             return iter([data])
         except KeeperError as error:
-            start("400 Bad Request" if error.code != RESOURCE_EXHAUSTED else "500 Internal Server Error",
-                  [("Content-Type", "application/json")])  # fmt: skip
+            start(
+                "400 Bad Request" if error.code != RESOURCE_EXHAUSTED else "500 Internal Server Error",
+                [("Content-Type", "application/json")],
+            )
             return iter([orjson.dumps({"error": str(error), "code": error.code, "message": str(error)})])
         except (ValueError, KeyError, TypeError, OSError) as error:  # OSError: a request cut in its middle
             start("400 Bad Request", [("Content-Type", "application/json")])
--- a/standins/keeper/store.py
+++ b/standins/keeper/store.py
@@ -40,8 +40,14 @@
     lease: int = 0
 
     def told(self) -> dict[str, Any]:
-        return {"key": self.key, "value": self.value, "create_revision": self.create_revision,
-                "mod_revision": self.mod_revision, "version": self.version, "lease": self.lease}  # fmt: skip
+        return {
+            "key": self.key,
+            "value": self.value,
+            "create_revision": self.create_revision,
+            "mod_revision": self.mod_revision,
+            "version": self.version,
+            "lease": self.lease,
+        }
 
 
 @dataclass
@@ -136,8 +142,13 @@
             kvs = [{name: told for name, told in kv.items() if name != "value"} for kv in kvs]
         return {"kvs": kvs, "count": len(found)}
 
-    def txn(self, now: int, compares: list[dict[str, Any]], success: list[dict[str, Any]],
-            failure: list[dict[str, Any]]) -> tuple[bool, list[dict[str, Any]]]:  # fmt: skip
+    def txn(
+        self,
+        now: int,
+        compares: list[dict[str, Any]],
+        success: list[dict[str, Any]],
+        failure: list[dict[str, Any]],
+    ) -> tuple[bool, list[dict[str, Any]]]:
         """Compares, then the writes of one side, as one step at one revision."""
         self.expire(now)
         held = all(self.holds(compare) for compare in compares)
@@ -154,15 +165,30 @@
     def holds(self, compare: dict[str, Any]) -> bool:
         kv = self.kvs.get(compare["key"])
         target = compare.get("target", "VERSION")
-        seen = {"VERSION": kv.version if kv else 0, "CREATE": kv.create_revision if kv else 0,
-                "MOD": kv.mod_revision if kv else 0, "VALUE": kv.value if kv else b"",
-                "LEASE": kv.lease if kv else 0}[target]  # fmt: skip
-        field_name = {"VERSION": "version", "CREATE": "create_revision", "MOD": "mod_revision",
-                      "VALUE": "value", "LEASE": "lease"}[target]  # fmt: skip
+        seen = {
+            "VERSION": kv.version if kv else 0,
+            "CREATE": kv.create_revision if kv else 0,
+            "MOD": kv.mod_revision if kv else 0,
+            "VALUE": kv.value if kv else b"",
+            "LEASE": kv.lease if kv else 0,
+        }[target]
+        field_name = {
+            "VERSION": "version",
+            "CREATE": "create_revision",
+            "MOD": "mod_revision",
+            "VALUE": "value",
+            "LEASE": "lease",
+        }[target]
         wanted = compare.get(field_name, b"" if target == "VALUE" else 0)
         result = compare.get("result", "EQUAL")
-        return bool({"EQUAL": seen == wanted, "NOT_EQUAL": seen != wanted, "GREATER": seen > wanted,
-                     "LESS": seen < wanted}[result])  # fmt: skip
+        return bool(
+            {
+                "EQUAL": seen == wanted,
+                "NOT_EQUAL": seen != wanted,
+                "GREATER": seen > wanted,
+                "LESS": seen < wanted,
+            }[result]
+        )
 
     def apply(self, now: int, request: dict[str, Any]) -> dict[str, Any]:
         if "request_put" in request:
@@ -170,8 +196,11 @@
             self.put_key(put["key"], put.get("value", b""), put.get("lease", 0))
             return {"response_put": {}}
         if "request_delete_range" in request:
-            gone = self.range(now, request["request_delete_range"]["key"],
-                              request["request_delete_range"].get("range_end", b""))  # fmt: skip
+            gone = self.range(
+                now,
+                request["request_delete_range"]["key"],
+                request["request_delete_range"].get("range_end", b""),
+            )
             for kv in gone:
                 self.delete_key(kv.key)
             return {"response_delete_range": {"deleted": len(gone)}}
@@ -188,8 +217,14 @@
         old = self.kvs.get(key)
         if old is not None and old.lease and old.lease in self.leases:
             self.leases[old.lease].keys.discard(key)
-        kv = KeyValue(key, value, old.create_revision if old else self.revision, self.revision,
-                      old.version + 1 if old else 1, lease)  # fmt: skip
+        kv = KeyValue(
+            key,
+            value,
+            old.create_revision if old else self.revision,
+            self.revision,
+            old.version + 1 if old else 1,
+            lease,
+        )
         self.kvs[key] = kv
         if lease:
             self.leases[lease].keys.add(key)
@@ -212,22 +247,38 @@
         """Events of a key or range from revision `start`, in revision order."""
         if start <= self.compacted:
             raise KeeperError(OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted")
-        return [(revision, event) for revision, event in self.history if revision >= start
-                and (event.kv.key == key if not end else key <= event.kv.key and (end == b"\0" or
-                     event.kv.key < end))]  # fmt: skip
+        return [
+            (revision, event)
+            for revision, event in self.history
+            if revision >= start
+            and (
+                event.kv.key == key
+                if not end
+                else key <= event.kv.key and (end == b"\0" or event.kv.key < end)
+            )
+        ]
 
     # Disk.
 
     def image(self) -> dict[str, Any]:
         """All that a restart needs, bytes as hex; history is not kept: a restart compacts at its revision."""
         kvs = [{**kv.told(), "key": kv.key.hex(), "value": kv.value.hex()} for kv in self.kvs.values()]
-        return {"revision": self.revision, "next_lease": self.next_lease, "kvs": kvs, "cluster": self.cluster,
-                "leases": {str(lease): grant.ttl for lease, grant in self.leases.items()}}  # fmt: skip
+        return {
+            "revision": self.revision,
+            "next_lease": self.next_lease,
+            "kvs": kvs,
+            "cluster": self.cluster,
+            "leases": {str(lease): grant.ttl for lease, grant in self.leases.items()},
+        }
 
     @classmethod
     def from_image(cls, image: dict[str, Any], now: int) -> Store:
-        store = cls(revision=image["revision"], next_lease=image["next_lease"], compacted=image["revision"],
-                    cluster=image["cluster"])  # fmt: skip
+        store = cls(
+            revision=image["revision"],
+            next_lease=image["next_lease"],
+            compacted=image["revision"],
+            cluster=image["cluster"],
+        )
         for lease, ttl in image["leases"].items():
             store.leases[int(lease)] = Grant(ttl, now + ttl * S)
         for told in image["kvs"]:
--- a/standins/room.py
+++ b/standins/room.py
@@ -26,26 +26,50 @@
         {"name": "look", "effect": "safe", "aim": 1500.0, "hard_limit": 3000.0, "late_worth": 0.0},
         {"name": "order", "effect": "unsafe", "aim": 1500.0, "hard_limit": 3000.0, "late_worth": 0.2},
     ],
-    "extra": {"n_cores": 4, "ram_kb": 60000.0, "run_factor": 8.0, "gauges": ["cpu_busy", "runnable"],
-              "halt": "drop", "advert": "tokens", "upstreams": 3, "real_checks": True},
+    "extra": {
+        "n_cores": 4,
+        "ram_kb": 60000.0,
+        "run_factor": 8.0,
+        "gauges": ["cpu_busy", "runnable"],
+        "halt": "drop",
+        "advert": "tokens",
+        "upstreams": 3,
+        "real_checks": True,
+    },
     "rules": {"fall_multiple": 8.0, "stop_sending_within": 300.0, "cold_from": 0.2, "ramp_time": 2000.0},
     "limits": {"retry_after": True, "max_retry_after": 1000.0},
-}  # fmt: skip
+}
 
 
 class Room:
-    def __init__(self, agent: Agent | None = None, /, stop_ms: float = 2000.0, sockets: int = 1024,
-                 settings: dict[str, Any] = SETTINGS, command: tuple[str, ...] = ("-m", "ringshift"),
-                 listen: str = "127.0.0.1:0", echo: bool = False,
-                 environ: dict[str, str] | None = None, shell: str | None = None,
-                 **other: Any) -> None:  # fmt: skip
+    def __init__(
+        self,
+        agent: Agent | None = None,
+        /,
+        stop_ms: float = 2000.0,
+        sockets: int = 1024,
+        settings: dict[str, Any] = SETTINGS,
+        command: tuple[str, ...] = ("-m", "ringshift"),
+        listen: str = "127.0.0.1:0",
+        echo: bool = False,
+        environ: dict[str, str] | None = None,
+        shell: str | None = None,
+        **other: Any,
+    ) -> None:
         """`shell`: a line for /bin/sh in place of `command`, started from the root as `run` is started."""
         self.agent, self.announce = agent or Agent(), Announce()
         self.folder = tempfile.TemporaryDirectory()
-        told = {"name": "n3", "listen": listen, "agent": self.agent.address,
-                "announce": self.announce.address,
-                "seed": "8c1f30d27a5be964", "stop_ms": stop_ms, "settings": settings,
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, **other}  # fmt: skip
+        told = {
+            "name": "n3",
+            "listen": listen,
+            "agent": self.agent.address,
+            "announce": self.announce.address,
+            "seed": "8c1f30d27a5be964",
+            "stop_ms": stop_ms,
+            "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            **other,
+        }
         self.path = Path(self.folder.name, "config.json")
         self.told = {key: value for key, value in told.items() if value is not None}
         self.path.write_bytes(orjson.dumps(self.told))
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -24,7 +24,7 @@
     Shedding,
     Stamp,
     Started,
-)  # fmt: skip
+)
 from standins.skew import Skew
 
 S = 10**9
@@ -86,8 +86,16 @@
                 return
             start = end.until
 
-    def run(self, name: str, run: str, random: Random, mine: list[Trouble], start: float,
-            end: Trouble | None, again: bool) -> Iterator[Record]:  # fmt: skip
+    def run(
+        self,
+        name: str,
+        run: str,
+        random: Random,
+        mine: list[Trouble],
+        start: float,
+        end: Trouble | None,
+        again: bool,
+    ) -> Iterator[Record]:
         writer = Writer(name, run, self.skews.get(name, Skew(zero=NOON)), start, mine)
         yield from writer.write(start, Started("", "127.0.0.1:1", self.operations, 4, 2000.0))
         yield from writer.write(start, Phase("starting", "waiting", "listens"))
@@ -124,8 +132,11 @@
     def second(self, name: str, random: Random, mine: list[Trouble], at: float, lag: float) -> Second:
         def share(what: str) -> float:
             """Of the second that ends now, in which a trouble was."""
-            return sum(max(min(at, one.until if one.until is not None else at) - max(at - 1, one.at), 0.0)
-                       for one in mine if one.what == what)  # fmt: skip
+            return sum(
+                max(min(at, one.until if one.until is not None else at) - max(at - 1, one.at), 0.0)
+                for one in mine
+                if one.what == what
+            )
 
         hung, slow, jump, storm = share("hung"), share("slow"), share("jump"), share("storm")
         counts = list[Counts]()
@@ -144,8 +155,24 @@
         mean = self.rate / 20
         least = random.uniform(0.3, 2.0)
         stamps = tuple(self.stamp(name, caller, at, least) for caller in range(self.callers))
-        return Second(1000.0 + lag, tuple(counts), round(mean), 4.0, 1.0, 0.1 + storm, 1.0, 100.0, again,
-                      self.callers, 0.5, 20, round(20 * (1 - hung)), mean, lag, stamps)  # fmt: skip
+        return Second(
+            1000.0 + lag,
+            tuple(counts),
+            round(mean),
+            4.0,
+            1.0,
+            0.1 + storm,
+            1.0,
+            100.0,
+            again,
+            self.callers,
+            0.5,
+            20,
+            round(20 * (1 - hung)),
+            mean,
+            lag,
+            stamps,
+        )
 
     def stamp(self, name: str, caller: int, at: float, least: float) -> Stamp:
         true = NOON + round(at * S)
--- a/standins/sidecar.py
+++ b/standins/sidecar.py
@@ -35,14 +35,26 @@
     def begin(self, request: int, role: int = fastcgi.RESPONDER, keep: bool = True) -> bytes:
         return fastcgi.record(fastcgi.BEGIN, request, struct.pack("!HB5x", role, keep))
 
-    def call(self, request: int, operation: str = "look", body: bytes = b"body", keep: bool = True,
-             **other: str | None) -> bytes:  # fmt: skip
+    def call(
+        self,
+        request: int,
+        operation: str = "look",
+        body: bytes = b"body",
+        keep: bool = True,
+        **other: str | None,
+    ) -> bytes:
         """The bytes of one call. A field given as None is left out."""
         told: dict[str, str | None] = {
-            "REQUEST_METHOD": "POST", "SCRIPT_NAME": f"/call/{operation}", "HTTP_X_JOB_ID": f"{request:016x}",
-            "HTTP_X_DOOR_TIME": str(time.time_ns() // 1_000_000), "HTTP_X_SENDER": "4",
-            "HTTP_X_ALLOW_MS": "3000", "HTTP_X_RAM_KB": "24.5", "HTTP_X_PRECEDENCE": "0.6250",
-            **other}  # fmt: skip
+            "REQUEST_METHOD": "POST",
+            "SCRIPT_NAME": f"/call/{operation}",
+            "HTTP_X_JOB_ID": f"{request:016x}",
+            "HTTP_X_DOOR_TIME": str(time.time_ns() // 1_000_000),
+            "HTTP_X_SENDER": "4",
+            "HTTP_X_ALLOW_MS": "3000",
+            "HTTP_X_RAM_KB": "24.5",
+            "HTTP_X_PRECEDENCE": "0.6250",
+            **other,
+        }
         return self.whole(request, {k: v for k, v in told.items() if v is not None}, body, keep)
 
     def whole(self, request: int, params: dict[str, str], body: bytes = b"", keep: bool = True) -> bytes:
--- a/standins/stage.py
+++ b/standins/stage.py
@@ -72,15 +72,23 @@
         if state == "new":
             self.farm = Farm(self.stage.random, CORES, BASE, state="new")
         told = {
-            "name": self.name, "listen": "127.0.0.1:0", "agent": self.farm.address,
-            "announce": self.stage.watcher_address, "seed": f"{self.stage.random.getrandbits(64):x}",
-            "stop_ms": 2000.0, "settings": self.stage.settings,
+            "name": self.name,
+            "listen": "127.0.0.1:0",
+            "agent": self.farm.address,
+            "announce": self.stage.watcher_address,
+            "seed": f"{self.stage.random.getrandbits(64):x}",
+            "stop_ms": 2000.0,
+            "settings": self.stage.settings,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        }  # fmt: skip
+        }
         config = self.stage.scratch / f"{self.name}.json"
         config.write_bytes(orjson.dumps(told))
-        environ = {**os.environ, "PROXY_CONFIG": str(config), "RINGSHIFT_RECORDS": "lines",
-                   "SKEW": self.clock.told()}  # fmt: skip
+        environ = {
+            **os.environ,
+            "PROXY_CONFIG": str(config),
+            "RINGSHIFT_RECORDS": "lines",
+            "SKEW": self.clock.told(),
+        }
         file = os.open(self.path, os.O_CREAT | os.O_APPEND | os.O_WRONLY)
         size = os.fstat(file).st_size
         command = [sys.executable, "-m", "standins.skew"]
@@ -125,10 +133,11 @@
         """The fleet's load, as a multiple of the calm one."""
         self.turned: dict[tuple[str, str], list[int]] = defaultdict(list)
         self.callers = [
-            Caller(index, self.skew(f"caller-{index}"), Random(f"{seed}-{index}"), lambda: self.known,
-                   self.heard)
+            Caller(
+                index, self.skew(f"caller-{index}"), Random(f"{seed}-{index}"), lambda: self.known, self.heard
+            )
             for index in range(CALLERS)
-        ]  # fmt: skip
+        ]
 
     @staticmethod
     def names() -> list[str]:
@@ -157,8 +166,11 @@
             gevent.sleep(1.0)
             if self.watcher.beating.dead:
                 continue
-            targets = [Target(name, server.address, server.clock) for name, server in self.servers.items()
-                       if name in listed and server.address]  # fmt: skip
+            targets = [
+                Target(name, server.address, server.clock)
+                for name, server in self.servers.items()
+                if name in listed and server.address
+            ]
             self.known = targets or self.known
 
     def play(self) -> Truth:
@@ -175,8 +187,10 @@
             waits = [CALM + self.random.uniform(0, 1)]
             for _ in self.truth.kinds[1:]:
                 waits.append(waits[-1] + self.random.uniform(2.0, 4.0))
-            jobs = [gevent.spawn_later(wait, INJECT[kind], self, server)
-                    for kind, server, wait in zip(self.truth.kinds, victims, waits, strict=True)]  # fmt: skip
+            jobs = [
+                gevent.spawn_later(wait, INJECT[kind], self, server)
+                for kind, server, wait in zip(self.truth.kinds, victims, waits, strict=True)
+            ]
             gevent.joinall(jobs, raise_error=True)
             gevent.sleep(AFTER)
         finally:
@@ -318,9 +332,17 @@
 
 
 INJECT: dict[str, Callable[[Stage, Server], None]] = {
-    "kill": kill, "drain": drain, "cold": cold, "slow": slow, "hung": hung, "jump": jump, "storm": storm,
-    "announce": announce, "gap": gap, "pause": pause,
-}  # fmt: skip
+    "kill": kill,
+    "drain": drain,
+    "cold": cold,
+    "slow": slow,
+    "hung": hung,
+    "jump": jump,
+    "storm": storm,
+    "announce": announce,
+    "gap": gap,
+    "pause": pause,
+}
 
 
 def main() -> int:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,9 +14,11 @@
 from xdist.scheduler import LoadScopeScheduling  # type: ignore[import-untyped]
 
 LANES = {
-    "test_rules_fleet": "rules", "test_benchmarks": "rules",
-    "test_fleet": "leases", "test_budgets": "leases",
-}  # fmt: skip
+    "test_rules_fleet": "rules",
+    "test_benchmarks": "rules",
+    "test_fleet": "leases",
+    "test_budgets": "leases",
+}
 FIRST = ["test_rules_fleet", "test_budgets", "test_fleet", "test_benchmarks", "test_stage", "test_planners"]
 
 
--- a/tests/crossings/fleet.py
+++ b/tests/crossings/fleet.py
@@ -73,16 +73,16 @@
     def __post_init__(self) -> None:
         self.controller = Controller(self.cold.m, self.seed)
 
-    def arrive(self, now: int, caller: int, size: float, heard: bool, rank: float,
-               unread: int = 0) -> int:  # fmt: skip
+    def arrive(self, now: int, caller: int, size: float, heard: bool, rank: float, unread: int = 0) -> int:
         operations = self.cold.m.operations
         self.made, inv = self.made + 1, self.made
         self.held[inv] = (now, size)
         self.sent.append(now)
         if heard:
             self.heard.append(now)
-        self.news.append(face.Arrived(inv, inv % len(operations), -1, None, 0.0, 10.0, rank, True, caller,
-                                      unread, None))  # fmt: skip
+        self.news.append(
+            face.Arrived(inv, inv % len(operations), -1, None, 0.0, 10.0, rank, True, caller, unread, None)
+        )
         return inv
 
     def decide(self, now: int, work: int) -> list[tuple[int, bool, bool]]:
@@ -164,10 +164,17 @@
 
     def play(self, until: int) -> list[Backend]:
         warm = replace(self.cold, m=replace(self.cold.m, cold=False))
-        fleet = [Backend(self.cold if n in self.starting else warm, n, n in self.starting)
-                 for n in range(self.backends)]  # fmt: skip
-        self.known = [[Heard(self.chance.randrange(self.late) if n in self.starting else 0)
-                       for n in range(self.backends)] for _ in range(self.callers)]  # fmt: skip
+        fleet = [
+            Backend(self.cold if n in self.starting else warm, n, n in self.starting)
+            for n in range(self.backends)
+        ]
+        self.known = [
+            [
+                Heard(self.chance.randrange(self.late) if n in self.starting else 0)
+                for n in range(self.backends)
+            ]
+            for _ in range(self.callers)
+        ]
         self.asked: list[dict[int, tuple[int, float, int]]] = [{} for _ in fleet]
         rate = self.load * self.backends * self.cold.m.cores / self.work
         now, due = 0, self.chance.expovariate(rate)
--- a/tests/crossings/test_cold_fleet.py
+++ b/tests/crossings/test_cold_fleet.py
@@ -25,23 +25,51 @@
 
 CALLERS = 100
 SETTINGS_OF = [
-    (6, 8.0, 0.2, 17), (6, 8.0, 0.46, 5), (6, 3.0, 0.3, 10), (6, 1.5, 0.5, 5), (2, 8.0, 0.2, 17),
-    (2, 1.5, 0.2, 17), (2, 3.0, 0.5, 8)]  # cores, multiple, cold_from, ramp in s  # fmt: skip
-
-
-def cold(cores: int = 6, multiple: float = 8.0, cold_from: float = 0.2, ramp: int = 17,
-         advert: face.Advert = face.Advert.CREDIT) -> Cold:  # fmt: skip
-    operations = [operation("look", objective=3100), operation("set", late=0.2, objective=1900),
-                  operation("order", face.Effect.NON_IDEMPOTENT, value=3.0, objective=2500)]  # fmt: skip
-    return Cold(machine(*operations, cores=cores, cold=True, cold_speed=cold_from, ramp=ramp * 1000 * MS,
-                        fall_multiple=multiple, callers=CALLERS, memory_kb=200_000.0,
-                        advert=advert, overload_span=1500 * MS))  # fmt: skip
+    (6, 8.0, 0.2, 17),
+    (6, 8.0, 0.46, 5),
+    (6, 3.0, 0.3, 10),
+    (6, 1.5, 0.5, 5),
+    (2, 8.0, 0.2, 17),
+    (2, 1.5, 0.2, 17),
+    (2, 3.0, 0.5, 8),
+]  # cores, multiple, cold_from, ramp in s
+
+
+def cold(
+    cores: int = 6,
+    multiple: float = 8.0,
+    cold_from: float = 0.2,
+    ramp: int = 17,
+    advert: face.Advert = face.Advert.CREDIT,
+) -> Cold:
+    operations = [
+        operation("look", objective=3100),
+        operation("set", late=0.2, objective=1900),
+        operation("order", face.Effect.NON_IDEMPOTENT, value=3.0, objective=2500),
+    ]
+    return Cold(
+        machine(
+            *operations,
+            cores=cores,
+            cold=True,
+            cold_speed=cold_from,
+            ramp=ramp * 1000 * MS,
+            fall_multiple=multiple,
+            callers=CALLERS,
+            memory_kb=200_000.0,
+            advert=advert,
+            overload_span=1500 * MS,
+        )
+    )
 
 
 def invited(play: Cold, backend: Backend) -> list[tuple[int, float, float]]:
     """Moments at which all callers together were told of more than the cores survive then."""
-    return [(at // MS, CALLERS * value, play.survives(at)) for at, value in backend.told
-            if at < play.m.ramp and CALLERS * value > play.survives(at) * 1.000001]  # fmt: skip
+    return [
+        (at // MS, CALLERS * value, play.survives(at))
+        for at, value in backend.told
+        if at < play.m.ramp and CALLERS * value > play.survives(at) * 1.000001
+    ]
 
 
 # What it tells.
@@ -114,8 +142,11 @@
 
 # Several real processes.
 
-TOLD = {**SETTINGS, "extra": {**SETTINGS["extra"], "n_cores": 6, "upstreams": CALLERS},
-        "rules": {**SETTINGS["rules"], "cold_from": 0.2, "ramp_time": 17_000.0}}  # fmt: skip
+TOLD = {
+    **SETTINGS,
+    "extra": {**SETTINGS["extra"], "n_cores": 6, "upstreams": CALLERS},
+    "rules": {**SETTINGS["rules"], "cold_from": 0.2, "ramp_time": 17_000.0},
+}
 PROCESSES, SECONDS, CHECKED = 3, 6.0, 0.8
 
 
@@ -172,8 +203,13 @@
             link = self.links.get(number) or Sidecar(self.sites[number].address)
             self.links[number] = link
             try:
-                link.send(link.call(self.made, HTTP_X_SENDER=str(self.number),
-                                    HTTP_X_JOB_ID=f"{self.chance.getrandbits(64):016x}"))  # fmt: skip
+                link.send(
+                    link.call(
+                        self.made,
+                        HTTP_X_SENDER=str(self.number),
+                        HTTP_X_JOB_ID=f"{self.chance.getrandbits(64):016x}",
+                    )
+                )
                 return link.answer(self.made)
             except (OSError, AssertionError):
                 del self.links[number]
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -157,8 +157,10 @@
 
 # Descriptors.
 
-LIMITED = (f"import resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, ({SOCKETS}, {SOCKETS})); "
-           "from ringshift.lifecycle.entry import run; sys.exit(run())")  # fmt: skip
+LIMITED = (
+    f"import resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, ({SOCKETS}, {SOCKETS})); "
+    "from ringshift.lifecycle.entry import run; sys.exit(run())"
+)
 
 
 def descriptors(room: Room) -> list[str]:
--- a/tests/crossings/test_input.py
+++ b/tests/crossings/test_input.py
@@ -59,9 +59,15 @@
     "long value": (one, four),
     "both long": (four, four),
 }
-PARAMS = {"REQUEST_METHOD": "POST", "SCRIPT_NAME": "/call/look", "HTTP_X_JOB_ID": "00000000000000ab",
-          "HTTP_X_DOOR_TIME": "1", "HTTP_X_SENDER": "4", "HTTP_X_RAM_KB": "1",
-          "HTTP_X_PRECEDENCE": "0.5"}  # fmt: skip
+PARAMS = {
+    "REQUEST_METHOD": "POST",
+    "SCRIPT_NAME": "/call/look",
+    "HTTP_X_JOB_ID": "00000000000000ab",
+    "HTTP_X_DOOR_TIME": "1",
+    "HTTP_X_SENDER": "4",
+    "HTTP_X_RAM_KB": "1",
+    "HTTP_X_PRECEDENCE": "0.5",
+}
 
 
 def pairs(form: str, params: dict[str, str]) -> bytes:
--- a/tests/crossings/test_recovery.py
+++ b/tests/crossings/test_recovery.py
@@ -102,8 +102,10 @@
 
 
 @pytest.mark.parametrize("advert", [face.Advert.CREDIT, face.Advert.WEIGHT])
-@pytest.mark.parametrize("trouble, seconds", [
-    (burst, 5), (others_drain, 5), (link_lost, 5), (paused, 5), (runs_err, 12), (slowed, 8)])  # fmt: skip
+@pytest.mark.parametrize(
+    "trouble, seconds",
+    [(burst, 5), (others_drain, 5), (link_lost, 5), (paused, 5), (runs_err, 12), (slowed, 8)],
+)
 def test_a_backend_with_room_takes_all_again_within_the_time_stated(
     trouble: Callable[[Play], None], seconds: int, advert: face.Advert
 ) -> None:
--- a/tests/crossings/test_reload.py
+++ b/tests/crossings/test_reload.py
@@ -252,9 +252,25 @@
     assert first == [read_told(told, {}) for told in (other, one)][::-1] and first[0] != first[1]
 
 
-COMPUTED = {"read_machine", "read_backend", "read_told", "read_operation", "bounds", "Controller", "Owner",
-            "Bounds", "Machine", "need", "maybe", "rows", "getenv", "loads", "read_text", "read_bytes",
-            "open"}  # fmt: skip
+COMPUTED = {
+    "read_machine",
+    "read_backend",
+    "read_told",
+    "read_operation",
+    "bounds",
+    "Controller",
+    "Owner",
+    "Bounds",
+    "Machine",
+    "need",
+    "maybe",
+    "rows",
+    "getenv",
+    "loads",
+    "read_text",
+    "read_bytes",
+    "open",
+}
 
 
 def called_at_import(tree: ast.AST) -> set[str]:
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -101,8 +101,16 @@
 
 def test_a_greeting_after_the_notice_runs_nothing() -> None:
     hands, ready = Hands(), list[bool]()
-    owner = Owner(machine(), bounds(64 * MIB, 384), True, 1, hands, hands,  # type: ignore[arg-type]
-                  ready.append, lambda after: None)  # fmt: skip
+    owner = Owner(
+        machine(),
+        bounds(64 * MIB, 384),
+        True,
+        1,
+        hands,  # type: ignore[arg-type]
+        hands,
+        ready.append,
+        lambda after: None,
+    )
     owner.step([news.ToldToLeave(3000 * MS)])
     assert owner.settled.is_set()
     hands.time += 2001 * MS
@@ -255,9 +263,11 @@
 
 def test_what_comes_between_the_last_look_and_the_close_is_answered() -> None:
     """Whole requests on an open connection and in the backlog, with the process held at that very point."""
-    code = ("import os, signal, sys; from ringshift.lifecycle.program import Program; close = Program.close\n"
-            "def held(self): os.kill(os.getpid(), signal.SIGSTOP); close(self)\n"
-            "Program.close = held; from ringshift.lifecycle.entry import run; sys.exit(run())")  # fmt: skip
+    code = (
+        "import os, signal, sys; from ringshift.lifecycle.program import Program; close = Program.close\n"
+        "def held(self): os.kill(os.getpid(), signal.SIGSTOP); close(self)\n"
+        "Program.close = held; from ringshift.lifecycle.entry import run; sys.exit(run())"
+    )
     with Room(Agent(at_once), stop_ms=8000.0, command=("-c", code)) as room:
         known = room.serving()
         known.send(known.call(1))
--- a/tests/fleet/test_budget_model.py
+++ b/tests/fleet/test_budget_model.py
@@ -60,16 +60,25 @@
     assert met == {(True, True), (True, False), (False, False)}
 
 
-@pytest.mark.parametrize(("bug", "faults", "depth", "empty", "life"), [
-    ("early_regrant", (0, 0, 1, 0), 8, False, 12), ("no_fall", (0, 0, 0, 0), 10, False, 12),
-    ("no_waiting", (0, 0, 0, 1), 9, False, 12), ("no_waiting", (0, 0, 0, 0), 9, True, 12),
-    # In whole ticks a life of 12 s ends at the same one with and without the drift.
-    ("drift_ignored", (0, 0, 0, 0), 9, False, 16),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("bug", "faults", "depth", "empty", "life"),
+    [
+        ("early_regrant", (0, 0, 1, 0), 8, False, 12),
+        ("no_fall", (0, 0, 0, 0), 10, False, 12),
+        ("no_waiting", (0, 0, 0, 1), 9, False, 12),
+        ("no_waiting", (0, 0, 0, 0), 9, True, 12),
+        # In whole ticks a life of 12 s ends at the same one with and without the drift.
+        ("drift_ignored", (0, 0, 0, 0), 9, False, 16),
+    ],
+)
 def test_a_planted_bug_is_found_with_the_events_that_lead_to_it(
-    bug: str, faults: tuple[int, int, int, int], depth: int, empty: bool, life: int,
+    bug: str,
+    faults: tuple[int, int, int, int],
+    depth: int,
+    empty: bool,
+    life: int,
     monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+) -> None:
     monkeypatch.setattr(budget_model, "BUDGET", replace(budget_model.BUDGET, life=life * S))
     with planted(bug):
         model = Model(faults, empty)
--- a/tests/fleet/test_gathering.py
+++ b/tests/fleet/test_gathering.py
@@ -155,13 +155,19 @@
     for server in range(8):
         lines = b"".join(record(f"n{server}", seq) for seq in range(1, 4001))
         (logs / f"n{server}.log").write_bytes(lines)
-    keeper = subprocess.Popen([sys.executable, "-m", "standins.keeper", str(tmp_path / "keeper")], cwd=ROOT,
-                              stdout=subprocess.PIPE, text=True)  # fmt: skip
+    keeper = subprocess.Popen(
+        [sys.executable, "-m", "standins.keeper", str(tmp_path / "keeper")],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     assert keeper.stdout is not None
     address = keeper.stdout.readline().split()[-1]
     settings = tmp_path / "fleet.toml"
-    settings.write_text(f'[leases]\nkeepers = ["{address}"]\nttl_s = 2\nmargin_ms = 200\n'
-                        "answer_within_ms = 600\n[records]\nlines = true\n")  # fmt: skip
+    settings.write_text(
+        f'[leases]\nkeepers = ["{address}"]\nttl_s = 2\nmargin_ms = 200\n'
+        "answer_within_ms = 600\n[records]\nlines = true\n"
+    )
     store = tmp_path / "incident.db"
     argv = [sys.executable, "-m", "ringshift", "lease", "gather", "records", "--settings", str(settings)]
     holders: list[subprocess.Popen[bytes]] = []
--- a/tests/fleet/test_lease.py
+++ b/tests/fleet/test_lease.py
@@ -115,7 +115,9 @@
 def test_leaving_halts_and_revokes_and_a_grant_after_it_is_revoked_too() -> None:
     lease = held()
     assert [(e.kind, e.lease) for e in lease.hear(Heard(News.LEAVE, 1 * S)) if e.kind != "record"] == [
-        ("halt", 7), ("revoke", 7)]  # fmt: skip
+        ("halt", 7),
+        ("revoke", 7),
+    ]
     assert lease.phase is RELEASED and not lease.acting(1 * S)
     seeking = Lease(TERMS)
     seeking.hear(Heard(News.TICK, 0))
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -64,8 +64,9 @@
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(st.integers(1, 5), st.lists(st.tuples(st.booleans(), st.integers(0, 5 * S)), max_size=60))
 def test_one_is_always_named_and_never_a_resting_one_beside_a_fine_one(
-    count: int, answers: list[tuple[bool, int]],
-) -> None:  # fmt: skip
+    count: int,
+    answers: list[tuple[bool, int]],
+) -> None:
     members, now = Members(count), 0
     for good, step in answers:
         now += step
--- a/tests/fleet/test_rate.py
+++ b/tests/fleet/test_rate.py
@@ -15,10 +15,20 @@
 from standins.fleet.emulated_rate import RateWorld
 from standins.fleet.planted import planted
 
-TERMS = Budget("orders", Unit.RATE, 200, 8, 1, operation="order", life=3 * S, refresh=300 * MS, margin=0,
-               longest=0)  # fmt: skip
-ROUGH = Trouble(loss=0.05, delay=100 * MS, stalls=0.05, crashes=0.02, cuts=0.05, leaves=0.05, joins=0.5,
-                failovers=0.1, skew_ppm=10_000)  # fmt: skip
+TERMS = Budget(
+    "orders", Unit.RATE, 200, 8, 1, operation="order", life=3 * S, refresh=300 * MS, margin=0, longest=0
+)
+ROUGH = Trouble(
+    loss=0.05,
+    delay=100 * MS,
+    stalls=0.05,
+    crashes=0.02,
+    cuts=0.05,
+    leaves=0.05,
+    joins=0.5,
+    failovers=0.1,
+    skew_ppm=10_000,
+)
 
 
 def demand(random: Random) -> float:
--- a/tests/retirement/test_backend.py
+++ b/tests/retirement/test_backend.py
@@ -28,8 +28,9 @@
 
 
 def test_callers_are_warned_on_answers_and_those_warned_are_turned_away_for_good(
-    tmp_path: Path, keeper: Keeper,
-) -> None:  # fmt: skip
+    tmp_path: Path,
+    keeper: Keeper,
+) -> None:
     first, plan, settings = (tmp_path / name for name in ("first.toml", "plan.toml", "fleet.toml"))
     first.write_text("[alone]\n")
     settings.write_text(
@@ -54,8 +55,9 @@
             assert told.fields["Sunset"].endswith(" GMT") and "successor-version" in told.fields["Link"]
         assert "Deprecation" not in asked(sidecar, 5, "order").fields
         room.line('"ready":1', 30)  # decided with this caller past the floor
-        refused = next(told for told in (asked(sidecar, request) for request in range(6, 2000))
-                       if told.status != 200)  # fmt: skip
+        refused = next(
+            told for told in (asked(sidecar, request) for request in range(6, 2000)) if told.status != 200
+        )
         assert refused.status == 429 and refused.fields["X-Terminal"] == "1"
         assert "X-Wait-Ms" not in refused.fields and "Deprecation" not in refused.fields
         served = asked(sidecar, 2001, caller=5)  # never warned before
--- a/tests/retirement/test_clearing.py
+++ b/tests/retirement/test_clearing.py
@@ -44,17 +44,28 @@
 LOW = frozenset(one for one in range(50) if lot(key(LINE), one) < 200_000)  # 50 to 59 are never warned
 
 
-def found(position: Position = GONE, rows: dict[str, Figures] | None = None, now: int = KEPT_FOR,
-          floor: Stamp = (0, 3), **of: object) -> str:  # fmt: skip
+def found(
+    position: Position = GONE,
+    rows: dict[str, Figures] | None = None,
+    now: int = KEPT_FOR,
+    floor: Stamp = (0, 3),
+    **of: object,
+) -> str:
     told = {"in_force": (0, 3), "floors": {ONE: (0, 3), TWO: floor}, **of}
     return judge(NAME, Agreed(**told), position, rows or {}, now).name  # type: ignore[arg-type]
 
 
 def test_each_finding() -> None:
     owing, kept = Figures(owed=frozenset((4,))), Position(phase="WITHDRAWN", kept=frozenset((4,)))
-    assert [found(in_force=None), found(names=frozenset((NAME,))), found(Position(phase="ENDED")),
-            found(now=KEPT_FOR - 1), found(rows={f"{ONE}.2": owing}), found(floor=(0, 2)),
-            found()] == [one.name for one in Finding]  # fmt: skip
+    assert [
+        found(in_force=None),
+        found(names=frozenset((NAME,))),
+        found(Position(phase="ENDED")),
+        found(now=KEPT_FOR - 1),
+        found(rows={f"{ONE}.2": owing}),
+        found(floor=(0, 2)),
+        found(),
+    ] == [one.name for one in Finding]
     assert highest(0, GONE, {}) == 0 and begun(0, 5) == Position() and begun(7, 5).decided.edition == 8
     assert highest(3, GONE, {ONE: Figures(9)}) == 9 == highest(9, Position(Decided(8)), {ONE: Figures(3)})
     assert found(kept, {f"{ONE}.2": owing}) == found(rows={"r9.9.a.1": owing}) == "CLEAR"
@@ -65,11 +76,20 @@
 
 
 @settings(derandomize=True, deadline=None)
-@given(st.dictionaries(st.sampled_from("abcd"), VERSIONS), VERSIONS, st.integers(0, 2 * KEPT_FOR),
-       st.booleans(), st.sampled_from(["WITHDRAWN", "ENDED"]))  # fmt: skip
+@given(
+    st.dictionaries(st.sampled_from("abcd"), VERSIONS),
+    VERSIONS,
+    st.integers(0, 2 * KEPT_FOR),
+    st.booleans(),
+    st.sampled_from(["WITHDRAWN", "ENDED"]),
+)
 def test_clear_only_with_all_readers_at_the_version_in_force(
-    floors: dict[str, Stamp], in_force: Stamp, now: int, named: bool, phase: str,
-) -> None:  # fmt: skip
+    floors: dict[str, Stamp],
+    in_force: Stamp,
+    now: int,
+    named: bool,
+    phase: str,
+) -> None:
     one = Agreed(in_force, frozenset((NAME,)) if named else frozenset(), floors)
     clear = judge(NAME, one, Position(phase=phase), {}, now) is Finding.CLEAR
     alone = not named and phase == "WITHDRAWN" and now >= KEPT_FOR
@@ -78,8 +98,13 @@
 
 def test_what_is_to_be_led_out() -> None:
     old = Head("", "WITHDRAWN", 0)
-    heads = {"fresh": Head("", "WITHDRAWN", 9), "old": old, "left": Head("", "HOLDING", 9),
-             "later": Head("", "WITHDRAWN", 0, KEPT_FOR + 1), "named": old}  # fmt: skip
+    heads = {
+        "fresh": Head("", "WITHDRAWN", 9),
+        "old": old,
+        "left": Head("", "HOLDING", 9),
+        "later": Head("", "WITHDRAWN", 0, KEPT_FOR + 1),
+        "named": old,
+    }
     one = Agreed((0, 3), frozenset(("named",)))
     assert wanted(heads, one, KEPT_FOR) == ["left", "old"] and wanted(heads, Agreed(), KEPT_FOR) == []
     assert left(Position(since=4), None, 9) == Position(since=4) and left(None, None, 9).since == 9
--- a/tests/retirement/test_commands.py
+++ b/tests/retirement/test_commands.py
@@ -24,7 +24,8 @@
 
 BOOK = "[alone]\n"
 PLAN = "[[timelines]]\n" + TEXT.replace("[floor]", "[timelines.floor]").replace(
-    "[conditions]", "[timelines.conditions]").replace("[[", "[[timelines.")  # fmt: skip
+    "[conditions]", "[timelines.conditions]"
+).replace("[[", "[[timelines.")
 
 
 @dataclass
@@ -65,12 +66,15 @@
 def place(keeper: Keeper, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> Place:
     rulebook, settings = tmp_path / "rulebook.toml", tmp_path / "fleet.toml"
     rulebook.write_text(BOOK)
-    settings.write_text(f'[leases]\nkeepers = ["{keeper.address}"]\n'
-                        f'[rules]\ninstallation = "{rulebook}"\n')  # fmt: skip
+    settings.write_text(f'[leases]\nkeepers = ["{keeper.address}"]\n[rules]\ninstallation = "{rulebook}"\n')
     place = Place(tmp_path, keeper.address, str(settings), capsys)
     place.link.call("/kv/deleterange", {"key": b64(b"/"), "range_end": b64(b"0")})
-    assert command(["rules", "publish", str(rulebook), "--author", "a", "--reason", "b", "--settings",
-                    str(settings)]) == 0  # fmt: skip
+    assert (
+        command(
+            ["rules", "publish", str(rulebook), "--author", "a", "--reason", "b", "--settings", str(settings)]
+        )
+        == 0
+    )
     capsys.readouterr()
     return place
 
@@ -129,8 +133,9 @@
     (told,) = place.told("status", name)
     assert told["stopped"] and told["reason"] == "a fair" and told["decides"] == "n1 7 aa"
     assert (told["counted"], told["short"], told["shed"], told["rung"]) == (2, 1, 1, 1)
-    assert told["backends"] == [{"backend": "n1.7.aa.1", "edition": 2, "old": 10, "new": 20, "errors": 1,
-                                 "shed": 4, "leaving": False}]  # fmt: skip
+    assert told["backends"] == [
+        {"backend": "n1.7.aa.1", "edition": 2, "old": 10, "new": 20, "errors": 1, "shed": 4, "leaving": False}
+    ]
     _, out = place.run("status")
     assert "holding, 20% of the callers of order-book turned away (edition 3)" in out
     assert "paused by operators: a fair" in out and "4 turned away, by edition 2" in out
--- a/tests/retirement/test_figures.py
+++ b/tests/retirement/test_figures.py
@@ -30,8 +30,18 @@
 
 
 def fleet(**changed: int) -> Summed:
-    told = {"known": 10, "fresh": 9, "behind": 0, "old": 400, "new": 600, "errors": 0, "shed": 9, "moved": 40,
-            "ready": 50, **changed}  # fmt: skip
+    told = {
+        "known": 10,
+        "fresh": 9,
+        "behind": 0,
+        "old": 400,
+        "new": 600,
+        "errors": 0,
+        "shed": 9,
+        "moved": 40,
+        "ready": 50,
+        **changed,
+    }
     return Summed(**told)
 
 
--- a/tests/retirement/test_fleet.py
+++ b/tests/retirement/test_fleet.py
@@ -143,8 +143,9 @@
         fleet.plan((0, 0.5))
         last = max(one.until(at_least(1, LOW))["edition"] for one in fleet.backends)
         fleet.keeper.restore(image)
-        above = [one.until(lambda told: told["ev"] == "acts" and told["edition"] > last)
-                 for one in fleet.backends]  # fmt: skip
+        above = [
+            one.until(lambda told: told["ev"] == "acts" and told["edition"] > last) for one in fleet.backends
+        ]
         assert [(one["edition"], one["share"]) for one in above] == [(last + 1, 0)] * 3
         assert all(turned_away(one, CALLERS) == frozenset() for one in fleet.backends)
         warned(fleet.backends[1], *CALLERS)  # what the copy has of their warnings is not known
--- a/tests/retirement/test_follow.py
+++ b/tests/retirement/test_follow.py
@@ -70,8 +70,13 @@
     assert one.answered(told(6), 0, 1)
 
 
-WORDS = st.tuples(st.sampled_from(("answer", "lost", "listed")), st.integers(0, 12), st.integers(0, 3),
-                  st.integers(0, 20), st.integers(0, 5))  # fmt: skip
+WORDS = st.tuples(
+    st.sampled_from(("answer", "lost", "listed")),
+    st.integers(0, 12),
+    st.integers(0, 3),
+    st.integers(0, 20),
+    st.integers(0, 5),
+)
 
 
 @settings(derandomize=True, database=None, max_examples=300)
--- a/tests/retirement/test_link.py
+++ b/tests/retirement/test_link.py
@@ -67,8 +67,10 @@
 def changes(link: RetireLink, mine: int) -> dict[str, Any]:
     held = link.read("old")
     return {
-        "the lease is another's": lambda: link.call("/kv/put", {"key": b64(TASK), "value": b64(b"x")})
-        and link.call("/kv/deleterange", {"key": b64(TASK)}),
+        "the lease is another's": lambda: (
+            link.call("/kv/put", {"key": b64(TASK), "value": b64(b"x")})
+            and link.call("/kv/deleterange", {"key": b64(TASK)})
+        ),
         "another position": lambda: link.write("old", TASK, mine, held, Position(phase="PAUSED")),
         "other counts": lambda: link.write("old", TASK, mine, held, None, {1: Counted(1, 1, 1)}),
         "the operators' word": lambda: link.say("old", Word(True, "a fair")),
@@ -80,8 +82,16 @@
     return link.put("old", "b1", Row(0), 0).created
 
 
-@pytest.mark.parametrize("what", ["the lease is another's", "another position", "other counts",
-                                  "the operators' word", "the row of one that goes"])  # fmt: skip
+@pytest.mark.parametrize(
+    "what",
+    [
+        "the lease is another's",
+        "another position",
+        "other counts",
+        "the operators' word",
+        "the row of one that goes",
+    ],
+)
 def test_nothing_is_written_where_that_changed_since_it_was_read(link: RetireLink, what: str) -> None:
     mine = token(link)
     link.put("old", "b1", ROW, 0)
