--- a/tests/retirement/test_plan.py
+++ b/tests/retirement/test_plan.py
@@ -21,9 +21,12 @@
 WORLD = World(
     {"order-book": frozenset(("hall-a", "hall-b")), "tank-lookup": frozenset(("hall-b", "hall-c"))},
     {"hall-b": 1_000},
-    {("order-book", "agency", "hall-a"): 500, ("order-book", "depot", "hall-a"): 100,
-     ("tank-lookup", "depot", "hall-b"): 600},
-)  # fmt: skip
+    {
+        ("order-book", "agency", "hall-a"): 500,
+        ("order-book", "depot", "hall-a"): 100,
+        ("tank-lookup", "depot", "hall-b"): 600,
+    },
+)
 MOVED = timeline(onto=ONTO)
 LATE = 7 * S
 
@@ -49,7 +52,8 @@
     assert [found[name].does for name in names] == [Quota(left) for left in (0, 480, 240, 0)]
     moves = [found[f"{name}:hall-a"] for name in (first, second, end)]
     assert [one.does for one in moves] == [
-        Move(n * WHOLE // 5, "hall-a", "hall-b", "tank-lookup") for n in (1, 2, 2)]
+        Move(n * WHOLE // 5, "hall-a", "hall-b", "tank-lookup") for n in (1, 2, 2)
+    ]
     assert {one.end for one in moves} == {END + AFTER_END} and {one.scope for one in moves} == {OP}
     taken = timeline(steps=[{"at": "2026-05-01T00:00:00Z", "share": 1.0}])
     assert [one.start for one in changes(taken)] == [DARK, SECOND]  # the end adds nothing to a whole
@@ -105,8 +109,10 @@
 
 def line(name: str, operation: str, successor: str, months: int = 0) -> Timeline:
     """The made timeline, so many months later."""
-    text = {field: f"2026-{month + months:02}-01T00:00:00Z"
-            for field, month in (("announced", 1), ("warned_from", 2), ("end", 6))}  # fmt: skip
+    text = {
+        field: f"2026-{month + months:02}-01T00:00:00Z"
+        for field, month in (("announced", 1), ("warned_from", 2), ("end", 6))
+    }
     steps = [{"at": f"2026-{4 + months:02}-01T00:00:00Z", "share": 0.5}]
     return timeline(name=name, operation=operation, successor=successor, steps=steps, brownouts=[], **text)
 
@@ -119,9 +125,16 @@
     assert isinstance(judge([old, later], [], bare, LATE), Schedule)
     circle = line("b", "tank-lookup", "order-book", 6)  # b's successor has ended long before
     assert against(lines=(old, circle), world=bare) == (Rule.RETIRED, None, "a", "b", ns(circle.announced))
-    near = timeline(name="b", operation="tank-lookup", successor="x", announced="2026-06-01T00:00:06Z",
-                    warned_from="2026-06-01T00:00:06Z", end="2027-06-01T00:00:00Z", brownouts=[],
-                    steps=[{"at": "2027-01-01T00:00:00Z", "share": 0.5}])  # fmt: skip
+    near = timeline(
+        name="b",
+        operation="tank-lookup",
+        successor="x",
+        announced="2026-06-01T00:00:06Z",
+        warned_from="2026-06-01T00:00:06Z",
+        end="2027-06-01T00:00:00Z",
+        brownouts=[],
+        steps=[{"at": "2027-01-01T00:00:00Z", "share": 0.5}],
+    )
     assert against(lines=(old, near), world=bare)[0] is Rule.RETIRED  # a backend may be that late
 
 
--- a/tests/retirement/test_program.py
+++ b/tests/retirement/test_program.py
@@ -37,9 +37,16 @@
     def __init__(self, warns: bool = True) -> None:
         self.now = FIRST
         self.books: tuple[Rulebook, ...] = (book(LINE),)
-        self.retiring = Retiring("b1", {"order-book": 3, "tank-lookup": 5}, lambda: self.books,
-                                 ["127.0.0.1:9"], lambda: self.now, 10**9, warns,
-                                 wall=lambda: self.now)  # fmt: skip
+        self.retiring = Retiring(
+            "b1",
+            {"order-book": 3, "tank-lookup": 5},
+            lambda: self.books,
+            ["127.0.0.1:9"],
+            lambda: self.now,
+            10**9,
+            warns,
+            wall=lambda: self.now,
+        )
 
     def poll(self) -> bool:
         return self.retiring.poll(self.now)
@@ -181,15 +188,27 @@
     def cleared(self) -> tuple[int, int]:
         return 0, 0
 
-    def write(self, name: str, task_key: bytes, token: int, held: Held, position: Position | None = None,
-              counts: Any = None, gone: Any = ()) -> bool:  # fmt: skip
+    def write(
+        self,
+        name: str,
+        task_key: bytes,
+        token: int,
+        held: Held,
+        position: Position | None = None,
+        counts: Any = None,
+        gone: Any = (),
+    ) -> bool:
         if self.refuse:
             self.refuse = False
             return False
         self.writes += 1
         rows = {name: row for name, row in self.held.rows.items() if name not in set(gone)}
-        self.held = replace(self.held, rows=rows, position=position or self.held.position,
-                            counts=self.held.counts if counts is None else counts)  # fmt: skip
+        self.held = replace(
+            self.held,
+            rows=rows,
+            position=position or self.held.position,
+            counts=self.held.counts if counts is None else counts,
+        )
         if self.lose:
             self.lose = False
             raise ConnectionError("no answer")
@@ -200,14 +219,22 @@
     def __init__(self) -> None:
         self.link, self.now, self.records, self.lines = Link(), 0, list[Body](), list[dict[str, Any]]()
         self.may = True
-        self.work = Ramping(LINE.name, LINE, "n1", self.link, self.records.append,
-                            lambda: WARNED + self.now, 10**9)  # fmt: skip
+        self.work = Ramping(
+            LINE.name, LINE, "n1", self.link, self.records.append, lambda: WARNED + self.now, 10**9
+        )
         self.work.taken(5, 0)
 
     def step(self, seconds: int = 1) -> None:
         self.now += seconds * S
-        self.work.step(Hold(5, self.now + S, lambda: self.may, lambda: self.now,
-                            lambda kind, **more: self.lines.append({"ev": kind, **more})))  # fmt: skip
+        self.work.step(
+            Hold(
+                5,
+                self.now + S,
+                lambda: self.may,
+                lambda: self.now,
+                lambda kind, **more: self.lines.append({"ev": kind, **more}),
+            )
+        )
 
     @property
     def steps(self) -> list[RampStep]:
@@ -253,8 +280,15 @@
 
 
 def rows(random: Random, leaving: tuple[str, ...]) -> dict[str, Row]:
-    return {f"b{n}": Row(random.randrange(1, 9), Figures(), {n: Counted(n + 1, 5, 6), 99: Counted(1, n, n)},
-                         f"b{n}" in leaving) for n in range(4)}  # fmt: skip
+    return {
+        f"b{n}": Row(
+            random.randrange(1, 9),
+            Figures(),
+            {n: Counted(n + 1, 5, 6), 99: Counted(1, n, n)},
+            f"b{n}" in leaving,
+        )
+        for n in range(4)
+    }
 
 
 def test_rows_of_backends_that_left_or_were_silent_long_are_added_up_once() -> None:
@@ -270,8 +304,12 @@
     seat.link.held = replace(seat.link.held, rows={**seat.link.held.rows, "b2": newer})
     seat.step(2)  # the two others were silent, in this holder's own sight, for longer than that
     assert set(seat.link.held.rows) == {"b2"}
-    assert seat.link.held.counts == {0: Counted(1, 5, 6), 1: Counted(2, 5, 6), 3: Counted(4, 5, 6),
-                                     99: Counted(3, 0, 3)}  # fmt: skip
+    assert seat.link.held.counts == {
+        0: Counted(1, 5, 6),
+        1: Counted(2, 5, 6),
+        3: Counted(4, 5, 6),
+        99: Counted(3, 0, 3),
+    }
 
 
 def test_a_wall_clock_that_is_set_anew_makes_no_time_pass() -> None:
--- a/tests/retirement/test_ramp.py
+++ b/tests/retirement/test_ramp.py
@@ -48,11 +48,21 @@
                 if one not in self.deaf:
                     self.acts[one] = self.position.decided
         return {
-            str(one): (self.n[one], Figures(
-                told.edition, 60 * (WHOLE - told.share) // WHOLE, 100, self.errors, 0,
-                frozenset() if self.still else told.ready, told.share, self.owed - self.position.kept))
+            str(one): (
+                self.n[one],
+                Figures(
+                    told.edition,
+                    60 * (WHOLE - told.share) // WHOLE,
+                    100,
+                    self.errors,
+                    0,
+                    frozenset() if self.still else told.ready,
+                    told.share,
+                    self.owed - self.position.kept,
+                ),
+            )
             for one, told in self.acts.items()
-        }  # fmt: skip
+        }
 
     def look(self, wait: int = 5 * S) -> Position | None:
         self.now += wait
@@ -329,8 +339,19 @@
         plain.at(at, 4 * DWELL)
     walked |= set(plain.words)
     for phase in Phase:
-        for how in ("none", "worse", "deaf", "bad", "silent", "stopped", "still", "gone", "more", "lost",
-                    "owed"):  # fmt: skip
+        for how in (
+            "none",
+            "worse",
+            "deaf",
+            "bad",
+            "silent",
+            "stopped",
+            "still",
+            "gone",
+            "more",
+            "lost",
+            "owed",
+        ):
             for rung in (0, 1, 2):
                 fleet = standing(phase, rung, now=SECOND, held=2 * DAY)
                 fleet.errors = {"worse": 50, "deaf": 50, "bad": 5}.get(how, 0)
@@ -355,8 +376,11 @@
 WHAT = (*("jump", "well") * 3, "errors", "silent", "deaf", "still", "stop", "replace", "counts")
 EVENTS = st.tuples(st.sampled_from(WHAT), st.integers(0, 12), st.integers(0, 3))
 STARTS = (
-    (Phase.WARNING, 0, DARK), (Phase.WARNING, 0, FIRST), (Phase.HOLDING, 1, SECOND), (Phase.HOLDING, 2, END),
-)  # fmt: skip
+    (Phase.WARNING, 0, DARK),
+    (Phase.WARNING, 0, FIRST),
+    (Phase.HOLDING, 1, SECOND),
+    (Phase.HOLDING, 2, END),
+)
 
 
 def happen(fleet: Fleet, what: str, number: int, many: int) -> None:
@@ -377,8 +401,9 @@
     elif what == "replace":
         fleet.replace()
     else:
-        fleet.counts = {caller: READY[caller] if caller < 4 * number else Counted(2, WARNED, END)
-                        for caller in CALLERS}  # fmt: skip
+        fleet.counts = {
+            caller: READY[caller] if caller < 4 * number else Counted(2, WARNED, END) for caller in CALLERS
+        }
 
 
 def test_no_rung_skipped_none_early_none_by_stale_figures() -> None:
--- a/tests/retirement/test_report.py
+++ b/tests/retirement/test_report.py
@@ -47,9 +47,14 @@
 
 
 def test_one_that_stood_still_or_fell_is_told_with_its_reason_and_for_how_long() -> None:
-    held = digest("n1", *PLANNED[:2], (5.0, step("HOLDING", "PAUSED", 1, 0.2, "bad, unheard")),
-                  (15.0, step("PAUSED", "HOLDING", 1, 0.2)), *PLANNED[2:],
-                  (30.0, step("HOLDING", "STEPPING_BACK", 3, 0.2, "worse, worse")))  # fmt: skip
+    held = digest(
+        "n1",
+        *PLANNED[:2],
+        (5.0, step("HOLDING", "PAUSED", 1, 0.2, "bad, unheard")),
+        (15.0, step("PAUSED", "HOLDING", 1, 0.2)),
+        *PLANNED[2:],
+        (30.0, step("HOLDING", "STEPPING_BACK", 3, 0.2, "worse, worse")),
+    )
     first, second = tell(course(held)).told
     assert first.what is second.what is What.RAMP_HELD_UP
     assert "HOLDING -> PAUSED at 20% turned away: bad, unheard" in first.text
@@ -75,8 +80,12 @@
     assert drawn.startswith("<svg") and "order-book" in drawn and "Retirements of operations" in drawn
     empty = course(digest("n1"))
     assert retirement(empty, tell(empty), cause) == rulebook(empty, cause) == ""
-    both = (RulesChange("READING", ((0, 1),)), RulesChange("BETWEEN", ((0, 1), (0, 2))),
-            RulesChange("READING", ((0, 2),)), RulesChange("ALONE", ((0, 2),)))  # fmt: skip
+    both = (
+        RulesChange("READING", ((0, 1),)),
+        RulesChange("BETWEEN", ((0, 1), (0, 2))),
+        RulesChange("READING", ((0, 2),)),
+        RulesChange("ALONE", ((0, 2),)),
+    )
     first = digest("n1", *zip((1.0, 5.0, 6.0, 9.0), both, strict=True))
     laid = course(first, digest("n2", *zip((2.0, 5.5, 7.0), both[:3], strict=True)))
     counts = {name: [count for _, count in rows] for name, rows in by_version(laid).items()}
--- a/tests/retirement/test_sight.py
+++ b/tests/retirement/test_sight.py
@@ -58,8 +58,13 @@
 
 def test_each_row_of_the_table() -> None:
     told = Told(9, 3, {"b": (8, 2), "c": (9, 3)}, False)
-    effects = {"renew": {"b": (8, 2), "c": (9, 3)}, "join": {"a": (1, 1), "b": (8, 2), "c": (9, 3)},
-               "forget": {}, "drop": {"a": (1, 1)}, "": {"a": (1, 1), "b": (2, 1)}}  # fmt: skip
+    effects = {
+        "renew": {"b": (8, 2), "c": (9, 3)},
+        "join": {"a": (1, 1), "b": (8, 2), "c": (9, 3)},
+        "forget": {},
+        "drop": {"a": (1, 1)},
+        "": {"a": (1, 1), "b": (2, 1)},
+    }
     for state in State:
         for word in Word:
             one = Sight[int]("s", state=state, known={"a": (1, 1), "b": (2, 1)})
@@ -143,11 +148,16 @@
 
 
 NAMES = st.sampled_from(["b1", "b2", "b3", "b4"])
-STEPS = st.lists(st.one_of(
-    st.tuples(st.sampled_from(["put", "delete", "gone", "gone unheard"]), NAMES),
-    st.tuples(st.sampled_from(["look", "look", "look unheard", "state", "copy", "restore", "climb", "taken"]),
-              st.just("")),
-), max_size=40)  # fmt: skip
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.sampled_from(["put", "delete", "gone", "gone unheard"]), NAMES),
+        st.tuples(
+            st.sampled_from(["look", "look", "look unheard", "state", "copy", "restore", "climb", "taken"]),
+            st.just(""),
+        ),
+    ),
+    max_size=40,
+)
 
 
 @settings(derandomize=True, deadline=None, max_examples=300)
--- a/tests/retirement/test_timeline.py
+++ b/tests/retirement/test_timeline.py
@@ -59,7 +59,7 @@
         ({"conditions": {"errors_below": 0.2}}, "errors_above: 0.03; above errors_below, 0.2"),
         ({"wrong": 1}, "unknown field `wrong`"),
     ],
-)  # fmt: skip
+)
 def test_what_can_not_be_is_told_by_field(changed: dict[str, Any], told: str) -> None:
     with pytest.raises(msgspec.ValidationError) as wrong:
         timeline(**changed)
@@ -74,11 +74,21 @@
 def test_the_dates_tell_phase_and_rung() -> None:
     early = (ANNOUNCED - 1, ANNOUNCED, WARNED, DARK - 1, DARK, LIGHT, FIRST - 1)
     assert [planned(LINE, at) for at in early] == [
-        (Phase.PLANNED, 0), (Phase.ANNOUNCED, 0), (Phase.WARNING, 0), (Phase.WARNING, 0), (Phase.BROWNOUT, 0),
-        (Phase.WARNING, 0), (Phase.WARNING, 0)]  # fmt: skip
+        (Phase.PLANNED, 0),
+        (Phase.ANNOUNCED, 0),
+        (Phase.WARNING, 0),
+        (Phase.WARNING, 0),
+        (Phase.BROWNOUT, 0),
+        (Phase.WARNING, 0),
+        (Phase.WARNING, 0),
+    ]
     assert [planned(LINE, at) for at in (FIRST, FIRST + DAY, SECOND, END - 1, END)] == [
-        (Phase.HOLDING, 1), (Phase.SHEDDING, 1), (Phase.HOLDING, 2), (Phase.SHEDDING, 2),
-        (Phase.ENDED, 3)]  # fmt: skip
+        (Phase.HOLDING, 1),
+        (Phase.SHEDDING, 1),
+        (Phase.HOLDING, 2),
+        (Phase.SHEDDING, 2),
+        (Phase.ENDED, 3),
+    ]
 
 
 def test_a_backend_is_ended_by_its_rung_and_never_by_the_date() -> None:
--- a/tests/retirement/test_warn.py
+++ b/tests/retirement/test_warn.py
@@ -93,8 +93,16 @@
 
 
 @settings(derandomize=True, database=None, max_examples=200)
-@given(st.lists(st.tuples(st.sampled_from("ab"), st.sampled_from(("hand", "tell", "crash", "retell", "lose")),
-                          st.integers(0, 3)), max_size=40))  # fmt: skip
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from("ab"),
+            st.sampled_from(("hand", "tell", "crash", "retell", "lose")),
+            st.integers(0, 3),
+        ),
+        max_size=40,
+    )
+)
 def test_no_course_of_crashes_and_lost_tellings_counts_more_than_was_handed_over(
     steps: list[tuple[str, str, int]],
 ) -> None:
--- a/tests/retirement/world.py
+++ b/tests/retirement/world.py
@@ -63,8 +63,14 @@
         self.start()
 
     def start(self) -> None:
-        argv = [sys.executable, "-m", "standins.keeper", str(self.folder), "--listen",
-                f"127.0.0.1:{self.port}"]  # fmt: skip
+        argv = [
+            sys.executable,
+            "-m",
+            "standins.keeper",
+            str(self.folder),
+            "--listen",
+            f"127.0.0.1:{self.port}",
+        ]
         self.process = subprocess.Popen(argv, cwd=ROOT, stdout=subprocess.PIPE)
         assert self.process.stdout is not None
         with gevent.Timeout(LONG):
@@ -94,10 +100,22 @@
     def __init__(self, folder: Path, keeper: Keeper, book: Path, name: str, *more: str, ttl: int = 2) -> None:
         self.name, self.proxy = name, Proxy(("127.0.0.1", keeper.port))
         settings = folder / f"{name}.toml"
-        settings.write_text(f'[leases]\nkeepers = ["{self.proxy.start()}"]\nttl_s = {ttl}\nmargin_ms = 200\n'
-                            "answer_within_ms = 400\ngrace_ms = 1000\n")  # fmt: skip
-        argv = [sys.executable, "-m", "standins.fleet.retiring", "--settings", str(settings), "--book",
-                str(book), "--name", name, *more]  # fmt: skip
+        settings.write_text(
+            f'[leases]\nkeepers = ["{self.proxy.start()}"]\nttl_s = {ttl}\nmargin_ms = 200\n'
+            "answer_within_ms = 400\ngrace_ms = 1000\n"
+        )
+        argv = [
+            sys.executable,
+            "-m",
+            "standins.fleet.retiring",
+            "--settings",
+            str(settings),
+            "--book",
+            str(book),
+            "--name",
+            name,
+            *more,
+        ]
         self.process = subprocess.Popen(argv, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         self.told = list[dict[str, Any]]()
         self.more, self.ended = Event(), False
--- a/tests/rulebook/rooms.py
+++ b/tests/rulebook/rooms.py
@@ -49,7 +49,8 @@
         if fate == "unheard":
             raise Lost("unheard")
         out: dict[str, Any] = encoded(
-            {"header": {"revision": store.revision, "cluster_id": store.cluster}} | answer)  # fmt: skip
+            {"header": {"revision": store.revision, "cluster_id": store.cluster}} | answer
+        )
         return out
 
 
@@ -87,10 +88,17 @@
         self.now += round(seconds * 1e9)
         self.tick()
 
-    def publishing(self, pause: Callable[[str], None] = lambda place: None,
-                   link: MemoryLink | None = None) -> Publishing:  # fmt: skip
-        return Publishing(link or self.link(), TERMS, lambda: self.now,
-                          lambda kind, told: self.heard.append((kind, told)), pause, self.wait)  # fmt: skip
+    def publishing(
+        self, pause: Callable[[str], None] = lambda place: None, link: MemoryLink | None = None
+    ) -> Publishing:
+        return Publishing(
+            link or self.link(),
+            TERMS,
+            lambda: self.now,
+            lambda kind, told: self.heard.append((kind, told)),
+            pause,
+            self.wait,
+        )
 
     def states(self) -> list[str]:
         return [told["state"] for kind, told in self.heard if kind == "state"]
--- a/tests/rulebook/test_changes.py
+++ b/tests/rulebook/test_changes.py
@@ -59,8 +59,15 @@
 BOOK = planned(EMPTY, A)
 GONE = withdraw(BOOK, ["a"], NOW)
 FAR = row("b", 900, 999, HeldDown(3))
-LINE = Timeline("old", "book", "book-2", datetime(2027, 1, 1, tzinfo=UTC), datetime(2027, 1, 2, tzinfo=UTC),
-                [Step(datetime(2027, 3, 1, tzinfo=UTC), 0.5)], datetime(2027, 4, 1, tzinfo=UTC))  # fmt: skip
+LINE = Timeline(
+    "old",
+    "book",
+    "book-2",
+    datetime(2027, 1, 1, tzinfo=UTC),
+    datetime(2027, 1, 2, tzinfo=UTC),
+    [Step(datetime(2027, 3, 1, tzinfo=UTC), 0.5)],
+    datetime(2027, 4, 1, tzinfo=UTC),
+)
 assert BOOK.horizon is not None
 SHORT = Horizon(BOOK.horizon.at, BOOK.horizon.to - timedelta(seconds=9), 8_000)
 
@@ -76,10 +83,12 @@
     "world changed": (BOOK, replace(BOOK, world=Stated(capacity=[Taking("q", 9)]))),
     "timeline added": (BOOK, replace(BOOK, timelines=[LINE])),
     "timeline dropped": (replace(BOOK, timelines=[LINE]), BOOK),
-    "timeline altered": (replace(BOOK, timelines=[LINE]),
-                         replace(BOOK, timelines=[replace(LINE, successor="book-3")])),
+    "timeline altered": (
+        replace(BOOK, timelines=[LINE]),
+        replace(BOOK, timelines=[replace(LINE, successor="book-3")]),
+    ),
     "text changed": (BOOK, replace(BOOK, changes=[replace(A, text="why")])),
-}  # fmt: skip
+}
 
 
 def test_each_kind_of_the_table_that_is_of_changes_has_a_pair_here() -> None:
@@ -109,8 +118,9 @@
     mark = next(one for one in settled.changes if one.name == "a").settled
     assert mark == moment(NOW + 158 * S)
     for at in (None, moment(NOW + 160 * S)):
-        again = replace(settled, changes=[replace(one, settled=at) if one.name == "a" else one
-                                          for one in settled.changes])  # fmt: skip
+        again = replace(
+            settled, changes=[replace(one, settled=at) if one.name == "a" else one for one in settled.changes]
+        )
         assert "change altered" in [one.kind for one in differences(settled, again)]
     both = replace(BOOK, changes=[replace(A, withdrawn=moment(NOW), settled=moment(NOW + 9 * S))])
     assert [one.kind for one in differences(BOOK, both)] == ["change altered"]  # settled by no later plan
@@ -121,9 +131,11 @@
 
 
 def test_a_timeline_whose_dates_have_other_offsets_comes_back_from_the_keeper() -> None:
-    steps = [Step(datetime(2027, 3, 2, 1, tzinfo=timezone(timedelta(hours=5))), 0.2),
-             Step(datetime(2027, 3, 1, 22, tzinfo=UTC), 0.4),
-             Step(datetime(2027, 3, 1, 22, 0, 0, 500_000, tzinfo=UTC), 0.6)]  # fmt: skip
+    steps = [
+        Step(datetime(2027, 3, 2, 1, tzinfo=timezone(timedelta(hours=5))), 0.2),
+        Step(datetime(2027, 3, 1, 22, tzinfo=UTC), 0.4),
+        Step(datetime(2027, 3, 1, 22, 0, 0, 500_000, tzinfo=UTC), 0.6),
+    ]
     book = replace(EMPTY, timelines=[replace(LINE, steps=steps)])
     again = msgspec.json.decode(canonical(book), type=Rulebook)
     assert [one.share for one in again.timelines[0].steps] == [0.2, 0.4, 0.6]
@@ -136,16 +148,29 @@
     assert {line.successor for line in met_timelines([one, other])} == {"book-2", "book-3"}
 
 
-DOES = st.sampled_from([Moved(0.4, "p", "q"), Moved(0.7, "p", "q"), Moved(0.4, "q", "p"), Drained("q"),
-                        Drained("p"), HeldDown(3), Frozen()])  # fmt: skip
-STEPS = st.lists(st.tuples(st.integers(0, 30), st.integers(20, 90), st.integers(2, 40), DOES, st.booleans()),
-                 min_size=2, max_size=12)  # fmt: skip
+DOES = st.sampled_from(
+    [
+        Moved(0.4, "p", "q"),
+        Moved(0.7, "p", "q"),
+        Moved(0.4, "q", "p"),
+        Drained("q"),
+        Drained("p"),
+        HeldDown(3),
+        Frozen(),
+    ]
+)
+STEPS = st.lists(
+    st.tuples(st.integers(0, 30), st.integers(20, 90), st.integers(2, 40), DOES, st.booleans()),
+    min_size=2,
+    max_size=12,
+)
 
 
 @settings(derandomize=True, deadline=None, database=None, max_examples=300)
 @given(STEPS)
 def test_what_may_be_in_force_by_neighbours_together_is_one_accepted_set(
-    steps: list[tuple[int, int, int, Moved | Drained | HeldDown | Frozen, bool]]) -> None:
+    steps: list[tuple[int, int, int, Moved | Drained | HeldDown | Frozen, bool]],
+) -> None:
     """Whatever the operators plan and withdraw, as time goes on: of each pair of neighbouring versions, all
     that either has not let go of is accepted by the validator as one set. So whichever of them a backend acts
     by, or both, or without contact by what it began, nothing of it contradicts."""
@@ -172,8 +197,12 @@
             done = {one.name for one in base.changes if over(one, found.horizon)}
             changes = [one for one in changes if one.name not in done]  # type: ignore[attr-defined]
         assert not isinstance(validate(changes, World(), TERMS.late), Broken)  # type: ignore[arg-type]
-        begins = {name for name, (_, how) in standing([expanded(one.changes, one.horizon)
-                                                       for one in (base, found)]).items()
-                  if how is Standing.BEGINS}  # fmt: skip
+        begins = {
+            name
+            for name, (_, how) in standing(
+                [expanded(one.changes, one.horizon) for one in (base, found)]
+            ).items()
+            if how is Standing.BEGINS
+        }
         assert begins <= {one.name for one in base.changes} & {one.name for one in found.changes}
         base = found
--- a/tests/rulebook/test_commands.py
+++ b/tests/rulebook/test_commands.py
@@ -95,23 +95,44 @@
         return self.readers[-1]
 
     def publish(self, file: str, *more: str) -> list[str]:
-        return ["rules", "publish", file, "--author", "anna", "--reason", "depots",
-                "--settings", self.settings, *more]  # fmt: skip
+        return [
+            "rules",
+            "publish",
+            file,
+            "--author",
+            "anna",
+            "--reason",
+            "depots",
+            "--settings",
+            self.settings,
+            *more,
+        ]
 
     def process(self, *words: str) -> subprocess.Popen[str]:
-        return subprocess.Popen([sys.executable, "-m", "ringshift", *words], cwd=ROOT, text=True,
-                                stdout=subprocess.PIPE, stderr=subprocess.PIPE)  # fmt: skip
+        return subprocess.Popen(
+            [sys.executable, "-m", "ringshift", *words],
+            cwd=ROOT,
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
 
 
 @pytest.fixture
 def place(tmp_path: Path) -> Iterator[Place]:
-    process = subprocess.Popen([sys.executable, "-m", "standins.keeper", str(tmp_path / "keeper")], cwd=ROOT,
-                               stdout=subprocess.PIPE, text=True)  # fmt: skip
+    process = subprocess.Popen(
+        [sys.executable, "-m", "standins.keeper", str(tmp_path / "keeper")],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     assert process.stdout is not None
     keeper = process.stdout.readline().split()[-1]
     settings = tmp_path / "fleet.toml"
-    settings.write_text(f'[leases]\nkeepers = ["{keeper}"]\n[rules]\ninstallation = "{tmp_path}/first.toml"\n'
-                        "life_ms = 8000\nmargin_ms = 200\nrefresh_ms = 100\n")  # fmt: skip
+    settings.write_text(
+        f'[leases]\nkeepers = ["{keeper}"]\n[rules]\ninstallation = "{tmp_path}/first.toml"\n'
+        "life_ms = 8000\nmargin_ms = 200\nrefresh_ms = 100\n"
+    )
     made = Place(tmp_path, keeper, str(settings))
     made.file("first.toml", BOOK)
     yield made
@@ -122,8 +143,9 @@
 
 
 def test_the_commands_from_the_first_publication_to_a_withdrawal(
-    place: Place, capsys: pytest.CaptureFixture[str],
-) -> None:  # fmt: skip
+    place: Place,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
     def run(*words: str, status: int = 0) -> str:
         assert command(list(words)) == status
         out, err = capsys.readouterr()
@@ -154,8 +176,8 @@
     assert told("rules", "show", "0.1")["book"]["lists"][0]["entries"] == ["old-agency"]
     assert "has 0.1, 0.2" in run("rules", "show", "0.7", "--settings", place.settings, status=1)
     assert run("rules", "diff", "0.1", more, "--settings", place.settings) == (
-        "  held_back added: callers depot-7; contradict: "
-        "one refuses the entry that the other serves\n")  # fmt: skip
+        "  held_back added: callers depot-7; contradict: one refuses the entry that the other serves\n"
+    )
     (one,) = told("rules", "diff", more, "0.1")
     assert (one["kind"], one["verdict"]) == ("held_back removed", "ALWAYS")
     (reader,) = told("rules", "status")["readers"]
@@ -172,8 +194,9 @@
 
 
 def test_what_is_refused_or_not_in_time_ends_with_one_and_tells_what_to_do(
-    place: Place, capsys: pytest.CaptureFixture[str],
-) -> None:  # fmt: skip
+    place: Place,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
     more = place.file("more.toml", MORE)
     assert command(place.publish(str(place.folder / "first.toml"))) == 0
     place.reader("old.1", "made for another program")
@@ -200,8 +223,9 @@
 
 
 def test_a_withdrawal_whose_reason_is_too_long_ends_with_one_line(
-    place: Place, capsys: pytest.CaptureFixture[str],
-) -> None:  # fmt: skip
+    place: Place,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
     assert command(place.publish(str(place.folder / "first.toml"))) == 0
     assert command(place.publish(place.file("more.toml", MORE))) == 0
     capsys.readouterr()
@@ -210,8 +234,9 @@
 
 
 def test_what_alone_admits_beyond_the_rules_and_a_whole_that_is_raised_are_warned_of(
-    place: Place, capsys: pytest.CaptureFixture[str],
-) -> None:  # fmt: skip
+    place: Place,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
     whole = '[[wholes]]\nbudget = "database"\nwhole = 10\n[alone]'
     file = place.file("lax.toml", BOOK.replace("[alone]", whole))
     with Path(place.settings).open("a") as settings:
@@ -234,8 +259,9 @@
 
 
 def test_absent_readers_are_forgotten_together_once_they_were_shown(
-    place: Place, capsys: pytest.CaptureFixture[str],
-) -> None:  # fmt: skip
+    place: Place,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
     link = RulesLink([place.keeper], time.monotonic_ns, 5.0)
     for name in ("a.1", "b.2", "c.3"):
         link.call("/kv/put", {"key": key(f"absent/{name}"), "value": b64(write_row(Row(1, (0, 1, "d"))))})
--- a/tests/rulebook/test_headstart.py
+++ b/tests/rulebook/test_headstart.py
@@ -50,17 +50,20 @@
     return data + hashlib.sha256(data).digest()
 
 
-@pytest.mark.parametrize(("data", "told"), [
-    (b"", "cut off"),
-    (b"[records]\nlines = true\n" * 20, "no head start's file"),
-    (sealed(2, b"{}"), "format 2, not 1"),
-    (sealed(0, b"{}"), "format 0, not 1"),
-    (sealed(1, b"{}"), "missing required field"),
-    (sealed(1, b"no json"), "JSON is malformed"),
-    (sealed(1, b'{"epoch":0,"number":1,"digest":"d","book":{}}'), "missing required field `alone`"),
-    (sealed(1, b'{"epoch":0,"number":1,"digest":"d","book":{"spells":1}}'), "unknown field `spells`"),
-    (b"RSRB" + bytes(headstart.MOST), "more than"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("data", "told"),
+    [
+        (b"", "cut off"),
+        (b"[records]\nlines = true\n" * 20, "no head start's file"),
+        (sealed(2, b"{}"), "format 2, not 1"),
+        (sealed(0, b"{}"), "format 0, not 1"),
+        (sealed(1, b"{}"), "missing required field"),
+        (sealed(1, b"no json"), "JSON is malformed"),
+        (sealed(1, b'{"epoch":0,"number":1,"digest":"d","book":{}}'), "missing required field `alone`"),
+        (sealed(1, b'{"epoch":0,"number":1,"digest":"d","book":{"spells":1}}'), "unknown field `spells`"),
+        (b"RSRB" + bytes(headstart.MOST), "more than"),
+    ],
+)
 def test_a_foreign_and_another_programs_file_tell_why(tmp_path: Path, data: bytes, told: str) -> None:
     path = tmp_path / "head"
     path.write_bytes(data)
@@ -76,8 +79,10 @@
 
 @pytest.mark.parametrize("step", ["write", "fsync", "replace"])
 def test_a_crash_before_the_rename_leaves_the_old_one_and_the_next_keep_succeeds(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, step: str,
-) -> None:  # fmt: skip
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    step: str,
+) -> None:
     path, after = tmp_path / "head", replace(VERSION, stamp=(2, 8))
     keep(path, VERSION)
 
@@ -99,8 +104,9 @@
 
 
 def test_the_bytes_are_synced_before_the_rename_and_the_folder_after(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     path, order = tmp_path / "head", list[str]()
     real_sync, real_replace = os.fsync, Path.replace
 
--- a/tests/rulebook/test_link.py
+++ b/tests/rulebook/test_link.py
@@ -281,8 +281,9 @@
 
 
 def test_absent_readers_are_kept_under_a_bound_and_none_is_dropped_for_it(
-    link: RulesLink, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(rules, "MOST_ABSENT", 1)
     for name in ("a", "b"):
         link.confirm(name, Row(1))
@@ -308,8 +309,9 @@
 
 
 def test_a_proposal_that_an_older_program_cannot_read_is_refused_with_the_reason(
-    link: RulesLink, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     reader = Reader(TERMS, BASE.alone)
     row = reader.hear(News.TICK, 0)
     assert row is not None
@@ -326,8 +328,9 @@
 
 
 def test_what_is_in_force_and_cannot_be_read_gives_no_time(
-    link: RulesLink, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(rules, "write_version", write_newer)
     link.call("/kv/deleterange", rules.under(""))
     assert link.begin(newer((0, 1)))
--- a/tests/rulebook/test_loss.py
+++ b/tests/rulebook/test_loss.py
@@ -26,18 +26,21 @@
 ROW = Row(3, (0, 6, "6" * 16), (0, 5, "5" * 16), "", (0, 30), (0, 6, "6" * 16), (0, 4))
 
 
-@pytest.mark.parametrize(("row", "told", "shown"), [
-    (ROW, TOLD, []),
-    (Row(1), TOLD, []),
-    (replace(ROW, acked=UNMARKED, high=FIRST.mark), TOLD, []),
-    (replace(ROW, seen=(0, 31)), TOLD, ["place"]),
-    (replace(ROW, floor=(0, 5)), TOLD, ["floor"]),
-    (replace(ROW, high=(0, 7, "7" * 16)), TOLD, ["number"]),
-    (replace(ROW, acked=(0, 6, "a" * 16)), TOLD, ["book"]),
-    (replace(ROW, refused=(0, 6, "a" * 16)), TOLD, ["book"]),
-    (replace(ROW, high=(*FIRST.stamp, "a" * 16)), TOLD, ["book"]),
-    (replace(ROW, seen=(1, 2), floor=(1, 7), high=(1, 7, "7" * 16)), TOLD, ["place", "floor", "number"]),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("row", "told", "shown"),
+    [
+        (ROW, TOLD, []),
+        (Row(1), TOLD, []),
+        (replace(ROW, acked=UNMARKED, high=FIRST.mark), TOLD, []),
+        (replace(ROW, seen=(0, 31)), TOLD, ["place"]),
+        (replace(ROW, floor=(0, 5)), TOLD, ["floor"]),
+        (replace(ROW, high=(0, 7, "7" * 16)), TOLD, ["number"]),
+        (replace(ROW, acked=(0, 6, "a" * 16)), TOLD, ["book"]),
+        (replace(ROW, refused=(0, 6, "a" * 16)), TOLD, ["book"]),
+        (replace(ROW, high=(*FIRST.stamp, "a" * 16)), TOLD, ["book"]),
+        (replace(ROW, seen=(1, 2), floor=(1, 7), high=(1, 7, "7" * 16)), TOLD, ["place", "floor", "number"]),
+    ],
+)
 def test_each_sign_of_a_loss_is_one_that_no_delay_can_make(row: Row, told: Told, shown: list[str]) -> None:
     assert signs(told, row, (0, 6)) == shown and set(shown) < set(SIGNS)
     epoch = lost_epoch(told, {"a": ROW, "b": row}, row.seen, (0, 6))
@@ -178,15 +181,24 @@
 
 @pytest.mark.parametrize("bug", ["", "number_alone"])
 def test_the_model_finds_a_word_that_counts_for_another_book(
-    bug: str, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    bug: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(Version, "mark", Version.mark)  # put back whatever the bug changes
     monkeypatch.setattr(Reader, "high", Reader.high)
     if bug:
         BUGS[bug]()
     model = Model(Faults(publications=2, kills=1, restores=1))
-    state = model.led(model.first(), "keeper copied", "tick", "publisher 0 publishes a list",
-                      "reader 0 confirms", "reader 1 confirms", "keeper restored", "publisher 0 is killed",
-                      "publisher 0 publishes a list")  # fmt: skip
+    state = model.led(
+        model.first(),
+        "keeper copied",
+        "tick",
+        "publisher 0 publishes a list",
+        "reader 0 confirms",
+        "reader 1 confirms",
+        "keeper restored",
+        "publisher 0 is killed",
+        "publisher 0 publishes a list",
+    )
     told = explore(state, model.after, model.wrong, 4)
     assert ("took in another book" in told.wrong) == bool(bug), (told.wrong, told.trace)
--- a/tests/rulebook/test_model.py
+++ b/tests/rulebook/test_model.py
@@ -56,17 +56,32 @@
         explore(model.proposed(), model.after, look, 6)
     model = Model(Faults(publications=1), odd=True)
     explore(model.first(), model.after, look, 5)
-    assert {"state 2", "state 3", "state 4", "absent", "refused", "in force (0, 2), lost False",
-            "in force (0, 1), lost True"} <= met  # fmt: skip
-
-
-@pytest.mark.parametrize(("bug", "faults", "depth"), [
-    ("answer_deadline", Faults(publications=1), 6), ("no_waiting", Faults(publications=1), 6),
-    ("alone_at_once", Faults(publications=1), 8), ("no_compare", Faults(publications=1, withdrawals=1), 7),
-])  # fmt: skip
+    assert {
+        "state 2",
+        "state 3",
+        "state 4",
+        "absent",
+        "refused",
+        "in force (0, 2), lost False",
+        "in force (0, 1), lost True",
+    } <= met
+
+
+@pytest.mark.parametrize(
+    ("bug", "faults", "depth"),
+    [
+        ("answer_deadline", Faults(publications=1), 6),
+        ("no_waiting", Faults(publications=1), 6),
+        ("alone_at_once", Faults(publications=1), 8),
+        ("no_compare", Faults(publications=1, withdrawals=1), 7),
+    ],
+)
 def test_a_planted_bug_is_found_with_the_events_that_lead_to_it(
-    bug: str, faults: Faults, depth: int, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    bug: str,
+    faults: Faults,
+    depth: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     right = Model(faults)
     first = right.first() if bug == "alone_at_once" else right.proposed()
     with monkeypatch.context() as patch:
@@ -100,8 +115,9 @@
 
 @pytest.mark.parametrize("bug", ["", "number_alone"])
 def test_a_confirmation_that_comes_again_after_a_newer_one_is_not_taken_for_the_one_read_before(
-    bug: str, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    bug: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Found by the model: the row has the number that the publisher read a lease ago, and yet a newer
     confirmation was answered in between."""
     if bug:
--- a/tests/rulebook/test_publisher_process.py
+++ b/tests/rulebook/test_publisher_process.py
@@ -29,11 +29,14 @@
 READ, WRITE = b'"compare": [], "failure"', b'"target": "VALUE"'
 RESET = struct.pack("ii", 1, 0)  # of SO_LINGER: a close resets
 ODD = {
-    "no JSON": b"200 OK|it is", "JSON cut short": b'200 OK|{"header": {', "a list": b"200 OK|[]",
-    "nothing in it": b"200 OK|{}", "no response in it": b'200 OK|{"succeeded": true, "responses": []}',
+    "no JSON": b"200 OK|it is",
+    "JSON cut short": b'200 OK|{"header": {',
+    "a list": b"200 OK|[]",
+    "nothing in it": b"200 OK|{}",
+    "no response in it": b'200 OK|{"succeeded": true, "responses": []}',
     "its own error": b'500 Internal Server Error|{"error": "no leader", "code": 13}',
     "a refusal": b'400 Bad Request|{"error": "too many", "code": 3}',
-}  # fmt: skip
+}
 FATES = ["lost", "half", "reset", *ODD]
 
 
@@ -154,8 +157,10 @@
 @pytest.mark.parametrize("mark", [READ, WRITE], ids=["a look", "a proposal"])
 @pytest.mark.parametrize("fate", FATES)
 def test_an_answer_spoilt_on_its_way_while_the_keeper_is_killed_ends_no_publisher(
-    mark: bytes, fate: str, running: Running,
-) -> None:  # fmt: skip
+    mark: bytes,
+    fate: str,
+    running: Running,
+) -> None:
     """The keeper carried the call out, is killed and started on its disk; its answer never comes whole."""
     running.tell("begin 0")
     running.tell("settle 0")  # its end shows that the first publication is over
@@ -173,8 +178,10 @@
 @pytest.mark.parametrize("mark", [READ, WRITE], ids=["a look", "a proposal"])
 @pytest.mark.parametrize("killed", [False, True])
 def test_a_keeper_stopped_before_a_call_for_longer_than_its_time_ends_no_publisher(
-    mark: bytes, killed: bool, running: Running,
-) -> None:  # fmt: skip
+    mark: bytes,
+    killed: bool,
+    running: Running,
+) -> None:
     """It goes on after the publisher gave the call up and asked again; `killed`: as soon as it does."""
     running.tell("begin 0")
     running.tell("settle 0")
--- a/tests/rulebook/test_publishing.py
+++ b/tests/rulebook/test_publishing.py
@@ -287,8 +287,13 @@
 
 
 rules = st.builds(Rules, lists=st.sampled_from([[], held("x"), held("y"), held("x", "y")]))
-books = st.builds(Rulebook, lists=st.sampled_from([[], held("p")]), alone=rules,
-                  alone_next=st.none() | rules, text=st.sampled_from(["", "t"]))  # fmt: skip
+books = st.builds(
+    Rulebook,
+    lists=st.sampled_from([[], held("p")]),
+    alone=rules,
+    alone_next=st.none() | rules,
+    text=st.sampled_from(["", "t"]),
+)
 
 
 @settings(derandomize=True, deadline=None)
--- a/tests/rulebook/test_rules.py
+++ b/tests/rulebook/test_rules.py
@@ -62,7 +62,11 @@
     a = Rulebook(held("x"), wholes=[Whole("calls", 10)], text="a", alone=Rules())
     b = Rulebook(held("y"), wholes=[Whole("calls", 12)], text="b", alone=Rules())
     assert [one.kind for one in kinds.differences(a, b)] == [
-        "held_back added", "held_back removed", "whole raised", "text changed"]  # fmt: skip
+        "held_back added",
+        "held_back removed",
+        "whole raised",
+        "text changed",
+    ]
     raised = Rulebook(held("x"), wholes=[Whole("calls", 12)], alone=Rules())
     assert not kinds.contradict(a, raised) and kinds.contradict(a, raised, summed=True)
     assert kinds.contradict(raised, a) and not kinds.contradict(raised, raised)
@@ -75,14 +79,23 @@
 some = st.lists(names, unique=True)
 rules = st.builds(
     Rules,
-    lists=st.lists(st.builds(Listing, st.sampled_from(OF), st.sampled_from(EFFECTS), some),
-                   unique_by=lambda one: (one.of, one.effect), max_size=4),
-    quotas=st.lists(st.builds(Quota, st.sampled_from(OF[:2]), names, st.integers(0, 4)),
-                    unique_by=lambda one: (one.of, one.entry), max_size=3),
-    shares=st.lists(st.builds(Portion, st.just(OF[0]), names, st.sampled_from([0.0, 0.5, 1.0])),
-                    unique_by=lambda one: one.entry, max_size=2),
+    lists=st.lists(
+        st.builds(Listing, st.sampled_from(OF), st.sampled_from(EFFECTS), some),
+        unique_by=lambda one: (one.of, one.effect),
+        max_size=4,
+    ),
+    quotas=st.lists(
+        st.builds(Quota, st.sampled_from(OF[:2]), names, st.integers(0, 4)),
+        unique_by=lambda one: (one.of, one.entry),
+        max_size=3,
+    ),
+    shares=st.lists(
+        st.builds(Portion, st.just(OF[0]), names, st.sampled_from([0.0, 0.5, 1.0])),
+        unique_by=lambda one: one.entry,
+        max_size=2,
+    ),
     wholes=st.lists(st.builds(Whole, names, st.integers(0, 4)), unique_by=lambda one: one.budget, max_size=2),
-)  # fmt: skip
+)
 limits = st.sampled_from([("quota", "callers a"), ("share", "callers a"), ("whole", "a")])
 invocations = st.builds(Invocation, names, names, names, names, st.dictionaries(limits, st.floats(0, 5)))
 
--- a/tests/rulebook/test_ruling.py
+++ b/tests/rulebook/test_ruling.py
@@ -72,9 +72,15 @@
     return made
 
 
-def ruler(port: int, clock: Hand, name: str = "n1", told: list[Body] | None = None,
-          keep: Callable[[Version], None] | None = None, start: Version | None = None,
-          within: int = PATIENT) -> Ruler:  # fmt: skip
+def ruler(
+    port: int,
+    clock: Hand,
+    name: str = "n1",
+    told: list[Body] | None = None,
+    keep: Callable[[Version], None] | None = None,
+    start: Version | None = None,
+    within: int = PATIENT,
+) -> Ruler:
     reader = Reader(TERMS, BASE.alone, start, answer_within=within)
     tell = None if told is None else told.append
     return Ruler(reader, name, [f"127.0.0.1:{port}"], clock, within, tell, keep)
@@ -129,11 +135,13 @@
 
 def test_a_keeper_that_does_not_answer_never_blocks_a_poll_and_leaves_the_backend_alone(
     monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+) -> None:
     monkeypatch.setattr(ruling, "RulesLink", Deaf)
     clock, told = Hand(), list[Body]()
-    expected: list[Body] = [RulesChange("STARTING", ()),
-                            RulesChange("ALONE", (), 0.0, "the keeper does not answer")]  # fmt: skip
+    expected: list[Body] = [
+        RulesChange("STARTING", ()),
+        RulesChange("ALONE", (), 0.0, "the keeper does not answer"),
+    ]
     one = ruler(9, clock, told=told, within=WITHIN)
     first, orders = one.asker.thread, one.asker.orders
     for _ in range(3):  # the thread waits in its call; the polls come back all the same
@@ -158,8 +166,9 @@
 
 
 def test_an_answer_that_came_late_is_still_told_and_one_that_was_overtaken_is_not_acted_by(
-    link: RulesLink, member: Member,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    member: Member,
+) -> None:
     clock = Hand()
     one = ruler(member.port, clock, within=WITHIN)
     one.poll()
@@ -180,8 +189,9 @@
 
 
 def test_a_backend_goes_by_the_meet_from_its_acknowledgement_to_the_switch(
-    link: RulesLink, member: Member,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    member: Member,
+) -> None:
     clock, told = Hand(), list[Body]()
     one = ruler(member.port, clock, told=told)
     rounds(one, clock, 1)
@@ -195,16 +205,22 @@
     rounds(one, clock, 2)
     assert one.reader.basis == (version,) and one.rules() == version.book.rules()
     states = [(body.state, body.acted_by) for body in told if isinstance(body, RulesChange)]
-    assert states == [("STARTING", ()), ("READING", ((0, 1),)), ("BETWEEN", ((0, 1), (0, 2))),
-                      ("READING", ((0, 2),))]  # fmt: skip
+    assert states == [
+        ("STARTING", ()),
+        ("READING", ((0, 1),)),
+        ("BETWEEN", ((0, 1), (0, 2))),
+        ("READING", ((0, 2),)),
+    ]
     one.leave(10)
     assert link.read().rows == {}  # its last word: no publication waits for it, so it acts by nothing agreed
     assert not one.fresh() and one.rules() == version.book.alone != version.book.rules() and not one.poll()
 
 
 def test_a_refusal_by_an_older_program_reaches_the_keeper_and_what_it_cannot_read_in_force_gives_no_time(
-    link: RulesLink, member: Member, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    member: Member,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     clock, told = Hand(), list[Body]()
     one = ruler(member.port, clock, told=told)
     rounds(one, clock, 1)
@@ -225,8 +241,10 @@
 
 
 def test_a_version_in_force_is_kept_by_the_keepers_thread_and_counts_as_a_head_start_only(
-    link: RulesLink, member: Member, tmp_path: Path,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    member: Member,
+    tmp_path: Path,
+) -> None:
     clock, by = Hand(), list[tuple[str, Version]]()
     one = ruler(member.port, clock, keep=lambda new: by.append((threading.current_thread().name, new)))
     rounds(one, clock, 3)
@@ -238,6 +256,7 @@
     rounds(one, clock, 2)
     one.leave(10)
     assert by == [("rules", FIRST), ("rules", version)]  # never the owner's thread, and once each
+
     # A disk that refuses is no reason to stop confirming.
     def full(kept_one: Version) -> None:
         raise OSError("no space left")
@@ -249,8 +268,9 @@
 
 
 def test_a_head_start_is_acted_by_alone_and_a_keeper_that_holds_less_gives_no_time(
-    link: RulesLink, member: Member,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    member: Member,
+) -> None:
     book = Rulebook(held("y"), alone=Rules(lists=held("w")))
     clock = Hand()
     one = ruler(member.port, clock, start=Version((0, 5), book, digest(book)))
@@ -263,7 +283,7 @@
 
 def test_a_keeper_restored_from_an_older_copy_leaves_backends_alone_until_a_new_epoch_is_led_in(
     tmp_path: Path,
-) -> None:  # fmt: skip
+) -> None:
     member = Member(tmp_path / "member")
     member.extra = ("--listen", f"127.0.0.1:{member.port}")
     link = RulesLink([f"127.0.0.1:{member.port}"], time.monotonic_ns, 10.0)
@@ -371,11 +391,15 @@
 
 
 def admits(out: face.Ruled, one: Invocation) -> bool:
-    indices = [{"a": 0, "b": 1}.get(one.operations, -1), {"c": 0, "a": 1}.get(one.customers, -1),
-               int(one.callers)]  # fmt: skip
+    indices = [
+        {"a": 0, "b": 1}.get(one.operations, -1),
+        {"c": 0, "a": 1}.get(one.customers, -1),
+        int(one.callers),
+    ]
     refused = any(index in some for index, some in zip(indices, out.held_back, strict=True))
-    return not refused and all(some is None or index in some
-                               for index, some in zip(indices, out.let_through, strict=True))  # fmt: skip
+    return not refused and all(
+        some is None or index in some for index, some in zip(indices, out.let_through, strict=True)
+    )
 
 
 def numbered(one: Rules) -> Rules:
@@ -388,11 +412,20 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=300)
-@given(any_rules, st.sampled_from(["1", "2", "3"]), st.sampled_from("ac"), st.sampled_from("ab"),
-       st.sampled_from(["a", "z", ""]))  # fmt: skip
+@given(
+    any_rules,
+    st.sampled_from(["1", "2", "3"]),
+    st.sampled_from("ac"),
+    st.sampled_from("ab"),
+    st.sampled_from(["a", "z", ""]),
+)
 def test_the_lists_in_indices_admit_what_the_rules_admit(
-    one: Rules, caller: str, customer: str, operation: str, place: str,
-) -> None:  # fmt: skip
+    one: Rules,
+    caller: str,
+    customer: str,
+    operation: str,
+    place: str,
+) -> None:
     lists = numbered(one)
     asked = Invocation(caller, customer, place, operation)
     out = ruled(lists, Names(("a", "b"), ("c", "a"), place))
@@ -400,22 +433,41 @@
 
 
 def test_amounts_become_rates_of_this_backend_and_names_that_are_none_concern_nobody() -> None:
-    out = ruled(Rules(quotas=[
-        Quota("customers", "a", 8), Quota("callers", "17", 2), Quota("operations", "b", 4),
-        Quota("places", "north", 40), Quota("places", "south", 1), Quota("callers", "x", 1),
-        Quota("customers", "nobody", 1),
-    ], shares=[
-        Portion("operations", "b", 0.5), Portion("customers", "c", 0), Portion("operations", "a", 1.0),
-        Portion("places", "south", 0.1), Portion("customers", "a", 0.25),
-    ]), MACHINE_NAMES)  # fmt: skip
+    out = ruled(
+        Rules(
+            quotas=[
+                Quota("customers", "a", 8),
+                Quota("callers", "17", 2),
+                Quota("operations", "b", 4),
+                Quota("places", "north", 40),
+                Quota("places", "south", 1),
+                Quota("callers", "x", 1),
+                Quota("customers", "nobody", 1),
+            ],
+            shares=[
+                Portion("operations", "b", 0.5),
+                Portion("customers", "c", 0),
+                Portion("operations", "a", 1.0),
+                Portion("places", "south", 0.1),
+                Portion("customers", "a", 0.25),
+            ],
+        ),
+        MACHINE_NAMES,
+    )
     some = frozenset
-    assert out.clauses == ({
-        (0, 1): [face.Clause(some({1}), rate=1.0), face.Clause(some({1}), rate=10.0)],
-        (1, 0): [face.Clause(customers=some({0}), rate=0.0)],
-        (1, 1): [face.Clause(customers=some({1}), rate=2.0), face.Clause(some({0}), some({1}), rate=25.0),
-                 face.Clause(some({1}), some({1}), rate=5.0)],
-        (2, 17): [face.Clause(callers=some({17}), rate=0.5)], (3, 0): [face.Clause(rate=10.0)],
-    },)  # fmt: skip
+    assert out.clauses == (
+        {
+            (0, 1): [face.Clause(some({1}), rate=1.0), face.Clause(some({1}), rate=10.0)],
+            (1, 0): [face.Clause(customers=some({0}), rate=0.0)],
+            (1, 1): [
+                face.Clause(customers=some({1}), rate=2.0),
+                face.Clause(some({0}), some({1}), rate=25.0),
+                face.Clause(some({1}), some({1}), rate=5.0),
+            ],
+            (2, 17): [face.Clause(callers=some({17}), rate=0.5)],
+            (3, 0): [face.Clause(rate=10.0)],
+        },
+    )
     back = ruled(Rules(lists=[Listing("places", "held_back", ["north"])]), MACHINE_NAMES)
     assert back.let_through == (frozenset(), None, None)
     assert ruled(Rules(), MACHINE_NAMES) == face.Ruled()
@@ -427,8 +479,13 @@
     planned = schedule_book(ramped, row("b", 150, 400, customers=["hostel"]), row("c", 500, 501), base=BASE)
     link.call("/kv/deleterange", rules.under(""))
     assert link.begin(Version((0, 1), planned, digest(planned)))
-    one = Rulings(ruler(member.port, clock), MACHINE_NAMES, Timetable(8 * S, MACHINE_NAMES),
-                  wall=lambda: wall, tell=told.append)  # fmt: skip
+    one = Rulings(
+        ruler(member.port, clock),
+        MACHINE_NAMES,
+        Timetable(8 * S, MACHINE_NAMES),
+        wall=lambda: wall,
+        tell=told.append,
+    )
 
     def at(seconds: float) -> list[tuple[str, str, str, int]]:
         nonlocal wall
@@ -455,8 +512,9 @@
 
 
 def test_a_share_is_of_what_this_backend_could_serve_as_it_is_measured_by_now(
-    link: RulesLink, member: Member,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    member: Member,
+) -> None:
     controller, clock = Controller(MACHINE, 1), Hand()
     one = ruler(member.port, clock, start=None)
     one.reader.alone = Rules(shares=[Portion("operations", "b", 0.5)], wholes=[Whole("calls", 7)])
@@ -475,10 +533,16 @@
     told.leave()
 
 
-@pytest.mark.parametrize(("wholes", "whole"), [
-    ({}, 20.0), ({"other": 3.0}, 20.0), ({"calls": 12.7}, 12.0), ({"calls": 30.0}, 30.0),
-    ({"calls": 2.0}, 5.0),  # the safe shares are set aside for good
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("wholes", "whole"),
+    [
+        ({}, 20.0),
+        ({"other": 3.0}, 20.0),
+        ({"calls": 12.7}, 12.0),
+        ({"calls": 30.0}, 30.0),
+        ({"calls": 2.0}, 5.0),  # the safe shares are set aside for good
+    ],
+)
 def test_a_budget_is_divided_by_the_rulebooks_whole(wholes: dict[str, float], whole: float) -> None:
     budget = Budget("calls", face.Unit.CALLS, 20, most=5, safe=1)
     assert divided(budget, wholes) == replace(budget, whole=whole)
@@ -493,23 +557,46 @@
         work.rule()
     logger.remove(sink)
     assert work.divider.budget.whole == 50.0
-    assert told == ["budget calls: 50 is divided, not the rulebook's 10: the safe shares, 1 of each of up to "
-                    "50 backends, are set aside"]  # fmt: skip
+    assert told == [
+        "budget calls: 50 is divided, not the rulebook's 10: the safe shares, 1 of each of up to "
+        "50 backends, are set aside"
+    ]
 
 
 MACHINE = face.Machine(
-    cores=1, memory_kb=1.0, run_factor=1.0, entry_kb=0.0, cold=False, cold_speed=1.0, ramp=1,
-    fall_multiple=2.0, grace=0, tick=1, fleet=4, callers=1, halt=face.Halt.NONE, advert=face.Advert.NONE,
-    heeded=0, fresh=0, longest_pause=0, over_quota_share=1.0,
-    operations=tuple(face.Operation(name, face.Effect.IDEMPOTENT, S, 0.0, S, 1.0, 0.0, 0, False, 0.0)
-                     for name in ("a", "b")),
-    customers=(face.Customer("c", 0.0),), dependency=face.Dependency(face.Below.NONE, 0.0, 0, 0), gauges=(),
-)  # fmt: skip
+    cores=1,
+    memory_kb=1.0,
+    run_factor=1.0,
+    entry_kb=0.0,
+    cold=False,
+    cold_speed=1.0,
+    ramp=1,
+    fall_multiple=2.0,
+    grace=0,
+    tick=1,
+    fleet=4,
+    callers=1,
+    halt=face.Halt.NONE,
+    advert=face.Advert.NONE,
+    heeded=0,
+    fresh=0,
+    longest_pause=0,
+    over_quota_share=1.0,
+    operations=tuple(
+        face.Operation(name, face.Effect.IDEMPOTENT, S, 0.0, S, 1.0, 0.0, 0, False, 0.0)
+        for name in ("a", "b")
+    ),
+    customers=(face.Customer("c", 0.0),),
+    dependency=face.Dependency(face.Below.NONE, 0.0, 0, 0),
+    gauges=(),
+)
 
 
 def test_the_operators_file_begins_it_and_a_restart_reads_its_head_start(
-    link: RulesLink, member: Member, tmp_path: Path,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    member: Member,
+    tmp_path: Path,
+) -> None:
     head, file, installed = (tmp_path / name for name in ("head", "fleet.toml", "rulebook.toml"))
     leases = f'[leases]\nkeepers = ["127.0.0.1:{member.port}"]\n'
     table = f'[rules]\ninstallation = "{installed}"\nplace = "north"\nhead_start = "{head}"\n'
@@ -541,8 +628,10 @@
 
 
 def test_a_long_check_costs_no_time_and_its_proposal_is_told_once_the_verdict_stands(
-    link: RulesLink, member: Member, monkeypatch: pytest.MonkeyPatch,
-) -> None:  # fmt: skip
+    link: RulesLink,
+    member: Member,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(confirming, "CHECK_WAIT", 0.0)
     clock, may, checks = Hand(), threading.Event(), list[str]()
 
--- a/tests/schedule/in_service.py
+++ b/tests/schedule/in_service.py
@@ -28,8 +28,10 @@
 
     def parts(self, name: str) -> list[tuple[float, int, bool]]:
         """(seconds of the script by its own wall clock, millionths of the change, confirmed) by line."""
-        return [((line["wall"] - self.begun) / 1e9, line["force"].get("x", 0), line["fresh"])
-                for line in self.histories[name]]  # fmt: skip
+        return [
+            ((line["wall"] - self.begun) / 1e9, line["force"].get("x", 0), line["fresh"])
+            for line in self.histories[name]
+        ]
 
     def first(self, name: str) -> tuple[float, int, bool]:
         return next(one for one in self.parts(name) if one[1])
@@ -62,12 +64,14 @@
 
 
 def in_service(stage: Stage, seen: Seen) -> None:
-    well, start, within = (stage.backend(name, wall) for name, wall in (
-        ("well", 300), ("over-start", 0), ("in-it", -300)))  # fmt: skip
+    well, start, within = (
+        stage.backend(name, wall) for name, wall in (("well", 300), ("over-start", 0), ("in-it", -300))
+    )
     for one in (well, start, within):
         one.acts.wait()
-    plan = stage.start("x", move(1.0), 0, "--begin-in-ms", "5000", window=(START, END - START),
-                       ramp_ms=(500, 1_000))  # fmt: skip
+    plan = stage.start(
+        "x", move(1.0), 0, "--begin-in-ms", "5000", window=(START, END - START), ramp_ms=(500, 1_000)
+    )
     assert plan.end() == 0, plan.told
     (x,) = stage.book().changes
     assert x.start is not None
--- a/tests/schedule/stage.py
+++ b/tests/schedule/stage.py
@@ -110,8 +110,14 @@
         return gevent.get_hub().threadpool.apply(do)
 
     def start_keeper(self) -> subprocess.Popen[bytes]:
-        argv = [sys.executable, "-m", "standins.keeper", str(self.folder / "keeper"), "--listen",
-                f"127.0.0.1:{self.port}"]  # fmt: skip
+        argv = [
+            sys.executable,
+            "-m",
+            "standins.keeper",
+            str(self.folder / "keeper"),
+            "--listen",
+            f"127.0.0.1:{self.port}",
+        ]
         process = subprocess.Popen(argv, cwd=ROOT, stdout=subprocess.PIPE)
         assert process.stdout is not None
         self.port = int(process.stdout.readline().decode().rsplit(":", 1)[1])
@@ -147,26 +153,51 @@
         )
         return str(path)
 
-    def start(self, name: str, does: str, at_s: float = 0, *more: str, withdraw: str = "",
-              window: tuple[float, float] = (3_600, 3_600), ramp_ms: tuple[int, int] = (0, 0)) -> Planner:
+    def start(
+        self,
+        name: str,
+        does: str,
+        at_s: float = 0,
+        *more: str,
+        withdraw: str = "",
+        window: tuple[float, float] = (3_600, 3_600),
+        ramp_ms: tuple[int, int] = (0, 0),
+    ) -> Planner:
         """Plans a change from `window[0]` and `at_s` seconds after the stage's beginning on, for `window[1]`
         seconds, or withdraws one."""
         start = self.now + round((window[0] + at_s) * 1e9)
-        row = {"name": f'"{name}"', "does": does, "from": moment(start).isoformat(),
-               "to": moment(start + round(window[1] * 1e9)).isoformat(), "ramp_in_ms": ramp_ms[0],
-               "ramp_out_ms": ramp_ms[1]}  # fmt: skip
+        row = {
+            "name": f'"{name}"',
+            "does": does,
+            "from": moment(start).isoformat(),
+            "to": moment(start + round(window[1] * 1e9)).isoformat(),
+            "ramp_in_ms": ramp_ms[0],
+            "ramp_out_ms": ramp_ms[1],
+        }
         wish = ["--withdraw", withdraw] if withdraw else ["--plan", self.file(name, [row])]
         argv = [sys.executable, "-m", "standins.fleet.planner", "--settings", self.settings(name)] + wish
         argv += more
-        process = subprocess.Popen(argv, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-                                   stderr=subprocess.PIPE)  # fmt: skip
+        process = subprocess.Popen(
+            argv, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE
+        )
         self.planners.append(Planner(process, [] if withdraw else [name]))
         return self.planners[-1]
 
     def backend(self, name: str, wall_ms: int = 0) -> Backend:
         history = self.folder / f"{name}.jsonl"
-        argv = [sys.executable, "-m", "standins.fleet.ruled", "--settings", self.settings(name), "--name",
-                name, "--history", str(history), "--wall-ms", str(wall_ms)]  # fmt: skip
+        argv = [
+            sys.executable,
+            "-m",
+            "standins.fleet.ruled",
+            "--settings",
+            self.settings(name),
+            "--name",
+            name,
+            "--history",
+            str(history),
+            "--wall-ms",
+            str(wall_ms),
+        ]
         process = subprocess.Popen(argv, cwd=ROOT, stderr=subprocess.PIPE)
         self.backends.append(Backend(process, self.proxies[-1], history, wall_ms))
         return self.backends[-1]
--- a/tests/schedule/test_commands.py
+++ b/tests/schedule/test_commands.py
@@ -23,8 +23,11 @@
 class Place:
     def __init__(self, folder: Path, keeper: str, capsys: pytest.CaptureFixture[str]) -> None:
         self.folder, self.capsys = folder, capsys
-        self.settings = self.file("fleet.toml", f'[leases]\nkeepers = ["{keeper}"]\n[rules]\n'
-                                  f'installation = "{folder}/first.toml"\nrefresh_ms = 100\n')  # fmt: skip
+        self.settings = self.file(
+            "fleet.toml",
+            f'[leases]\nkeepers = ["{keeper}"]\n[rules]\n'
+            f'installation = "{folder}/first.toml"\nrefresh_ms = 100\n',
+        )
         self.file("first.toml", BOOK)
 
     def file(self, name: str, text: str) -> str:
@@ -41,14 +44,28 @@
         return json.loads(self.run(*words, "--settings", self.settings, "--json", status=status))
 
     def publish(self, file: str, status: int = 0) -> str:
-        return self.run("rules", "publish", file, "--author", "anna", "--reason", "r", "--settings",
-                        self.settings, status=status)  # fmt: skip
+        return self.run(
+            "rules",
+            "publish",
+            file,
+            "--author",
+            "anna",
+            "--reason",
+            "r",
+            "--settings",
+            self.settings,
+            status=status,
+        )
 
 
 @pytest.fixture
 def place(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> Iterator[Place]:
-    process = subprocess.Popen([sys.executable, "-m", "standins.keeper", str(tmp_path / "keeper")], cwd=ROOT,
-                               stdout=subprocess.PIPE, text=True)  # fmt: skip
+    process = subprocess.Popen(
+        [sys.executable, "-m", "standins.keeper", str(tmp_path / "keeper")],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     assert process.stdout is not None
     yield Place(tmp_path, process.stdout.readline().split()[-1], capsys)
     process.kill()
@@ -57,8 +74,10 @@
 
 def row(name: str, does: str, hours: float, long: float = 1) -> str:
     start = datetime.now(UTC) + timedelta(hours=hours)
-    return (f'[[changes]]\nname = "{name}"\ndoes = {does}\nfrom = {start.isoformat()}\n'
-            f"to = {(start + timedelta(hours=long)).isoformat()}\n")  # fmt: skip
+    return (
+        f'[[changes]]\nname = "{name}"\ndoes = {does}\nfrom = {start.isoformat()}\n'
+        f"to = {(start + timedelta(hours=long)).isoformat()}\n"
+    )
 
 
 MOVE = '{kind = "move", share = 0.5, source = "north", target = "south"}'
--- a/tests/schedule/test_histories.py
+++ b/tests/schedule/test_histories.py
@@ -48,23 +48,29 @@
 AGAIN = Planned(name="r", does=Drained("p1"), recurring=twice(NOW))
 
 
-@pytest.mark.parametrize(("rows", "forces", "wrong"), [
-    ([ALL_OF_IT, BESIDE], [(0, A), (0, B)], "overlap: capacity of a and b"),
-    ([ALL_OF_IT, BESIDE], [(0, A), (2, B)], ""),
-    ([ALL_OF_IT, K1], [(0, A), (0, B)], ""),
-    ([ALL_OF_IT, LEFT], [(0, A | B)], "overlap: capacity of a and b"),
-    ([ALL_OF_IT, LEFT], [(0, A_HALF | B)], ""),
-    ([moved("a", 1.0, "o0", "p2")], [(0, A)], "overlap: unserved of a and a"),
-    ([ALL_OF_IT, AFTER], [(0, A), (0, B)], "begun too early: b at h1.1"),
-    ([ALL_OF_IT, AFTER], [(1, A), (0, B)], "begun too early: b at h1.1"),
-    ([ALL_OF_IT, AFTER], [(0, A), (2, B)], ""),
-    ([AGAIN, ALL_OF_IT], [(3, {AT + "23Z": WHOLE} | A)], "overlap: into_drained of a and r@"),
-    ([AGAIN], [(3, {AT + "23Z": WHOLE})], ""),
-    ([AGAIN], [(2, {AT + "22Z": WHOLE})], "no window of its rule: r@2026-09-21T14:13:22Z"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("rows", "forces", "wrong"),
+    [
+        ([ALL_OF_IT, BESIDE], [(0, A), (0, B)], "overlap: capacity of a and b"),
+        ([ALL_OF_IT, BESIDE], [(0, A), (2, B)], ""),
+        ([ALL_OF_IT, K1], [(0, A), (0, B)], ""),
+        ([ALL_OF_IT, LEFT], [(0, A | B)], "overlap: capacity of a and b"),
+        ([ALL_OF_IT, LEFT], [(0, A_HALF | B)], ""),
+        ([moved("a", 1.0, "o0", "p2")], [(0, A)], "overlap: unserved of a and a"),
+        ([ALL_OF_IT, AFTER], [(0, A), (0, B)], "begun too early: b at h1.1"),
+        ([ALL_OF_IT, AFTER], [(1, A), (0, B)], "begun too early: b at h1.1"),
+        ([ALL_OF_IT, AFTER], [(0, A), (2, B)], ""),
+        ([AGAIN, ALL_OF_IT], [(3, {AT + "23Z": WHOLE} | A)], "overlap: into_drained of a and r@"),
+        ([AGAIN], [(3, {AT + "23Z": WHOLE})], ""),
+        ([AGAIN], [(2, {AT + "22Z": WHOLE})], "no window of its rule: r@2026-09-21T14:13:22Z"),
+    ],
+)
 def test_what_is_in_force_is_judged_with_all_that_it_states(
-    rows: list[Planned], forces: list[tuple[int, dict[str, int]]], wrong: str, tmp_path: Path,
-) -> None:  # fmt: skip
+    rows: list[Planned],
+    forces: list[tuple[int, dict[str, int]]],
+    wrong: str,
+    tmp_path: Path,
+) -> None:
     found = judged(tmp_path, rows, *forces)
     assert bool(found.wrong) == bool(wrong) and all(told.startswith(wrong) for told in found.wrong), found
 
@@ -94,8 +100,10 @@
 
 def test_a_drawn_one_recurs_twice_also_over_midnight() -> None:
     for start in (NOW, NOW + 1, nanoseconds(moment(NOW).replace(hour=23, minute=59, second=58))):
-        told = expanded([Planned(name="r", does=Drained("p1"), recurring=twice(start))],
-                        Horizon(moment(start), moment(start + 400 * 86_400 * S), 1_300))  # fmt: skip
+        told = expanded(
+            [Planned(name="r", does=Drained("p1"), recurring=twice(start))],
+            Horizon(moment(start), moment(start + 400 * 86_400 * S), 1_300),
+        )
         first = -(-start // S) * S
         windows = [((c.start - first) // S, (c.end - first) // S) for c, _ in told.values()]
         assert windows == [(0, 1), (3, 4)]
--- a/tests/schedule/test_plan.py
+++ b/tests/schedule/test_plan.py
@@ -93,8 +93,10 @@
     every = Recurring("FREQ=DAILY", datetime(2026, 12, 1, 1), "UTC", 600)
     daily = Planned(name="d", does=HALF, recurring=every)
     hour = 3_600
-    drains = [row(f"x{day}", day * 24 * hour + hour, day * 24 * hour + hour + 60, Drained("south"))
-              for day in (0, 1)]  # fmt: skip
+    drains = [
+        row(f"x{day}", day * 24 * hour + hour, day * 24 * hour + hour + 60, Drained("south"))
+        for day in (0, 1)
+    ]
     base = book(daily)
     for one in drains:
         assert isinstance(plan(base, [one], NOW, TERMS), Broken)
@@ -214,13 +216,16 @@
         assert mine.state is state
 
 
-@pytest.mark.parametrize(("wish", "base", "state", "why"), [
-    (Wish((row("a", 1, 30),)), EMPTY, State.REFUSED, "a: begins at"),
-    (Wish(withdrawn=frozenset({"z"})), EMPTY, State.REFUSED, "z: no such"),
-    (Wish(withdrawn=frozenset({"move"})), withdraw(book(MOVE), ["move"], NOW), State.LANDED, ""),
-    (Wish((MOVE,)), book(MOVE), State.LANDED, ""),
-    (Wish((row("m", 100, 200, Moved(0.6, "north", "south")),)), book(MOVE), State.CONTRADICTS, "shares"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("wish", "base", "state", "why"),
+    [
+        (Wish((row("a", 1, 30),)), EMPTY, State.REFUSED, "a: begins at"),
+        (Wish(withdrawn=frozenset({"z"})), EMPTY, State.REFUSED, "z: no such"),
+        (Wish(withdrawn=frozenset({"move"})), withdraw(book(MOVE), ["move"], NOW), State.LANDED, ""),
+        (Wish((MOVE,)), book(MOVE), State.LANDED, ""),
+        (Wish((row("m", 100, 200, Moved(0.6, "north", "south")),)), book(MOVE), State.CONTRADICTS, "shares"),
+    ],
+)
 def test_a_wish_is_judged(wish: Wish, base: Rulebook, state: State, why: str) -> None:
     mine = Planner(wish, TERMS)
     mine.hear(News.FREE, NOW, base)
--- a/tests/schedule/test_planned.py
+++ b/tests/schedule/test_planned.py
@@ -63,19 +63,26 @@
     assert digest(again) == digest(book)
 
 
-@pytest.mark.parametrize(("old", "new", "told"), [
-    ("share = 0.25", "share = 1.5", "changes.*share: 1500000 millionths"),
-    ("share = 0.25", "share = 0.2500005", "changes.*finer than a millionth"),
-    ("02:00:00Z", "00:00:00Z", "changes.*end: .* empty window"),
-    ("T02:00:00Z", "T02:00:00", "changes.to: .*timezone"),
-    ('"north-night"\nop', '"a@b"\nop', "changes.name: .*without @"),
-    ('kind = "drain"', 'kind = "drop"', "changes.does"),
-    ('zone = "Europe/Berlin", seconds = 600', 'zone = "Europe/Berlin", seconds = 0', "changes.*seconds: 0"),
-    ('to = 2026-12-05T02:00:00Z\n', "", "changes.*from: an absolute change"),
-    ('name = "drill"', 'name = "north-night"', "'north-night' requires itself"),
-    ('operations = ["book", "look"]', "operations = []", "scope.operations: empty"),
-    ("{place = \"south\", most = 100}", "{place = \"s\", most = 1}, {place = \"s\", most = 1}", "two rows"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ("share = 0.25", "share = 1.5", "changes.*share: 1500000 millionths"),
+        ("share = 0.25", "share = 0.2500005", "changes.*finer than a millionth"),
+        ("02:00:00Z", "00:00:00Z", "changes.*end: .* empty window"),
+        ("T02:00:00Z", "T02:00:00", "changes.to: .*timezone"),
+        ('"north-night"\nop', '"a@b"\nop', "changes.name: .*without @"),
+        ('kind = "drain"', 'kind = "drop"', "changes.does"),
+        (
+            'zone = "Europe/Berlin", seconds = 600',
+            'zone = "Europe/Berlin", seconds = 0',
+            "changes.*seconds: 0",
+        ),
+        ("to = 2026-12-05T02:00:00Z\n", "", "changes.*from: an absolute change"),
+        ('name = "drill"', 'name = "north-night"', "'north-night' requires itself"),
+        ('operations = ["book", "look"]', "operations = []", "scope.operations: empty"),
+        ('{place = "south", most = 100}', '{place = "s", most = 1}, {place = "s", most = 1}', "two rows"),
+    ],
+)
 def test_a_wrong_row_is_refused_by_field(old: str, new: str, told: str) -> None:
     assert old in GOOD
     with pytest.raises(Malformed, match=told):
@@ -91,7 +98,9 @@
     at_three = Recurring("FREQ=DAILY", datetime(2026, 1, 1, 3), "UTC", 600)
     daily = Planned(name="d", does=HALF, recurring=at_three)
     assert [start for start, _ in windows(daily, horizon(days=2))] == [
-        NOW + 3 * 3_600 * S, NOW + 27 * 3_600 * S]  # fmt: skip
+        NOW + 3 * 3_600 * S,
+        NOW + 27 * 3_600 * S,
+    ]
     # One that began before the horizon and goes on at a backend that is late is in it still.
     late = horizon(seconds=3 * 3_600 + 607)
     assert windows(daily, late)[0] == (NOW + 3 * 3_600 * S, NOW + 3 * 3_600 * S + 600 * S)
@@ -117,8 +126,12 @@
     settled = settle(marked, horizon(92))
     assert settled.settled == at(100) and windows(settled, horizon(150)) == []
     assert settle(one, horizon(92)) == one and settle(settled, horizon(120)) == settled
-    every = Planned(name="d", does=Drained("north"), withdrawn=DAWN,
-                    recurring=Recurring("FREQ=DAILY", datetime(2026, 1, 1, 3), "UTC", 600))  # fmt: skip
+    every = Planned(
+        name="d",
+        does=Drained("north"),
+        withdrawn=DAWN,
+        recurring=Recurring("FREQ=DAILY", datetime(2026, 1, 1, 3), "UTC", 600),
+    )
     assert not over(msgspec.structs.replace(every, withdrawn=None), horizon(days=0.01))
     assert over(every, horizon(3 * 3_600 - 8)) and not over(every, horizon(3 * 3_600))
     kept = settle(every, horizon(3 * 3_600))  # today's window may have begun, tomorrow's can't
--- a/tests/schedule/test_planners.py
+++ b/tests/schedule/test_planners.py
@@ -147,9 +147,20 @@
 
 
 pytestmark = pytest.mark.few
-CASES = [one_of_two, at_once, killed_after_proposing, killed_before_proposing, six_that_fit, two_of_five_fit,
-         stopped_with_its_proposal_led_on, answers_lost, asks_lost_and_a_cut_in_the_middle, keeper_restarted,
-         withdrawn_and_its_place_given_on, a_withdrawal_and_a_plan_on_it_at_once]  # fmt: skip
+CASES = [
+    one_of_two,
+    at_once,
+    killed_after_proposing,
+    killed_before_proposing,
+    six_that_fit,
+    two_of_five_fit,
+    stopped_with_its_proposal_led_on,
+    answers_lost,
+    asks_lost_and_a_cut_in_the_middle,
+    keeper_restarted,
+    withdrawn_and_its_place_given_on,
+    a_withdrawal_and_a_plan_on_it_at_once,
+]
 
 
 def without_compare(stage: Stage) -> None:
--- a/tests/schedule/test_random.py
+++ b/tests/schedule/test_random.py
@@ -34,12 +34,22 @@
 
 SCOPES = st.builds(Scope, some(("x", "y")), some(("k", "l")), some(PLACES))
 SUMMED = (("p", "q"), ("r", "q"), ("p", "q")), (("p", "q"),)  # ways along which nothing but a sum is too much
-WAYS = (*SUMMED, *SUMMED, (("p", "q"), ("q", "r"), ("r", "p")),
-        tuple((a, b) for a in PLACES for b in PLACES if a != b))  # fmt: skip
+WAYS = (
+    *SUMMED,
+    *SUMMED,
+    (("p", "q"), ("q", "r"), ("r", "p")),
+    tuple((a, b) for a in PLACES for b in PLACES if a != b),
+)
 OTHERS: list[Does] = [*map(Drain, PLACES), Quota(5), Freeze()]
-MOVES = {ways: st.builds(lambda share, way, becomes: Move(share * WHOLE // 10, way[0], way[1], becomes),
-                         st.sampled_from((1, 3, 4, 6, 10)), st.sampled_from(ways),
-                         st.sampled_from((*[""] * 9, "y"))) for ways in WAYS}  # fmt: skip
+MOVES = {
+    ways: st.builds(
+        lambda share, way, becomes: Move(share * WHOLE // 10, way[0], way[1], becomes),
+        st.sampled_from((1, 3, 4, 6, 10)),
+        st.sampled_from(ways),
+        st.sampled_from((*[""] * 9, "y")),
+    )
+    for ways in WAYS
+}
 # Requirements are rare: broken ones hide the rest.
 AFTER = st.sampled_from((*[frozenset[str]()] * 60, *(frozenset(name) for name in NAMES)))
 LEFT = st.sampled_from(({}, {}, {"p": 2}, {"q": 4}))
@@ -47,7 +57,8 @@
 WORLDS = st.builds(
     World,
     st.sampled_from(("p", "q", "pq", "pqr", "pqr", "pqr")).map(
-        lambda x: {"x": frozenset(x), "y": frozenset(PLACES)}),
+        lambda x: {"x": frozenset(x), "y": frozenset(PLACES)}
+    ),
     st.dictionaries(st.sampled_from(PLACES), st.integers(3, 40), max_size=2),
     st.dictionaries(st.sampled_from(CELLS), st.integers(1, 9), max_size=5),
 )
@@ -61,16 +72,30 @@
         long = draw(st.integers(2, 12 - start)) if start < 10 else 2
         ramp_in = draw(st.integers(0, long - 1))
         does = draw(MOVES[ways] if draw(st.integers(0, 3)) else st.sampled_from(OTHERS))
-        told.append(Change(
-            name, draw(SCOPES), does, start, start + long, ramp_in,
-            draw(st.integers(0, long - ramp_in)),
-            draw(AFTER) - {name},
-            draw(LEFT)))
+        told.append(
+            Change(
+                name,
+                draw(SCOPES),
+                does,
+                start,
+                start + long,
+                ramp_in,
+                draw(st.integers(0, long - ramp_in)),
+                draw(AFTER) - {name},
+                draw(LEFT),
+            )
+        )
     return told
 
 
-@settings(max_examples=int(os.environ.get("SCHEDULE_EXAMPLES", "1200")), derandomize=True, deadline=None,
-          database=None, phases=(Phase.generate,), suppress_health_check=list(HealthCheck))
+@settings(
+    max_examples=int(os.environ.get("SCHEDULE_EXAMPLES", "1200")),
+    derandomize=True,
+    deadline=None,
+    database=None,
+    phases=(Phase.generate,),
+    suppress_health_check=list(HealthCheck),
+)
 @given(sets(), WORLDS, st.integers(0, 3))
 def test_the_validator_and_the_brute_force_agree(changes: list[Change], world: World, late: int) -> None:
     compare(validate(changes, world, late), changes, world, late)
--- a/tests/schedule/test_report.py
+++ b/tests/schedule/test_report.py
@@ -17,8 +17,13 @@
     from ringshift.findings.cause import Cause
     from ringshift.report.fleetcharts import by_change, schedule
 
-    whole = steps("night", (1.0, "PLANNED", "ARMED"), (2.0, "ARMED", "UNDER_WAY"),
-                  (3.0, "UNDER_WAY", "HOLDING"), (9.0, "HOLDING", "DONE"))  # fmt: skip
+    whole = steps(
+        "night",
+        (1.0, "PLANNED", "ARMED"),
+        (2.0, "ARMED", "UNDER_WAY"),
+        (3.0, "UNDER_WAY", "HOLDING"),
+        (9.0, "HOLDING", "DONE"),
+    )
     late = steps("night", (5.0, "ARMED", "UNDER_WAY"))  # still so at its run's end
     missed = steps("night", (9.0, "PLANNED", "MISSED"))
     laid = course(digest("n1", *whole), digest("n2", *late), digest("n3", *missed))
--- a/tests/schedule/test_rules.py
+++ b/tests/schedule/test_rules.py
@@ -39,33 +39,39 @@
     return f"{found.rule.name} {found.first} {found.second} {found.instant}"
 
 
-@pytest.mark.parametrize(("other", "told"), [
-    (change("b", Move(1, "p", "r"), 5, 20), "TWO_WAYS a b 5"),
-    (change("b", Move(1, "q", "p"), 5, 20), "TWO_WAYS a b 5"),
-    (change("b", Move(1, "p", "r"), 10, 20), ""),  # touches
-    (change("b", Move(1, "p", "r"), 5, 20, scope=Scope(frozenset("y"))), ""),
-    (change("b", Move(1, "q", "r"), 5, 20), "CHAINED a b 5"),
-    (change("b", Move(1, "r", "p"), 5, 20), "CHAINED a b 5"),
-    (change("b", Move(1, "q", "r"), 10, 20), ""),
-    (change("b", Move(1, "q", "r"), 5, 20, scope=Scope(ALL, ALL, frozenset("q"))), "CHAINED a b 5"),
-    (change("b", Move(1, "q", "r"), 5, 20, scope=Scope(frozenset("y"))), ""),
-    (change("b", Move(1, "r", "q", "z"), 5, 20), ""),
-    (change("b", Move(1, "r", "p", "z"), 5, 20), ""),  # arrives as another operation, of which nothing moves
-    (change("b", Move(1, "r", "p", "x"), 5, 20, scope=Scope(frozenset("y"))), "CHAINED a b 5"),
-    (change("b", Move(1, "r", "s"), 5, 20), "UNSERVED b b 5"),
-    (change("b", Drain("q"), 3, 20), "INTO_DRAINED a b 3"),
-    (change("b", Drain("p"), 3, 20), ""),
-    (change("b", Freeze(), 9, 20), "FROZEN a b 9"),
-    (change("b", Freeze(), 9, 20, scope=Scope(ALL, ALL, frozenset("r"))), "FROZEN a b 9"),
-    (change("b", Quota(3), 0, 20), ""),
-    (change("b", HALF, 0, 20), ""),
-    (change("b", Move(600_000, "p", "q"), 2, 20, (10, 0)), "SHARES a b 11"),
-    (change("b", Quota(1), 9, 20, after=frozenset("a")), "ENDS_LATE a b 9"),
-    (change("b", Quota(1), 10, 20, after=frozenset("a")), ""),
-    (change("b", Quota(1), 10, 20, after=frozenset("z")), "ENDS_LATE b z 10"),
-    (change("b", Quota(1), 2, 20, left={"q": 70}), ""),
-    (change("b", Quota(1), 2, 20, left={"q": 71}), "CAPACITY a b 2"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("other", "told"),
+    [
+        (change("b", Move(1, "p", "r"), 5, 20), "TWO_WAYS a b 5"),
+        (change("b", Move(1, "q", "p"), 5, 20), "TWO_WAYS a b 5"),
+        (change("b", Move(1, "p", "r"), 10, 20), ""),  # touches
+        (change("b", Move(1, "p", "r"), 5, 20, scope=Scope(frozenset("y"))), ""),
+        (change("b", Move(1, "q", "r"), 5, 20), "CHAINED a b 5"),
+        (change("b", Move(1, "r", "p"), 5, 20), "CHAINED a b 5"),
+        (change("b", Move(1, "q", "r"), 10, 20), ""),
+        (change("b", Move(1, "q", "r"), 5, 20, scope=Scope(ALL, ALL, frozenset("q"))), "CHAINED a b 5"),
+        (change("b", Move(1, "q", "r"), 5, 20, scope=Scope(frozenset("y"))), ""),
+        (change("b", Move(1, "r", "q", "z"), 5, 20), ""),
+        (
+            change("b", Move(1, "r", "p", "z"), 5, 20),
+            "",
+        ),  # arrives as another operation, of which nothing moves
+        (change("b", Move(1, "r", "p", "x"), 5, 20, scope=Scope(frozenset("y"))), "CHAINED a b 5"),
+        (change("b", Move(1, "r", "s"), 5, 20), "UNSERVED b b 5"),
+        (change("b", Drain("q"), 3, 20), "INTO_DRAINED a b 3"),
+        (change("b", Drain("p"), 3, 20), ""),
+        (change("b", Freeze(), 9, 20), "FROZEN a b 9"),
+        (change("b", Freeze(), 9, 20, scope=Scope(ALL, ALL, frozenset("r"))), "FROZEN a b 9"),
+        (change("b", Quota(3), 0, 20), ""),
+        (change("b", HALF, 0, 20), ""),
+        (change("b", Move(600_000, "p", "q"), 2, 20, (10, 0)), "SHARES a b 11"),
+        (change("b", Quota(1), 9, 20, after=frozenset("a")), "ENDS_LATE a b 9"),
+        (change("b", Quota(1), 10, 20, after=frozenset("a")), ""),
+        (change("b", Quota(1), 10, 20, after=frozenset("z")), "ENDS_LATE b z 10"),
+        (change("b", Quota(1), 2, 20, left={"q": 70}), ""),
+        (change("b", Quota(1), 2, 20, left={"q": 71}), "CAPACITY a b 2"),
+    ],
+)
 def test_two_changes(other: Change, told: str) -> None:
     first = change("a", HALF, 0, 12 if "SHARES" in told else 10)
     assert verdict(first, other) == verdict(other, first) == told
@@ -93,8 +99,10 @@
     assert verdict(*ring) == "CHAINED a b 5"  # it began to be one there, and the ring would close later
     at_once = [change(name, Move(WHOLE, *way), 4, 20) for name, *way in ways]
     assert verdict(*at_once) == "RING a b 4"
-    back = [change(name, Move(WHOLE, a, b), 4, 20, scope=Scope(ALL, ALL, frozenset(a)))
-            for name, a, b in (("a", "p", "q"), ("b", "q", "p"))]  # fmt: skip
+    back = [
+        change(name, Move(WHOLE, a, b), 4, 20, scope=Scope(ALL, ALL, frozenset(a)))
+        for name, a, b in (("a", "p", "q"), ("b", "q", "p"))
+    ]
     assert verdict(*back) == "RING a b 4"  # each where the other's callers don't arrive
 
 
@@ -107,34 +115,77 @@
     calm = World({"y": frozenset("q"), "z": frozenset("qr")})
     assert verdict(change("a", Move(1, "p", "r"), 3, 9, scope=Scope()), world=calm) == ""  # p has no y
     assert verdict(change("a", Move(1, "p", "r", "z"), 3, 9), world=world) == ""
-    assert verdict(change("a", Move(1, "p", "r", "y"), 3, 9, scope=Scope(frozenset("z"))),
-                   world=world) == "UNSERVED a a 3"  # fmt: skip
+    assert (
+        verdict(change("a", Move(1, "p", "r", "y"), 3, 9, scope=Scope(frozenset("z"))), world=world)
+        == "UNSERVED a a 3"
+    )
 
 
 K = Scope(ALL, frozenset("k"))
 THIRD = Move(WHOLE // 3 + 1, "p", "q")
 
 
-@pytest.mark.parametrize(("changes", "told", "part"), [
-    # Two thirds hold for all but k: only there they are too much, with the half.
-    ([change("a", HALF, 0, 9, scope=K), change("b", THIRD, 0, 9, scope=Scope()),
-      change("d", THIRD, 0, 9, scope=Scope())], "SHARES a b 0", K),
-    ([change("a", THIRD, 0, 9, scope=Scope()), change("b", THIRD, 0, 9, scope=Scope()),
-      change("d", HALF, 0, 9, scope=K)], "SHARES a b 0", K),
-    # The last begun is not needed for it.
-    ([change("a", Move(900_000, "p", "q"), 0, 9), change("b", Move(900_000, "p", "q"), 3, 9, scope=K),
-      change("d", Move(1, "p", "q"), 3, 9)], "SHARES a b 3", Scope(frozenset("x"), frozenset("k"))),
-    ([change("a", Drain("p"), 0, 9, scope=Scope()), change("b", Drain("q"), 0, 9, scope=K),
-      change("d", Drain("r"), 2, 9)], "LAST_PLACE a d 2", Scope(frozenset("x"), frozenset("k"))),
-    ([change("a", HALF, 0, 9, left={"q": 90}), change("b", Quota(1), 1, 9, left={"q": 1})], "CAPACITY a a 0",
-     Scope(ALL, ALL, frozenset("q"))),
-    ([change("a", HALF, 0, 9, scope=Scope()), change("b", Move(1, "q", "r"), 0, 9, scope=K)], "CHAINED a b 0",
-     K),
-    ([change("a", HALF, 0, 9, scope=Scope()), change("b", Move(1, "r", "s"), 0, 9, scope=Scope())],
-     "UNSERVED b b 0", X),
-])  # fmt: skip
-def test_the_two_named_and_the_part_are_those_that_break_it(changes: list[Change], told: str,
-                                                            part: Scope) -> None:  # fmt: skip
+@pytest.mark.parametrize(
+    ("changes", "told", "part"),
+    [
+        # Two thirds hold for all but k: only there they are too much, with the half.
+        (
+            [
+                change("a", HALF, 0, 9, scope=K),
+                change("b", THIRD, 0, 9, scope=Scope()),
+                change("d", THIRD, 0, 9, scope=Scope()),
+            ],
+            "SHARES a b 0",
+            K,
+        ),
+        (
+            [
+                change("a", THIRD, 0, 9, scope=Scope()),
+                change("b", THIRD, 0, 9, scope=Scope()),
+                change("d", HALF, 0, 9, scope=K),
+            ],
+            "SHARES a b 0",
+            K,
+        ),
+        # The last begun is not needed for it.
+        (
+            [
+                change("a", Move(900_000, "p", "q"), 0, 9),
+                change("b", Move(900_000, "p", "q"), 3, 9, scope=K),
+                change("d", Move(1, "p", "q"), 3, 9),
+            ],
+            "SHARES a b 3",
+            Scope(frozenset("x"), frozenset("k")),
+        ),
+        (
+            [
+                change("a", Drain("p"), 0, 9, scope=Scope()),
+                change("b", Drain("q"), 0, 9, scope=K),
+                change("d", Drain("r"), 2, 9),
+            ],
+            "LAST_PLACE a d 2",
+            Scope(frozenset("x"), frozenset("k")),
+        ),
+        (
+            [change("a", HALF, 0, 9, left={"q": 90}), change("b", Quota(1), 1, 9, left={"q": 1})],
+            "CAPACITY a a 0",
+            Scope(ALL, ALL, frozenset("q")),
+        ),
+        (
+            [change("a", HALF, 0, 9, scope=Scope()), change("b", Move(1, "q", "r"), 0, 9, scope=K)],
+            "CHAINED a b 0",
+            K,
+        ),
+        (
+            [change("a", HALF, 0, 9, scope=Scope()), change("b", Move(1, "r", "s"), 0, 9, scope=Scope())],
+            "UNSERVED b b 0",
+            X,
+        ),
+    ],
+)
+def test_the_two_named_and_the_part_are_those_that_break_it(
+    changes: list[Change], told: str, part: Scope
+) -> None:
     assert verdict(*changes) == told and verdict(*reversed(changes)) == told
     found = validate(changes, WORLD, 0)
     assert isinstance(found, Broken) and found.part == part and f"; {part})" in str(found)
@@ -150,8 +201,10 @@
     one = change("a", Drain("p"), 0, 9)
     other = change("b", Drain("q"), 4, 9, scope=Scope(ALL, frozenset("k")))
     assert verdict(one, other, world=World({"x": frozenset("pq")})) == "LAST_PLACE a b 4"
-    apart = [change(name, Drain(place), 4, 9, scope=Scope(ALL, ALL, frozenset(place)))
-             for name, place in (("a", "p"), ("b", "q"))]  # fmt: skip
+    apart = [
+        change(name, Drain(place), 4, 9, scope=Scope(ALL, ALL, frozenset(place)))
+        for name, place in (("a", "p"), ("b", "q"))
+    ]
     assert verdict(*apart, world=World({"x": frozenset("pq")})) == "LAST_PLACE a b 4"  # each of its own
     assert verdict(one) == ""
     assert verdict(one, world=World({"x": frozenset("p")})) == "LAST_PLACE a a 0"
@@ -173,14 +226,23 @@
     peak = change("b", Move(WHOLE, "r", "q"), 40, 80, (20, 20))  # nothing of it at either edge of its window
     hold = change("a", Move(WHOLE, "p", "q"), 0, 100)
     assert verdict(hold, peak, world=World({}, {"q": 130}, {("x", "k", "p"): 100, ("x", "k", "r"): 60})) == (
-        "CAPACITY a b 51")
-
-
-@pytest.mark.parametrize(("field", "wrong"), [
-    ("end", {"end": 0}), ("end", {"end": 1}), ("ramp_in", {"ramp": (-1, 0)}), ("ramp_in", {"ramp": (10, 0)}),
-    ("ramp_out", {"ramp": (6, 5)}),
-    ("after", {"after": frozenset("a")}), ("left", {"left": {"p": 0}}), ("name", {"name": ""}),
-])  # fmt: skip
+        "CAPACITY a b 51"
+    )
+
+
+@pytest.mark.parametrize(
+    ("field", "wrong"),
+    [
+        ("end", {"end": 0}),
+        ("end", {"end": 1}),
+        ("ramp_in", {"ramp": (-1, 0)}),
+        ("ramp_in", {"ramp": (10, 0)}),
+        ("ramp_out", {"ramp": (6, 5)}),
+        ("after", {"after": frozenset("a")}),
+        ("left", {"left": {"p": 0}}),
+        ("name", {"name": ""}),
+    ],
+)
 def test_a_wrong_field_is_named(field: str, wrong: dict[str, Any]) -> None:
     with pytest.raises(ChangeError, match=f"^{field}:"):
         told: dict[str, Any] = {"name": "a", "does": HALF, "start": 0, "end": 10} | wrong
@@ -188,8 +250,10 @@
 
 
 def test_wrong_scopes_moves_and_names_twice() -> None:
-    for field, make in (("scope.places", lambda: Scope(places=frozenset())),
-                        ("does.share", lambda: Move(0, "p", "q")),
-                        ("name", lambda: validate([change("a", HALF, 0, 5)] * 2, WORLD, 0))):  # fmt: skip
+    for field, make in (
+        ("scope.places", lambda: Scope(places=frozenset())),
+        ("does.share", lambda: Move(0, "p", "q")),
+        ("name", lambda: validate([change("a", HALF, 0, 5)] * 2, WORLD, 0)),
+    ):
         with pytest.raises(ChangeError, match=f"^{field}:"):
             make()
--- a/tests/schedule/test_service.py
+++ b/tests/schedule/test_service.py
@@ -13,10 +13,17 @@
 
 def test_by_plan() -> None:
     service = Service(PLAN, lead=10)
-    seen = [(now, service.hear(now, True).name, service.in_force(now))
-            for now in (80, 95, 110, 130, 170, 200)]
-    assert seen == [(80, "PLANNED", 0), (95, "ARMED", 0), (110, "UNDER_WAY", 0), (130, "HOLDING", 1_000_000),
-                    (170, "ENDING", 750_000), (200, "DONE", 0)]  # fmt: skip
+    seen = [
+        (now, service.hear(now, True).name, service.in_force(now)) for now in (80, 95, 110, 130, 170, 200)
+    ]
+    assert seen == [
+        (80, "PLANNED", 0),
+        (95, "ARMED", 0),
+        (110, "UNDER_WAY", 0),
+        (130, "HOLDING", 1_000_000),
+        (170, "ENDING", 750_000),
+        (200, "DONE", 0),
+    ]
 
 
 def test_not_begun_late_without_a_fresh_word() -> None:
--- a/tests/schedule/test_timetable.py
+++ b/tests/schedule/test_timetable.py
@@ -1,5 +1,4 @@
-"""Many changes at one backend, and at three by agreement: what is in force, what is asked, what a look costs.
-"""
+"""Many changes at one backend, and at three by agreement: what is in force and asked, what a look costs."""
 
 from __future__ import annotations
 
@@ -49,11 +48,21 @@
 
 def test_by_plan_and_only_changes_are_told() -> None:
     one, books = table(), (book(RAMPED),)
-    seen = [(one.hear(later(s), True, books), sum(c.away for c in one.clauses()))
-            for s in (0, 50, 110, 130, 140, 150, 180, 200)]  # fmt: skip
+    seen = [
+        (one.hear(later(s), True, books), sum(c.away for c in one.clauses()))
+        for s in (0, 50, 110, 130, 140, 150, 180, 200)
+    ]
     # Begun at 110 s, when it was looked at: its ramp from there, so nothing jumps.
-    assert seen == [(False, 0), (False, 0), (False, 0), (True, 500_000), (False, 500_000), (False, 500_000),
-                    (True, 250_000), (True, 0)]  # fmt: skip
+    assert seen == [
+        (False, 0),
+        (False, 0),
+        (False, 0),
+        (True, 500_000),
+        (False, 500_000),
+        (False, 500_000),
+        (True, 250_000),
+        (True, 0),
+    ]
     assert one.picture().ended == {"DONE": 1} and not one.near
 
 
@@ -149,31 +158,46 @@
     assert one.next() is None
 
 
-@pytest.mark.parametrize(("does", "scope", "part", "told"), [
-    (Move(500_000, "north", "south"), Scope(), WHOLE, Clause(away=500_000)),
-    (Move(500_000, "north", "south"), Scope(), 250_000, Clause(away=125_000)),
-    (Move(500_000, "east", "north"), Scope(), WHOLE, None),  # it comes here: nothing is asked
-    (Drain("north"), Scope(frozenset({"look", "gone"})), WHOLE, Clause(frozenset({1}), away=WHOLE)),
-    (Drain("north"), Scope(frozenset({"gone"})), WHOLE, None),
-    (Drain("south"), Scope(), WHOLE, None),
-    (Drain("north"), Scope(places=frozenset({"south"})), WHOLE, None),  # its callers arrive elsewhere
-    (Quota(20), Scope(customers=frozenset({"hostel"})), WHOLE, Clause(None, frozenset({0}), rate=5.0)),
-    (Quota(20), Scope(places=frozenset({"north"})), 500_000, Clause(rate=10.0)),  # half of it: a looser one
-    (Quota(0), Scope(), WHOLE, Clause(rate=0.0)),
-    (Freeze(), Scope(), WHOLE, None),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("does", "scope", "part", "told"),
+    [
+        (Move(500_000, "north", "south"), Scope(), WHOLE, Clause(away=500_000)),
+        (Move(500_000, "north", "south"), Scope(), 250_000, Clause(away=125_000)),
+        (Move(500_000, "east", "north"), Scope(), WHOLE, None),  # it comes here: nothing is asked
+        (Drain("north"), Scope(frozenset({"look", "gone"})), WHOLE, Clause(frozenset({1}), away=WHOLE)),
+        (Drain("north"), Scope(frozenset({"gone"})), WHOLE, None),
+        (Drain("south"), Scope(), WHOLE, None),
+        (Drain("north"), Scope(places=frozenset({"south"})), WHOLE, None),  # its callers arrive elsewhere
+        (Quota(20), Scope(customers=frozenset({"hostel"})), WHOLE, Clause(None, frozenset({0}), rate=5.0)),
+        (
+            Quota(20),
+            Scope(places=frozenset({"north"})),
+            500_000,
+            Clause(rate=10.0),
+        ),  # half of it: a looser one
+        (Quota(0), Scope(), WHOLE, Clause(rate=0.0)),
+        (Freeze(), Scope(), WHOLE, None),
+    ],
+)
 def test_what_a_change_asks_of_a_backend_at_its_place(
-    does: Move | Drain | Quota | Freeze, scope: Scope, part: int, told: Clause | None) -> None:
+    does: Move | Drain | Quota | Freeze, scope: Scope, part: int, told: Clause | None
+) -> None:
     assert clause(Change("a", scope, does, 0, 10), part, HERE) == told
 
 
 def test_sums_of_one_scope_are_several_clauses_and_the_lower_quota_holds_by_being_one_of_two() -> None:
-    base = book(row("a", 100, 200), row("b", 100, 200, Moved(0.25, "north", "south")),
-                row("c", 100, 200, HeldDown(40)), row("d", 100, 200, HeldDown(20)))  # fmt: skip
+    base = book(
+        row("a", 100, 200),
+        row("b", 100, 200, Moved(0.25, "north", "south")),
+        row("c", 100, 200, HeldDown(40)),
+        row("d", 100, 200, HeldDown(20)),
+    )
     one = table()
     one.hear(later(100), True, (base,))
     assert sorted((c.away, c.rate) for c in one.clauses() if c.away) == [
-        (250_000, float("inf")), (500_000, float("inf"))]  # fmt: skip
+        (250_000, float("inf")),
+        (500_000, float("inf")),
+    ]
     assert sorted(c.rate for c in one.clauses() if not c.away) == [5.0, 10.0]
 
 
@@ -194,15 +218,19 @@
 
 
 ROWS = st.sampled_from([("a", 0), ("a", 1), ("b", 0), ("b", 1)])
-SETS = st.lists(st.lists(st.tuples(ROWS, st.booleans()), unique_by=lambda one: one[0][0], max_size=2),
-                min_size=1, max_size=3)  # fmt: skip
+SETS = st.lists(
+    st.lists(st.tuples(ROWS, st.booleans()), unique_by=lambda one: one[0][0], max_size=2),
+    min_size=1,
+    max_size=3,
+)
 CHANGES = {(name, n): Change(name, Scope(), Quota(n), 0, 10) for name in "ab" for n in (0, 1)}
 
 
 @settings(derandomize=True, deadline=None, database=None, max_examples=200)
 @given(SETS)
 def test_the_meet_begins_what_all_hold_and_walks_back_what_none_does(
-    told: list[list[tuple[tuple[str, int], bool]]]) -> None:
+    told: list[list[tuple[tuple[str, int], bool]]],
+) -> None:
     sets = [{key[0]: (CHANGES[key], gone) for key, gone in one} for one in told]
     found = standing(sets)
     for name in "ab":
@@ -265,11 +293,19 @@
     def drawn(self, now: int) -> Planned:
         self.number += 1
         start = now + PLAN.lead + self.chance.randrange(25 * S)
-        does: Any = self.chance.choice([Moved(0.6, *way) for way in (("p", "q"), ("q", "p"), ("p", "r"))]
-                                  + [Drained(one) for one in "pqr"] + [Frozen(), HeldDown(5)])  # fmt: skip
+        does: Any = self.chance.choice(
+            [Moved(0.6, *way) for way in (("p", "q"), ("q", "p"), ("p", "r"))]
+            + [Drained(one) for one in "pqr"]
+            + [Frozen(), HeldDown(5)]
+        )
         ramps: Any = {"ramp_in_ms": 2_000, "ramp_out_ms": 3_000} if self.chance.random() < 0.5 else {}
-        return Planned(name=f"n{self.number}", does=does, start=moment(start),
-                       end=moment(start + self.chance.randrange(6 * S, 40 * S)), **ramps)  # fmt: skip
+        return Planned(
+            name=f"n{self.number}",
+            does=does,
+            start=moment(start),
+            end=moment(start + self.chance.randrange(6 * S, 40 * S)),
+            **ramps,
+        )
 
     def step(self, faults: bool = True) -> None:
         if faults and self.chance.random() < 0.01:  # a process ends, another starts cold
@@ -346,8 +382,11 @@
 
 def any_holds(sets: Sequence[Set]) -> dict[str, tuple[Change, Standing]]:
     """What any version holds is begun, though it may never come in force."""
-    return {name: (change, Standing.BACK if gone else Standing.BEGINS)
-            for one in sets for name, (change, gone) in one.items()}  # fmt: skip
+    return {
+        name: (change, Standing.BACK if gone else Standing.BEGINS)
+        for one in sets
+        for name, (change, gone) in one.items()
+    }
 
 
 def begun_stale(self: Timetable, service: Service, fresh: bool, standing: Standing) -> bool:
@@ -387,8 +426,11 @@
     return in_force((cut, False, ()), (well, True, (other,)), 140)
 
 
-def in_force(a: tuple[Timetable, bool, tuple[Rulebook, ...]], b: tuple[Timetable, bool, tuple[Rulebook, ...]],
-             seconds: float) -> list[str]:  # fmt: skip
+def in_force(
+    a: tuple[Timetable, bool, tuple[Rulebook, ...]],
+    b: tuple[Timetable, bool, tuple[Rulebook, ...]],
+    seconds: float,
+) -> list[str]:
     live: list[tuple[str, Change, int]] = []
     for name, (one, fresh, books) in (("a", a), ("b", b)):
         one.hear(later(seconds), fresh, books)
@@ -410,7 +452,7 @@
     "Timetable.step": (begun_stale, withdrawn_before_it_began),
     "freed": (freed_at_once, drawn_runs(freed_at_once)),
     "late": (without_late, drawn_runs(without_late)),
-}  # fmt: skip
+}
 
 
 @pytest.mark.parametrize("place", PLANTED)
--- a/tests/test_alignment.py
+++ b/tests/test_alignment.py
@@ -48,8 +48,13 @@
 def test_tied_clocks_are_placed_whatever_they_show(seed: int, count: int) -> None:
     clocks = Clocks(seed, count)
     hub, *others = clocks.names
-    ties = [clocks.tie(hub, name, NOON + 60 * S + clocks.random.randrange(500 * S),
-                       clocks.random.randrange(20 * MS)) for name in others for _ in range(8)]  # fmt: skip
+    ties = [
+        clocks.tie(
+            hub, name, NOON + 60 * S + clocks.random.randrange(500 * S), clocks.random.randrange(20 * MS)
+        )
+        for name in others
+        for _ in range(8)
+    ]
     placed = align(clocks.runs, ties, reference=hub)
     # The reference's own drift is the scale that all are told on.
     assert clocks.worst(placed, clocks.names, hub) < 0.03 + 2e-4 * 660
@@ -96,10 +101,14 @@
     assert clocks.worst(placed, clocks.names, "n0/r") < 0.03
 
 
-@pytest.mark.parametrize("intervals,found", [
-    ([(0, 2), (1, 3), (1.5, 9), (20, 21)], (1.5, 2, 3)), ([(0, 1), (5, 6)], (0, 1, 1)),
-    ([(0, 9), (3, 4)], (3, 4, 2)),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "intervals,found",
+    [
+        ([(0, 2), (1, 3), (1.5, 9), (20, 21)], (1.5, 2, 3)),
+        ([(0, 1), (5, 6)], (0, 1, 1)),
+        ([(0, 9), (3, 4)], (3, 4, 2)),
+    ],
+)
 def test_the_interval_that_most_share(
     intervals: list[tuple[float, float]], found: tuple[float, float, int]
 ) -> None:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -30,8 +30,11 @@
 
 
 def test_one_reply_a_batch_and_a_second_life(monkeypatch: pytest.MonkeyPatch) -> None:
-    batches = [{"moment": 1.0, "input": []}, {"moment": 2.0, "input": [CREATE, NEW]},
-               {"moment": 3.0, "input": [{"Stop": {"who": 3}}, CREATE, NEW]}]  # fmt: skip
+    batches = [
+        {"moment": 1.0, "input": []},
+        {"moment": 2.0, "input": [CREATE, NEW]},
+        {"moment": 3.0, "input": [{"Stop": {"who": 3}}, CREATE, NEW]},
+    ]
     code, replies = play(monkeypatch, *batches)
     assert code == 0 and len(replies) == 3 and replies[0] == []
     assert {"Process": {"who": 3, "job": "x"}} in replies[1] and {
@@ -40,15 +43,22 @@
     assert {"Sleep": {"who": 3, "name": 0, "sleep_for": 50.0}} in replies[1]
 
 
-@pytest.mark.parametrize("batch, named", [
-    (b"{\n", "batch: not JSON"),
-    ({"moment": 1.0, "input": [{"Odd": {"who": 1}}]}, "Odd: unknown message"),
-    ({"moment": 1.0, "input": [CREATE, {"NewRequest": {"who": 3}}]}, "NewRequest: priority: missing"),
-    ({"moment": 1.0, "input": [CREATE, {"WindDown": {"who": 3, "left": "x"}}]},
-     "WindDown: left: expected a number"),
-    ({"moment": 1.0, "input": [{"Create": {"who": 3, "seed": 1, "env": {**ENV, "classes": []}}}]},
-     "operations"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "batch, named",
+    [
+        (b"{\n", "batch: not JSON"),
+        ({"moment": 1.0, "input": [{"Odd": {"who": 1}}]}, "Odd: unknown message"),
+        ({"moment": 1.0, "input": [CREATE, {"NewRequest": {"who": 3}}]}, "NewRequest: priority: missing"),
+        (
+            {"moment": 1.0, "input": [CREATE, {"WindDown": {"who": 3, "left": "x"}}]},
+            "WindDown: left: expected a number",
+        ),
+        (
+            {"moment": 1.0, "input": [{"Create": {"who": 3, "seed": 1, "env": {**ENV, "classes": []}}}]},
+            "operations",
+        ),
+    ],
+)
 def test_malformed_input_ends_it_with_a_plain_message(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str], batch: Any, named: str
 ) -> None:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -34,8 +34,9 @@
 
 def wanting(faults: list[Fault], holders: int = 4, **more: object) -> BudgetScript:
     """Members that all want everything, of a whole that none of them can have; the first divides it."""
-    script = BudgetScript(3, holders=holders, seconds=14.0, faults=faults, demand=[1000], ledger=True,
-                          first_holds=True)  # fmt: skip
+    script = BudgetScript(
+        3, holders=holders, seconds=14.0, faults=faults, demand=[1000], ledger=True, first_holds=True
+    )
     for name, value in more.items():
         setattr(script, name, value)
     return script
@@ -64,8 +65,9 @@
 
 @pytest.mark.parametrize("name", HARD)
 def test_a_hard_case_never_exceeds_the_whole_and_the_whole_is_used(
-    name: str, hard_cases: dict[str, tuple[Verdict, Path]],
-) -> None:  # fmt: skip
+    name: str,
+    hard_cases: dict[str, tuple[Verdict, Path]],
+) -> None:
     verdict, folder = hard_cases[name]
     assert verdict.right, (verdict.wrong, folder)
     assert verdict.most >= max(1, HARD[name].whole * 2 // 3), verdict
@@ -115,11 +117,15 @@
     script, verdict = wanting([], whole=8), Verdict()
     often = [word(at / 2, 4) for at in range(20, 40)]
     histories = {
-        "h0.1": [*often, word(20.7, 8), word(21.0, 8)], "h1.1": [*often, word(20.1, 4, ev="left")],
-        "h2.1": [word(12.0, 0), word(12.6, 2), word(13.0, 0)], "h3.1": [word(12.0, 0), word(12.5, 0)],
-    }  # fmt: skip
-    faults = [{"t": int(at * S), "kind": kind, "target": target}
-              for at, kind, target in ((13.2, "kill", 2), (20.0, "leave", 1), (20.9, "kill", 0))]  # fmt: skip
+        "h0.1": [*often, word(20.7, 8), word(21.0, 8)],
+        "h1.1": [*often, word(20.1, 4, ev="left")],
+        "h2.1": [word(12.0, 0), word(12.6, 2), word(13.0, 0)],
+        "h3.1": [word(12.0, 0), word(12.5, 0)],
+    }
+    faults = [
+        {"t": int(at * S), "kind": kind, "target": target}
+        for at, kind, target in ((13.2, "kill", 2), (20.0, "leave", 1), (20.9, "kill", 0))
+    ]
     moves([{"t": int(9.9 * S)}], histories, script, faults, verdict)
     assert [round(took / S, 1) for took in verdict.joins] == [0.6] and verdict.never == {"joins": 1}
     assert [round(took / S, 1) for took in verdict.leaves] == [0.7] and verdict.kills == []
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -29,8 +29,10 @@
 STEP, SPAN, RAMP = 25 * MS, 1500 * MS, 17_000 * MS  # of the play; overload_for and ramp_time
 WORK = 300 * MS  # the mean of the board's operations on one warm core
 # Reports go out for a change alone, so that each that comes was sent at once.
-ON_CHANGE = ("import sys, ringshift.wire.announce as a; from ringshift.lifecycle.entry import run; "
-             "a.EVERY = 3600.0; sys.exit(run())")  # fmt: skip
+ON_CHANGE = (
+    "import sys, ringshift.wire.announce as a; from ringshift.lifecycle.entry import run; "
+    "a.EVERY = 3600.0; sys.exit(run())"
+)
 
 
 def own(job: str, kind: str, body: bytes) -> tuple[float, str, bytes]:
@@ -118,10 +120,22 @@
 @cache
 def flood(disk: int, callers: int = 5) -> Flood:
     """The fuel board's machine: its slowest start, its longest warm-up, credits as the free value."""
-    ops = [operation("tank-lookup", objective=3100), operation("slot-update", late=0.2, objective=1900),
-           operation("order-book", face.Effect.NON_IDEMPOTENT, value=3.0, objective=2500)]  # fmt: skip
-    m = machine(*ops, cores=6, cold=True, cold_speed=0.2, ramp=RAMP, fall_multiple=8.0, callers=callers,
-                memory_kb=200_000.0, advert=face.Advert.CREDIT)  # fmt: skip
+    ops = [
+        operation("tank-lookup", objective=3100),
+        operation("slot-update", late=0.2, objective=1900),
+        operation("order-book", face.Effect.NON_IDEMPOTENT, value=3.0, objective=2500),
+    ]
+    m = machine(
+        *ops,
+        cores=6,
+        cold=True,
+        cold_speed=0.2,
+        ramp=RAMP,
+        fall_multiple=8.0,
+        callers=callers,
+        memory_kb=200_000.0,
+        advert=face.Advert.CREDIT,
+    )
     return Flood(m, disk * MS).play()
 
 
@@ -165,9 +179,14 @@
 
         def burst(*requests: int) -> None:
             for number, caller in enumerate(callers):
-                caller.send(b"".join(caller.call(request, ("look", "order")[request % 2],
-                                                 HTTP_X_JOB_ID=job(number, request))
-                                     for request in requests))  # fmt: skip
+                caller.send(
+                    b"".join(
+                        caller.call(
+                            request, ("look", "order")[request % 2], HTTP_X_JOB_ID=job(number, request)
+                        )
+                        for request in requests
+                    )
+                )
 
         burst(1, 2, 3)
         agent.until(lambda: len(agent.launches) >= 4)
@@ -182,7 +201,9 @@
             for request in range(1, 8):
                 end, id = caller.answer(request), job(number, request)
                 assert (end.status, end.body, agent.launched(id)) in (
-                    (200, id.encode(), [b"body"]), (429, b"", []))  # fmt: skip
+                    (200, id.encode(), [b"body"]),
+                    (429, b"", []),
+                )
         assert room.ended() == 0
         for caller in callers:  # open on this side till the end: the address must be had all the same
             caller.until_end()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -26,9 +26,17 @@
 
 
 def incident(servers: int = 5, seconds: float = 60.0) -> Script:
-    return Script(3, servers=servers, seconds=seconds, troubles=[
-        Trouble("hung", "n2", 20.4, 30.0), Trouble("shed", "n2", 21.0, 31.0), Trouble("vanish", "n3", 40.0),
-        Trouble("drain", "n4", 44.0)]).skewed()  # fmt: skip
+    return Script(
+        3,
+        servers=servers,
+        seconds=seconds,
+        troubles=[
+            Trouble("hung", "n2", 20.4, 30.0),
+            Trouble("shed", "n2", 21.0, 31.0),
+            Trouble("vanish", "n3", 40.0),
+            Trouble("drain", "n4", 44.0),
+        ],
+    ).skewed()
 
 
 def board(script: Script | None = None) -> StoreBoard:
@@ -109,8 +117,10 @@
 
 def test_a_board_tells_each_moment() -> None:
     told = board()
-    at = {name: NOON + round(second * S) for name, second in
-          {"calm": 15, "hung": 25, "gone": 45, "drain": 44.6, "end": 58}.items()}  # fmt: skip
+    at = {
+        name: NOON + round(second * S)
+        for name, second in {"calm": 15, "hung": 25, "gone": 45, "drain": 44.6, "end": 58}.items()
+    }
     rows = {name: {row.server: row for row in told.rows(moment)} for name, moment in at.items()}
     assert rows["calm"]["n2"].trouble == "" and rows["calm"]["n2"].succeeded > 20
     assert rows["hung"]["n2"].trouble in ("agent hung", "shedding") and rows["hung"]["n2"].throttled > 0
--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -97,9 +97,14 @@
     """What one has not read whole must outlive what the other reads into the same place."""
     buffer = fastcgi.new_buffer()
     shared = [Decoder(buffer), Decoder(buffer)]
-    calls = [begin(1) + padded(fastcgi.PARAMS, 1, fastcgi.write_pairs({"a": mark * 300}), 9)
-             + padded(fastcgi.PARAMS, 1, b"", 0) + padded(fastcgi.STDIN, 1, mark.encode() * 900, 5)
-             + padded(fastcgi.STDIN, 1, b"", 0) for mark in "xy"]  # fmt: skip
+    calls = [
+        begin(1)
+        + padded(fastcgi.PARAMS, 1, fastcgi.write_pairs({"a": mark * 300}), 9)
+        + padded(fastcgi.PARAMS, 1, b"", 0)
+        + padded(fastcgi.STDIN, 1, mark.encode() * 900, 5)
+        + padded(fastcgi.STDIN, 1, b"", 0)
+        for mark in "xy"
+    ]
     left, said = list(calls), list[list[object]]([[], []])
     for which, size in [*pieces, (0, 9999), (1, 9999)]:
         data, left[which] = left[which][:size], left[which][size:]
@@ -138,8 +143,10 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=100)
-@given(st.lists(st.binary(max_size=50).map(lambda line: line.replace(b"\n", b"")), max_size=20),
-       st.lists(st.integers(1, 90), max_size=20))  # fmt: skip
+@given(
+    st.lists(st.binary(max_size=50).map(lambda line: line.replace(b"\n", b"")), max_size=20),
+    st.lists(st.integers(1, 90), max_size=20),
+)
 def test_any_split_of_lines_reads_as_the_same_lines(wanted: list[bytes], sizes: list[int]) -> None:
     lines, data, said = Lines(), b"".join(line + b"\n" for line in wanted), []
     for size in [*sizes, len(data)]:
@@ -159,11 +166,15 @@
 CALLS = st.lists(
     st.tuples(
         st.dictionaries(st.sampled_from(["A", "HTTP_X_JOB_ID", "L" * 130]), st.text("ab\xff", max_size=200)),
-        st.binary(max_size=2048), st.booleans(), st.lists(st.integers(0, 2048), max_size=3),
-        st.integers(0, 255), st.sampled_from(["whole", "aborted", "other role"]),
+        st.binary(max_size=2048),
+        st.booleans(),
+        st.lists(st.integers(0, 2048), max_size=3),
+        st.integers(0, 255),
+        st.sampled_from(["whole", "aborted", "other role"]),
     ),
-    min_size=1, max_size=6,
-)  # fmt: skip
+    min_size=1,
+    max_size=6,
+)
 
 
 def stream(kind: int, request: int, data: bytes, cuts: list[int], padding: int) -> list[bytes]:
@@ -208,9 +219,17 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=200)
-@given(st.lists(st.one_of(st.binary(max_size=300),
-                          st.builds(padded, st.integers(0, 12), st.integers(0, 3), st.binary(max_size=40),
-                                    st.integers(0, 9))), max_size=12))  # fmt: skip
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(max_size=300),
+            st.builds(
+                padded, st.integers(0, 12), st.integers(0, 3), st.binary(max_size=40), st.integers(0, 9)
+            ),
+        ),
+        max_size=12,
+    )
+)
 def test_random_bytes_raise_nothing_but_not_fastcgi(pieces: list[bytes]) -> None:
     decoder = Decoder()
     try:
--- a/tests/test_findings.py
+++ b/tests/test_findings.py
@@ -20,9 +20,16 @@
 from standins.skew import Skew
 
 TOLD = {
-    "vanish": What.VANISHED, "drain": What.DRAINED, "slow": What.SLOW, "hung": What.HUNG, "jump": What.JUMP,
-    "storm": What.STORM, "shed": What.SHEDDING, "pause": What.PAUSED, "gap": What.GAP,
-}  # fmt: skip
+    "vanish": What.VANISHED,
+    "drain": What.DRAINED,
+    "slow": What.SLOW,
+    "hung": What.HUNG,
+    "jump": What.JUMP,
+    "storm": What.STORM,
+    "shed": What.SHEDDING,
+    "pause": What.PAUSED,
+    "gap": What.GAP,
+}
 BESIDE = (What.CLOCK, What.UNTIED)
 
 
@@ -93,16 +100,22 @@
     _, verdict, _ = told(script)
     kinds = [one.what for one in only(verdict)]
     assert kinds == [What.SLOW, What.STEP, What.HUNG]
-    assert all(off(one, trouble) < 1 for one, trouble in zip(
-        [only(verdict)[0], only(verdict)[2]], script.troubles, strict=True))  # fmt: skip
+    assert all(
+        off(one, trouble) < 1
+        for one, trouble in zip([only(verdict)[0], only(verdict)[2]], script.troubles, strict=True)
+    )
     clocks = {one.servers[0]: one.figures["ahead_s"] for one in verdict.findings if one.what is What.CLOCK}
     assert clocks["n1"] == pytest.approx(4, abs=0.2) and clocks["n2"] == pytest.approx(-5, abs=0.2)
     assert CLOCK_OFF <= 2 * S
 
 
 def test_without_ties_the_report_says_so_and_puts_none_in_order() -> None:
-    script = Script(5, callers=0, observer=False, troubles=[
-        Trouble("shed", "n1", 20.0, 30.0), Trouble("hung", "n2", 19.0, 30.0)]).skewed()  # fmt: skip
+    script = Script(
+        5,
+        callers=0,
+        observer=False,
+        troubles=[Trouble("shed", "n1", 20.0, 30.0), Trouble("hung", "n2", 19.0, 30.0)],
+    ).skewed()
     course, verdict, cause = told(script)
     untied = [one for one in verdict.findings if one.what is What.UNTIED]
     assert {name for one in untied for name in one.servers} == set(script.names())
@@ -114,8 +127,7 @@
 
 def test_one_that_vanished_is_told_from_one_whose_records_stop() -> None:
     script = Script(6, troubles=[Trouble("vanish", "n1", 30.0)])
-    records = [one for one in script.everything()
-               if not (one.server == "n2" and one.at > NOON + 30 * S)]  # fmt: skip
+    records = [one for one in script.everything() if not (one.server == "n2" and one.at > NOON + 30 * S)]
     last = max((one for one in records if one.server == "announce"), key=lambda one: one.seq)
     late = replace(last, seq=last.seq + 1, body=Saw("n2", "announced", "false"))
     found = {one.servers[0]: one.what for one in only(of_records([*records, late])[1])}
@@ -141,9 +153,16 @@
 
 
 def test_two_incidents_that_overlap_keep_their_own_parts() -> None:
-    script = Script(10, seconds=90, troubles=[
-        Trouble("hung", "n1", 20.0, 45.0), Trouble("shed", "n1", 21.0, 46.0),
-        Trouble("slow", "n3", 40.0, 60.0), Trouble("shed", "n3", 42.0, 61.0)]).skewed()  # fmt: skip
+    script = Script(
+        10,
+        seconds=90,
+        troubles=[
+            Trouble("hung", "n1", 20.0, 45.0),
+            Trouble("shed", "n1", 21.0, 46.0),
+            Trouble("slow", "n3", 40.0, 60.0),
+            Trouble("shed", "n3", 42.0, 61.0),
+        ],
+    ).skewed()
     _, verdict, cause = told(script)
     sheds = [one for one in verdict.findings if one.what is What.SHEDDING]
     assert [one.servers for one in sheds] == [["n1"], ["n3"]]
@@ -153,13 +172,19 @@
 
 def test_load_that_moved_is_no_traffic_jump() -> None:
     """Two of four die; the others take twice as much, which is the same work."""
-    troubles = [Trouble("vanish", "n1", 25.0), Trouble("vanish", "n2", 25.1),
-                Trouble("jump", "n3", 25.4, 45.0), Trouble("jump", "n4", 25.4, 45.0)]  # fmt: skip
+    troubles = [
+        Trouble("vanish", "n1", 25.0),
+        Trouble("vanish", "n2", 25.1),
+        Trouble("jump", "n3", 25.4, 45.0),
+        Trouble("jump", "n4", 25.4, 45.0),
+    ]
     _, verdict, cause = told(Script(11, troubles=troubles).skewed())
     # A rise by one and a half is more than the dead took: that is a jump as well.
     assert What.JUMP in {one.what for one in verdict.findings}
-    half = [replace(one, body=lighter(one.body)) if one.server in ("n3", "n4") else one
-            for one in Script(11, troubles=troubles).skewed().everything()]  # fmt: skip
+    half = [
+        replace(one, body=lighter(one.body)) if one.server in ("n3", "n4") else one
+        for one in Script(11, troubles=troubles).skewed().everything()
+    ]
     _, verdict, cause = of_records(half)
     assert What.JUMP not in {one.what for one in verdict.findings} and verdict.moved
     assert any("traffic did not rise" in line for line in cause.absent)
@@ -189,17 +214,29 @@
 def test_no_records_break_the_telling(data: st.DataObject) -> None:
     """Any subset, any order of clocks, any wild figures: something is told and nothing fails."""
     script = Script(data.draw(st.integers(0, 99)), servers=3, seconds=20).skewed()
-    script.troubles = data.draw(st.lists(st.builds(
-        Trouble, st.sampled_from([*TOLD, "cold"]), st.sampled_from(["n1", "n2", "*"]), st.floats(0, 19),
-        st.one_of(st.none(), st.floats(0, 25))), max_size=4))  # fmt: skip
+    script.troubles = data.draw(
+        st.lists(
+            st.builds(
+                Trouble,
+                st.sampled_from([*TOLD, "cold"]),
+                st.sampled_from(["n1", "n2", "*"]),
+                st.floats(0, 19),
+                st.one_of(st.none(), st.floats(0, 25)),
+            ),
+            max_size=4,
+        )
+    )
     random = Random(data.draw(st.integers(0, 10**6)))
     records = []
     for one in script.everything():
         if random.random() < 0.1:
             continue
         if random.random() < 0.03:
-            one = replace(one, at=random.choice([0, 10**9, 2**62, one.at - 10**12]),
-                          up=random.choice([0, one.up, 2**61]))  # fmt: skip
+            one = replace(
+                one,
+                at=random.choice([0, 10**9, 2**62, one.at - 10**12]),
+                up=random.choice([0, one.up, 2**61]),
+            )
         if random.random() < 0.02:
             wild = Counts("<b>&\0", 10**12, -5, 3, 2, 1, 0, 4, float(random.choice([-1, 1e300])))
             one = replace(one, body=Second(random.choice([-1.0, 0.0, 1e12]), (wild,) * 3, lag_ms=-4.0))
@@ -229,8 +266,15 @@
 def test_a_drain_that_ended_badly_is_told_as_such() -> None:
     records = list(Script(13, servers=2).records("n1"))[:30]
     last = records[-1]
-    more = [replace(last, seq=last.seq + 1, up=last.up + S // 2, at=last.at + S // 2,
-                    body=Phase("serving", "leaving", "told"))]  # fmt: skip
+    more = [
+        replace(
+            last,
+            seq=last.seq + 1,
+            up=last.up + S // 2,
+            at=last.at + S // 2,
+            body=Phase("serving", "leaving", "told"),
+        )
+    ]
     others = list(Script(13, servers=2).records("n2"))
     assert What.DRAIN_CUT in {
         one.what for one in only(of_records([*records, *more, *others], clocks_within=S)[1])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -32,9 +32,13 @@
     assert max(verdict.holders_seen for verdict in verdicts.values()) > 1
 
 
-BUGS = {"no_fence": "stale token", "answer_deadline": "deadline too late",
-        "no_drift": "deadline too late", "act_doubtful": "past deadline",
-        "restart_expires": "overlap"}  # fmt: skip
+BUGS = {
+    "no_fence": "stale token",
+    "answer_deadline": "deadline too late",
+    "no_drift": "deadline too late",
+    "act_doubtful": "past deadline",
+    "restart_expires": "overlap",
+}
 
 
 def test_each_planted_bug_is_named_and_the_same_script_without_it_is_right(tmp_path: Path) -> None:
@@ -62,14 +66,16 @@
     "keeper restarted while held": hard(faults=[Fault(1500, "keeper_kill", -1, 300)]),
     "cut one way, up": hard(faults=[Fault(1500, "blackhole_up", -2, 5000)]),
     "cut one way, down": hard(seconds=11.0, faults=[Fault(1500, "blackhole_down", -2, 9000)]),
-    "two of one name": hard(one_name=True, faults=[Fault(1500, "kill", 0, 9000),
-                                                   Fault(1500, "kill", 1, 9000)]),
-    "one clock fast, one stepped back": hard(skew_ppm=[10_000, 0, 0], step_back_ms=[0, 250, 250],
-                                             faults=[Fault(3000, "stop", -2, 4000)]),
+    "two of one name": hard(
+        one_name=True, faults=[Fault(1500, "kill", 0, 9000), Fault(1500, "kill", 1, 9000)]
+    ),
+    "one clock fast, one stepped back": hard(
+        skew_ppm=[10_000, 0, 0], step_back_ms=[0, 250, 250], faults=[Fault(3000, "stop", -2, 4000)]
+    ),
     "killed between acceptance and record": hard(die=[0, 20]),
     "every process killed at once": hard(faults=[Fault(1500, "kill_all", 0, 300)]),
     "the keeper's disk at its last byte": hard(keeper_bytes=430, faults=[Fault(3000, "kill", -2, 300)]),
-}  # fmt: skip
+}
 
 
 @pytest.fixture(scope="module")
@@ -83,8 +89,9 @@
 
 @pytest.mark.parametrize("name", HARD)
 def test_a_hard_case_keeps_the_promise_and_the_task_goes_on(
-    name: str, hard_cases: dict[str, tuple[Verdict, Path]],
-) -> None:  # fmt: skip
+    name: str,
+    hard_cases: dict[str, tuple[Verdict, Path]],
+) -> None:
     verdict, folder = hard_cases[name]
     assert verdict.right, (verdict.wrong, folder)
     assert verdict.accepted > 20, verdict
--- a/tests/test_fleet_findings.py
+++ b/tests/test_fleet_findings.py
@@ -71,8 +71,11 @@
     def fallen(server: str, at: float, *more: tuple[float, Body]) -> Digest:
         return digest(server, (2, share(1, 9, "LEDGER")), (at, share(9, 1, "LATE")), *more)
 
-    divider = digest("n0", (1, lease("HOLDING", "budget-database")),
-                     (18, lease("DOUBTFUL", "budget-database", "HOLDING", "LATE")))  # fmt: skip
+    divider = digest(
+        "n0",
+        (1, lease("HOLDING", "budget-database")),
+        (18, lease("DOUBTFUL", "budget-database", "HOLDING", "LATE")),
+    )
     found = tell(course(divider, fallen("n1", 20), fallen("n2", 20.8), fallen("n3", 21.5)))
     (told,) = [one for one in found.told if one.what is What.LOST_SHARES]
     assert told.servers == ("n1", "n2", "n3") and "24 in all; nobody divided it then" in told.text
@@ -82,8 +85,11 @@
     assert "these lost the keeper" in told.text
     # A divider that held all the while.
     held = digest("n0", (1, lease("HOLDING", "budget-database")))
-    (told,) = [one for one in tell(course(held, fallen("n1", 20), fallen("n2", 20))).told
-               if one.what is What.LOST_SHARES]  # fmt: skip
+    (told,) = [
+        one
+        for one in tell(course(held, fallen("n1", 20), fallen("n2", 20))).told
+        if one.what is What.LOST_SHARES
+    ]
     assert "n0 held the division all the while" in told.text
 
 
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -37,8 +37,9 @@
 
 @pytest.mark.parametrize("planted", PLANTED)
 def test_the_guard_refuses_and_names_each_planted_call(planted: str) -> None:
-    done = subprocess.run([sys.executable, "-c", PLANTED[planted]], env=guarded(), capture_output=True,
-                          timeout=60, cwd=ROOT)  # fmt: skip
+    done = subprocess.run(
+        [sys.executable, "-c", PLANTED[planted]], env=guarded(), capture_output=True, timeout=60, cwd=ROOT
+    )
     assert b"guard: refused" in done.stderr
     assert done.returncode != 0
 
@@ -111,16 +112,18 @@
 def test_the_trace_reader_tells_threads_from_processes_and_names_refused_sockets() -> None:
     from standins.guard.trace import read
 
-    seen = read([
-        '7 execve("/usr/bin/python", ["python"], 0x7ffd /* 9 vars */) = 0',
-        "7 clone3({flags=CLONE_VM|CLONE_FS|CLONE_FILES|CLONE_SIGHAND|CLONE_THREAD, ...}, 88) = 8",
-        "7 clone(child_stack=NULL, flags=CLONE_CHILD_CLEARTID|CLONE_CHILD_SETTID|SIGCHLD, ...) = 9",
-        "7 socket(AF_INET, SOCK_STREAM|SOCK_CLOEXEC, IPPROTO_IP) = 3",
-        "7 socket(AF_UNIX, SOCK_STREAM|SOCK_CLOEXEC|SOCK_NONBLOCK, 0) = 4",
-        '9 execve("/bin/true", ["true"], 0x7ffd /* 9 vars */) = 0',
-        '7 openat(AT_FDCWD, "/proc/7/status", O_RDONLY) = 5',
-        "8 <... futex resumed>) = 0",
-    ])  # fmt: skip
+    seen = read(
+        [
+            '7 execve("/usr/bin/python", ["python"], 0x7ffd /* 9 vars */) = 0',
+            "7 clone3({flags=CLONE_VM|CLONE_FS|CLONE_FILES|CLONE_SIGHAND|CLONE_THREAD, ...}, 88) = 8",
+            "7 clone(child_stack=NULL, flags=CLONE_CHILD_CLEARTID|CLONE_CHILD_SETTID|SIGCHLD, ...) = 9",
+            "7 socket(AF_INET, SOCK_STREAM|SOCK_CLOEXEC, IPPROTO_IP) = 3",
+            "7 socket(AF_UNIX, SOCK_STREAM|SOCK_CLOEXEC|SOCK_NONBLOCK, 0) = 4",
+            '9 execve("/bin/true", ["true"], 0x7ffd /* 9 vars */) = 0',
+            '7 openat(AT_FDCWD, "/proc/7/status", O_RDONLY) = 5',
+            "8 <... futex resumed>) = 0",
+        ]
+    )
     assert (seen.threads, seen.processes, seen.pids) == (1, 1, {7, 8, 9})
     assert seen.families == {"AF_INET SOCK_STREAM": 1, "AF_UNIX SOCK_STREAM": 1}
     assert [line.split()[1].split("(")[0] for line in seen.refused] == ["clone", "socket", "execve"]
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -27,8 +27,15 @@
         self.start()
 
     def start(self) -> None:
-        argv = [sys.executable, "-m", "standins.keeper", str(self.folder), "--listen", "127.0.0.1:0",
-                *self.extra]  # fmt: skip
+        argv = [
+            sys.executable,
+            "-m",
+            "standins.keeper",
+            str(self.folder),
+            "--listen",
+            "127.0.0.1:0",
+            *self.extra,
+        ]
         self.process = subprocess.Popen(argv, cwd=ROOT, stdout=subprocess.PIPE, text=True)
         assert self.process.stdout is not None
         line = self.process.stdout.readline()  # the member says where it listens once it does
@@ -59,11 +66,13 @@
 
 def create_if_absent(client: Etcd3Client, key: str, value: str, lease: int) -> tuple[bool, int]:
     """The lease's own transaction: put only if the key's create revision is 0; the token it holds at."""
-    answer = client.transaction({
-        "compare": [{"key": b64(key), "result": "EQUAL", "target": "CREATE", "create_revision": "0"}],
-        "success": [{"request_put": {"key": b64(key), "value": b64(value), "lease": str(lease)}}],
-        "failure": [{"request_range": {"key": b64(key)}}],
-    })  # fmt: skip
+    answer = client.transaction(
+        {
+            "compare": [{"key": b64(key), "result": "EQUAL", "target": "CREATE", "create_revision": "0"}],
+            "success": [{"request_put": {"key": b64(key), "value": b64(value), "lease": str(lease)}}],
+            "failure": [{"request_range": {"key": b64(key)}}],
+        }
+    )
     if answer["succeeded"]:
         return True, int(answer["header"]["revision"])
     return False, int(answer["responses"][0]["response_range"]["kvs"][0]["create_revision"])
@@ -104,7 +113,9 @@
     finally:
         cancel()
     assert [(e["type"], e["kv"].get("value")) for e in seen] == [
-        *(("PUT", str(n).encode()) for n in range(5)), ("DELETE", b"")]  # fmt: skip
+        *(("PUT", str(n).encode()) for n in range(5)),
+        ("DELETE", b""),
+    ]
     revisions = [int(e["kv"]["mod_revision"]) for e in seen]
     assert revisions == sorted(revisions) and len(set(revisions)) == 6
 
@@ -218,8 +229,11 @@
     settings.write_text(f'[leases]\nkeepers = ["{address}"]\nttl_s = 10\n')
     line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     try:
-        with Room(Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=line.replace(
-                ".venv/bin/python", sys.executable), environ={"RINGSHIFT_SETTINGS": str(settings)}) as room:
+        with Room(
+            Agent(lambda job, kind, body: (0.0, "good", b"made")),
+            shell=line.replace(".venv/bin/python", sys.executable),
+            environ={"RINGSHIFT_SETTINGS": str(settings)},
+        ) as room:
             sidecar = room.serving()
             for request in range(1, 6):
                 sidecar.send(sidecar.call(request, "look", b"%d" % request))
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -54,8 +54,16 @@
     def __init__(self, m: face.Machine | None = None) -> None:
         self.hands = Hands()
         m = m or machine(operation(), operation("order", Effect.NON_IDEMPOTENT))
-        self.owner = Owner(m, bounds(64 * MIB, 384), True, 1, self.hands, self.hands,  # type: ignore[arg-type]
-                           lambda good: None, lambda after: None)  # fmt: skip
+        self.owner = Owner(
+            m,
+            bounds(64 * MIB, 384),
+            True,
+            1,
+            self.hands,  # type: ignore[arg-type]
+            self.hands,
+            lambda good: None,
+            lambda after: None,
+        )
         self.owner.step([news.Greeted(False, 0)])
 
     def call(
@@ -359,8 +367,11 @@
     )
     gone: set[int] = set()
     for request in range(1, 40):
-        items: list[news.News] = [played.call(request, chance.randint(0, 1), chance.choice(["", "a"]),
-                                              chance.choice([20, 700, 3000]) * MS)]  # fmt: skip
+        items: list[news.News] = [
+            played.call(
+                request, chance.randint(0, 1), chance.choice(["", "a"]), chance.choice([20, 700, 3000]) * MS
+            )
+        ]
         other = chance.randint(1, request)
         ended = played.ended(other, chance.choice(["good", "bad", "cut", "gone", "odd"]))
         refusal = news.CommandRefused("launch", f"{other:016x}")
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -17,8 +17,10 @@
     for beat in range(int(seconds * 20)):
         world.now += BEAT
         gauges = [1.0, wanting, None]
-        said = world.controller.decide(world.now, [world.arrive(patience=1 * MS, unread=0, caller=beat % 800),
-                                                   face.TimerFired(0, gauges)])  # fmt: skip
+        said = world.controller.decide(
+            world.now,
+            [world.arrive(patience=1 * MS, unread=0, caller=beat % 800), face.TimerFired(0, gauges)],
+        )
         lives += [a.after for a in said if isinstance(a, face.CloseIdle)]
     return lives
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -297,8 +297,10 @@
 
 def test_without_descriptors_it_goes_on_with_those_it_has() -> None:
     """The process's own limit may lie under the told one: accepting fails, and must neither spin nor end."""
-    code = ("import resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)); "
-            "from ringshift.lifecycle.entry import run; sys.exit(run())")  # fmt: skip
+    code = (
+        "import resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)); "
+        "from ringshift.lifecycle.entry import run; sys.exit(run())"
+    )
     with Room(Agent(at_once), command=("-c", code)) as room:
         sidecars = []
         for request in range(1, 31):
@@ -401,12 +403,20 @@
 
 @pytest.mark.parametrize(
     ("named", "data", "other"),
-    [("not JSON", b'{"name":"n3","lis', {}), ("agent: missing", None, {"agent": None}),
-     ("expected an object", b"[]", {}), ("name: can't change", None, {"name": "n4"}),
-     ("listen: can't change", None, {"listen": "127.0.0.1:1"}),
-     ("announce: port", None, {"announce": "127.0.0.1:99999"}),
-     ("settings: cores must be", None,
-      {"settings": {**SETTINGS, "extra": {**SETTINGS["extra"], "n_cores": 0}}})])  # fmt: skip
+    [
+        ("not JSON", b'{"name":"n3","lis', {}),
+        ("agent: missing", None, {"agent": None}),
+        ("expected an object", b"[]", {}),
+        ("name: can't change", None, {"name": "n4"}),
+        ("listen: can't change", None, {"listen": "127.0.0.1:1"}),
+        ("announce: port", None, {"announce": "127.0.0.1:99999"}),
+        (
+            "settings: cores must be",
+            None,
+            {"settings": {**SETTINGS, "extra": {**SETTINGS["extra"], "n_cores": 0}}},
+        ),
+    ],
+)
 def test_a_wrong_new_configuration_changes_nothing(
     named: str, data: bytes | None, other: dict[str, Any]
 ) -> None:
@@ -420,11 +430,21 @@
 
 
 TOLD: dict[str, Any] = {
-    "name": "n", "listen": "127.0.0.1:1", "agent": "127.0.0.1:2", "announce": "127.0.0.1:3", "seed": "1f",
-    "stop_ms": 3.0, "limits": {"memory_mb": 64, "sockets": 384},
-    "settings": {**SETTINGS, "group_size": 3, "tick": 2.0, "tenants": [{"name": "a", "quota_per_s": 1.0}],
-                 "extra": {**SETTINGS["extra"], "calls_by_class": [False], "degraded_worth": [0.1]}},
-}  # fmt: skip
+    "name": "n",
+    "listen": "127.0.0.1:1",
+    "agent": "127.0.0.1:2",
+    "announce": "127.0.0.1:3",
+    "seed": "1f",
+    "stop_ms": 3.0,
+    "limits": {"memory_mb": 64, "sockets": 384},
+    "settings": {
+        **SETTINGS,
+        "group_size": 3,
+        "tick": 2.0,
+        "tenants": [{"name": "a", "quota_per_s": 1.0}],
+        "extra": {**SETTINGS["extra"], "calls_by_class": [False], "degraded_worth": [0.1]},
+    },
+}
 
 
 def places(told: Any, *above: Any) -> list[tuple[Any, ...]]:
@@ -451,10 +471,12 @@
 
 
 def test_a_sighup_in_the_first_moment_is_heeded_once_it_listens() -> None:
-    code = ("import os, signal, sys; from ringshift.lifecycle import entry as main; "
-            "read = main.read_backend; "
-            "main.read_backend = lambda: (read(), os.kill(os.getpid(), signal.SIGHUP))[0]; "
-            "sys.exit(main.run())")  # fmt: skip
+    code = (
+        "import os, signal, sys; from ringshift.lifecycle import entry as main; "
+        "read = main.read_backend; "
+        "main.read_backend = lambda: (read(), os.kill(os.getpid(), signal.SIGHUP))[0]; "
+        "sys.exit(main.run())"
+    )
     with Room(Agent(at_once), command=("-c", code)) as room:
         room.line("configuration read")
         sidecar = room.serving()
@@ -530,18 +552,34 @@
 # What can't be started.
 
 
-@pytest.mark.parametrize("named, wrong", [
-    ("agent: expected an IP address and a port", {"agent": "nowhere"}),
-    ("settings: missing", {"settings": None}),
-    ("settings: cores must be above 0", {"settings": {
-        **SETTINGS, "extra": {**SETTINGS["extra"], "n_cores": 0}}}),
-    ("effect: unknown value 'sometimes'", {"settings": {**SETTINGS, "classes": [
-        {"name": "a", "effect": "sometimes", "aim": 1.0, "hard_limit": 2.0, "window": 3.0}]}}),
-    ("below: unknown value 'cloud'", {"settings": {
-        **SETTINGS, "extra": {**SETTINGS["extra"], "below": "cloud"}}}),
-    ("seed: expected hexadecimal digits", {"seed": "what"}),
-    ("stop_ms: expected a number", {"stop_ms": "soon"}),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "named, wrong",
+    [
+        ("agent: expected an IP address and a port", {"agent": "nowhere"}),
+        ("settings: missing", {"settings": None}),
+        (
+            "settings: cores must be above 0",
+            {"settings": {**SETTINGS, "extra": {**SETTINGS["extra"], "n_cores": 0}}},
+        ),
+        (
+            "effect: unknown value 'sometimes'",
+            {
+                "settings": {
+                    **SETTINGS,
+                    "classes": [
+                        {"name": "a", "effect": "sometimes", "aim": 1.0, "hard_limit": 2.0, "window": 3.0}
+                    ],
+                }
+            },
+        ),
+        (
+            "below: unknown value 'cloud'",
+            {"settings": {**SETTINGS, "extra": {**SETTINGS["extra"], "below": "cloud"}}},
+        ),
+        ("seed: expected hexadecimal digits", {"seed": "what"}),
+        ("stop_ms: expected a number", {"stop_ms": "soon"}),
+    ],
+)
 def test_wrong_configuration_ends_it_with_one_plain_line(named: str, wrong: dict[str, Any]) -> None:
     with Room(**wrong) as room:
         assert room.ended() == 2
@@ -584,8 +622,10 @@
 
 
 def test_a_bug_in_the_owner_ends_the_program() -> None:
-    code = ("import sys, ringshift.owner as o; from ringshift.lifecycle.entry import run; "
-            "o.HEARD.pop(o.news.Called); sys.exit(run())")  # fmt: skip
+    code = (
+        "import sys, ringshift.owner as o; from ringshift.lifecycle.entry import run; "
+        "o.HEARD.pop(o.news.Called); sys.exit(run())"
+    )
     with Room(command=("-c", code)) as room:
         sidecar = room.serving()
         sidecar.send(sidecar.call(1))
@@ -594,10 +634,12 @@
 
 
 def test_a_bug_in_a_connection_ends_that_connection() -> None:
-    code = ("import sys, ringshift.wire.calls as c; from ringshift.lifecycle.entry import run\n"
-            "read = c.read\n"
-            "def odd(request, *rest): return read(request, *rest) if request.id == 1 else 1 // 0\n"
-            "c.read = odd; sys.exit(run())")  # fmt: skip
+    code = (
+        "import sys, ringshift.wire.calls as c; from ringshift.lifecycle.entry import run\n"
+        "read = c.read\n"
+        "def odd(request, *rest): return read(request, *rest) if request.id == 1 else 1 // 0\n"
+        "c.read = odd; sys.exit(run())"
+    )
     with Room(Agent(at_once), command=("-c", code)) as room:
         bad, good = room.serving(), room.sidecar()
         bad.send(bad.call(2))
--- a/tests/test_rations.py
+++ b/tests/test_rations.py
@@ -56,8 +56,11 @@
             unit = chance.choice(list(Unit))
             operation_ = 0 if unit is Unit.RATE else -1
             until = world.now + chance.randint(-500, 3000) * MS
-            news.append(Granted(unit, chance.choice([0.0, 1.0, 3.0, 50.0]), until, chance.choice([0.0, 1.0]),
-                                operation_))  # fmt: skip
+            news.append(
+                Granted(
+                    unit, chance.choice([0.0, 1.0, 3.0, 50.0]), until, chance.choice([0.0, 1.0]), operation_
+                )
+            )
         world.step(news)
 
 
@@ -174,5 +177,3 @@
         for one in world.of("running"):
             world.step([world.finish(one)])
     assert 4 <= began <= 6  # ten seconds
-
-
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -82,19 +82,34 @@
     assert read(write(beat)) == beat
 
 
-def envelope(version: int = 1, server: str = "n", seq: int = 1, at: int = 1, kind: str = "ended",
-             body: str = '{"status":0,"owed":0}') -> bytes:  # fmt: skip
-    return (f'{{"ringshift":{version},"server":"{server}","run":"r","seq":{seq},"at":{at},"up":1,'
-            f'"kind":"{kind}","body":{body}}}').encode()  # fmt: skip
+def envelope(
+    version: int = 1,
+    server: str = "n",
+    seq: int = 1,
+    at: int = 1,
+    kind: str = "ended",
+    body: str = '{"status":0,"owed":0}',
+) -> bytes:
+    return (
+        f'{{"ringshift":{version},"server":"{server}","run":"r","seq":{seq},"at":{at},"up":1,'
+        f'"kind":"{kind}","body":{body}}}'
+    ).encode()
 
 
 REFUSED = [
-    (b"{", "not JSON"), (b"[]", "not a record"), (b'{"ringshift":1}', "not a record"),
-    (envelope(version=2), "other version"), (envelope(kind="new"), "unknown kind"),
-    (envelope(body="{}"), "not a record"), (envelope(server=""), "not a record"),
-    (envelope(seq=-1), "not a record"), (envelope(at=-5), "not a record"),
-    (b"\xff\xfe", "not JSON"), (b"[" * 50_000, "not a record"), (b"x" * 70_000, "too long"),
-]  # fmt: skip
+    (b"{", "not JSON"),
+    (b"[]", "not a record"),
+    (b'{"ringshift":1}', "not a record"),
+    (envelope(version=2), "other version"),
+    (envelope(kind="new"), "unknown kind"),
+    (envelope(body="{}"), "not a record"),
+    (envelope(server=""), "not a record"),
+    (envelope(seq=-1), "not a record"),
+    (envelope(at=-5), "not a record"),
+    (b"\xff\xfe", "not JSON"),
+    (b"[" * 50_000, "not a record"),
+    (b"x" * 70_000, "too long"),
+]
 
 
 @pytest.mark.parametrize("line,kind", REFUSED)
@@ -291,9 +306,11 @@
 
 
 def test_a_backend_without_records_imports_no_more_than_it_did() -> None:
-    code = ("import sys, ringshift.lifecycle.entry; print([m for m in ('msgspec', 'click', 'rich', "
-            "'sqlite3', 'jinja2', 'tomllib', 'ringshift.records.recorder', 'ringshift.records.schema') "
-            "if m in sys.modules])")  # fmt: skip
+    code = (
+        "import sys, ringshift.lifecycle.entry; print([m for m in ('msgspec', 'click', 'rich', "
+        "'sqlite3', 'jinja2', 'tomllib', 'ringshift.records.recorder', 'ringshift.records.schema') "
+        "if m in sys.modules])"
+    )
     assert subprocess.check_output([sys.executable, "-c", code], text=True).strip() == "[]"
 
 
@@ -316,11 +333,16 @@
     assert kept == records
 
 
-@pytest.mark.parametrize("text,told", [
-    ("[records]\nlines = 3\n", "line 2: records.lines"), ("[record]\n", "line 1: record"),
-    ("[records]\n\nfolders = 'x'\n", "line 3: records.folders"), ("x = [\n", "line 2"),
-    ("[records]\nmost_mb = 0.0\n", "line 2: records.most_mb"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "text,told",
+    [
+        ("[records]\nlines = 3\n", "line 2: records.lines"),
+        ("[record]\n", "line 1: record"),
+        ("[records]\n\nfolders = 'x'\n", "line 3: records.folders"),
+        ("x = [\n", "line 2"),
+        ("[records]\nmost_mb = 0.0\n", "line 2: records.most_mb"),
+    ],
+)
 def test_wrong_settings_are_named_by_file_line_and_field(tmp_path: Path, text: str, told: str) -> None:
     path = tmp_path / "op.toml"
     path.write_text(text)
@@ -340,14 +362,24 @@
     assert orjson.loads(capfd.readouterr().out)["sources"][0]["taken"] == 7
     assert command(["records", "check", str(log)]) == 1
     assert f"{log}:8: not a record" in capfd.readouterr().out
-    for wrong in (["records", "gather", "/nowhere", "-o", store], ["records", "show", str(log)], ["no"],
-                  ["records", "gather"], ["records", "show", store, "--sever", "n"]):  # fmt: skip
+    for wrong in (
+        ["records", "gather", "/nowhere", "-o", store],
+        ["records", "show", str(log)],
+        ["no"],
+        ["records", "gather"],
+        ["records", "show", store, "--sever", "n"],
+    ):
         assert command(wrong) == 2
         err = capfd.readouterr().err
         assert err.count("\n") == 1 and "Traceback" not in err
     sqlite3.connect(store).executescript("PRAGMA user_version=9")
     assert command(["records", "show", store]) == 2 and "version 9" in capfd.readouterr().err
-    for words in ([], ["records"], *(["records", name] for name in ("gather", "check", "show")), ["report"],
-                  ["console"]):  # fmt: skip
+    for words in (
+        [],
+        ["records"],
+        *(["records", name] for name in ("gather", "check", "show")),
+        ["report"],
+        ["console"],
+    ):
         assert command([*words, "--help"]) == 0 and "Example: ringshift" in capfd.readouterr().out
     gc.collect()
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -78,7 +78,10 @@
     told = json.loads(capfd.readouterr().out)
     refs = {one.ref for one in records}
     assert [one["what"] for one in told["findings"] if one["what"] != "clock off"] == [
-        "agent hung", "shedding", "vanished"]  # fmt: skip
+        "agent hung",
+        "shedding",
+        "vanished",
+    ]
     assert all(ref in refs for one in told["findings"] for ref in one["evidence"])
     assert abs(told["cause"]["first"]["start"] - NOON - 20.4 * S) < S
     lost = {row["operation"]: row["lost_share"] for row in told["losses"]}
@@ -123,15 +126,24 @@
         return f"2026-12-01T10:{int(second) // 60:02}:{second % 60:06.3f} INFO {server} {text}\n"
 
     log = tmp_path / "both.log"
-    log.write_text("".join([
-        line("n1", 0, "listening on 127.0.0.1:1"), line("n1", 0.1, "listens: starting -> waiting"),
-        line("n1", 0.2, "agent greeted after 1 ms, cold start"),
-        line("n1", 0.2, "greeted: waiting -> serving"),
-        line("n2", 0.2, "listening on 127.0.0.1:2"), line("n1", 5, "warm after 5000 ms"),
-        line("n2", 1, "greeted: waiting -> serving"), line("n1", 20, "overload: line full"),
-        line("n1", 31, "overload: line open"), line("n2", 40, "told to leave: serving -> leaving"),
-        line("n2", 41, "ended: closing -> closed"), line("n1", 60, "overload: line full"),
-    ]))  # fmt: skip
+    log.write_text(
+        "".join(
+            [
+                line("n1", 0, "listening on 127.0.0.1:1"),
+                line("n1", 0.1, "listens: starting -> waiting"),
+                line("n1", 0.2, "agent greeted after 1 ms, cold start"),
+                line("n1", 0.2, "greeted: waiting -> serving"),
+                line("n2", 0.2, "listening on 127.0.0.1:2"),
+                line("n1", 5, "warm after 5000 ms"),
+                line("n2", 1, "greeted: waiting -> serving"),
+                line("n1", 20, "overload: line full"),
+                line("n1", 31, "overload: line open"),
+                line("n2", 40, "told to leave: serving -> leaving"),
+                line("n2", 41, "ended: closing -> closed"),
+                line("n1", 60, "overload: line full"),
+            ]
+        )
+    )
     store = Incident(tmp_path / "i.db", create=True)
     store.take("text", read_source(log))
     found = analyse(digests(store), clocks_within=S).verdict
@@ -163,8 +175,12 @@
     empty = tmp_path / "empty.db"
     Incident(empty, create=True).close()
     store = store_of(tmp_path / "i.db", [*Script(1, servers=1, seconds=5).everything()])
-    for wrong in (["report", "/nowhere"], ["report", str(empty)], ["report", store, "--reference", "n9"],
-                  ["report", store, "-o", "/nowhere/x.html"]):  # fmt: skip
+    for wrong in (
+        ["report", "/nowhere"],
+        ["report", str(empty)],
+        ["report", store, "--reference", "n9"],
+        ["report", store, "-o", "/nowhere/x.html"],
+    ):
         assert command(wrong) == 2
         err = capfd.readouterr().err
         assert err.count("\n") == 1 and "Traceback" not in err
--- a/tests/test_ruled.py
+++ b/tests/test_ruled.py
@@ -23,8 +23,9 @@
     return World(machine(*operations, cores=cores), Random(1))
 
 
-def back(operations: frozenset[int] = NONE, customers: frozenset[int] = NONE,
-         callers: frozenset[int] = NONE) -> Ruled:  # fmt: skip
+def back(
+    operations: frozenset[int] = NONE, customers: frozenset[int] = NONE, callers: frozenset[int] = NONE
+) -> Ruled:
     return Ruled(held_back=(operations, customers, callers))
 
 
@@ -73,11 +74,18 @@
         played.now += chance.choice([2, 20, 50]) * MS
         if played.kill and played.now >= played.kill:
             return
-        news = [replace(n, lot=chance.randrange(10**6)) if isinstance(n, face.Arrived) else n
-                for n in played.any_news()]  # fmt: skip
+        news = [
+            replace(n, lot=chance.randrange(10**6)) if isinstance(n, face.Arrived) else n
+            for n in played.any_news()
+        ]
         if chance.random() < 0.2:
-            clause = Clause(some(3), some(2), some(3), chance.choice([0.0, 2.0, 50.0, float("inf")]),
-                            chance.choice([0, 300_000, 10**6]))  # fmt: skip
+            clause = Clause(
+                some(3),
+                some(2),
+                some(3),
+                chance.choice([0.0, 2.0, 50.0, float("inf")]),
+                chance.choice([0, 300_000, 10**6]),
+            )
             held_back = some(3) or NONE, some(2) or NONE, some(3) or NONE
             shed = {0: chance.choice([0, 500_000, 10**6])}
             news.append(Ruled(held_back, (some(3), some(2), some(3)), found((clause,)), shed))
@@ -217,8 +225,15 @@
 
     ones = [Clause(some(3), some(6), some(20), chance.choice([1.0, 5.0]), n) for n in range(30)]
     at = [found(ones[:20]), found(ones[20:])]
-    played = World(machine(operation(), operation("b"), operation("c"), customers=(
-        *(face.Customer(f"c{n}", 5.0) for n in range(6)),)), Random(1))  # fmt: skip
+    played = World(
+        machine(
+            operation(),
+            operation("b"),
+            operation("c"),
+            customers=(*(face.Customer(f"c{n}", 5.0) for n in range(6)),),
+        ),
+        Random(1),
+    )
     played.step([Ruled(clauses=(*at[0], *at[1]))])
     for _ in range(20):
         news = played.arrive(chance.randrange(3), caller=chance.randrange(20))
@@ -228,8 +243,9 @@
 
 
 def test_a_look_up_walks_few_clauses_however_many_quotas_there_are() -> None:
-    names = Names(tuple("abcd"), tuple(f"c{n}" for n in range(10_000)), "north",
-                  capacity=dict.fromkeys(range(4), 9.0))  # fmt: skip
+    names = Names(
+        tuple("abcd"), tuple(f"c{n}" for n in range(10_000)), "north", capacity=dict.fromkeys(range(4), 9.0)
+    )
     quotas = [Quota("customers", one, 5.0) for one in names.customers] + [Quota("places", "north", 5.0)]
     quotas += [Quota("callers", str(n), 5.0) for n in range(10_000)]
     shares = [Portion("customers", one, 0.5) for one in names.customers[:100]]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -248,9 +248,13 @@
     assert all(s.answered for s in world.seen.values())
 
 
-@pytest.mark.parametrize("cores, spans, earliest", [
-    (4, [400] * 3 + [300] * 4 + [200] * 14, 2000), (2, [800] * 4 + [600] * 4 + [400] * 13, 3000),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "cores, spans, earliest",
+    [
+        (4, [400] * 3 + [300] * 4 + [200] * 14, 2000),
+        (2, [800] * 4 + [600] * 4 + [400] * 13, 3000),
+    ],
+)
 def test_cold_start_is_unready_until_latency_stops_falling(
     cores: int, spans: list[int], earliest: int
 ) -> None:
--- a/tests/test_rules_program.py
+++ b/tests/test_rules_program.py
@@ -61,8 +61,13 @@
 
 
 def ringshift(*words: str) -> dict[str, Any]:
-    told = subprocess.run([sys.executable, "-m", "ringshift", *words, "--json"], cwd=ROOT, text=True,
-                          capture_output=True, check=True)  # fmt: skip
+    told = subprocess.run(
+        [sys.executable, "-m", "ringshift", *words, "--json"],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        check=True,
+    )
     found: dict[str, Any] = json.loads(told.stdout.splitlines()[-1])
     return found
 
@@ -141,6 +146,8 @@
         opened = Path(f"/proc/{room.process.pid}/maps").read_text()
         assert "msgspec" not in opened and "xxhash" not in opened
     words = "'ringshift.rulebook', 'ringshift.schedule', 'ringshift.retirement', 'ringshift.wire.rules'"
-    code = ("import sys, ringshift.lifecycle.entry; "
-            f"print([m for m in sys.modules if m.startswith(({words}, 'etcd3gw', 'msgspec', 'xxhash'))])")
+    code = (
+        "import sys, ringshift.lifecycle.entry; "
+        f"print([m for m in sys.modules if m.startswith(({words}, 'etcd3gw', 'msgspec', 'xxhash'))])"
+    )
     assert subprocess.check_output([sys.executable, "-c", code], cwd=ROOT, text=True).strip() == "[]"
--- a/tests/test_settings_rules.py
+++ b/tests/test_settings_rules.py
@@ -29,25 +29,33 @@
     assert read_operators(str(path)).rules is None
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    (GOOD.replace(LEASES, ""), "rules: no [leases] table with keepers"),
-    (GOOD.replace('["127.0.0.1:2379"]', "[]"), "rules: no [leases] table with keepers"),
-    (GOOD.replace('"rulebook.toml"', '""'), "line 4: rules.installation: empty"),
-    (GOOD.replace('"rulebook.toml"', "3"), "line 4: rules.installation: Expected `str`, got `int`"),
-    (LEASES + "[rules]\n", "installation"),
-    (GOOD + 'place = "a\\nb"\n', "line 5: rules.place: 'a\\nb' is not up to 256 printable"),
-    (GOOD + 'head_start = "rulebook.toml"\n', "line 5: rules.head_start: the file of installation"),
-    (GOOD + "life_ms = 0\n", "line 5: rules.life_ms: 0 ns; above 0"),
-    (GOOD + "margin_ms = -1\n", "line 5: rules.margin_ms: -1000000 ns is below 0"),
-    (GOOD + "drift_ppm = 600000\n", "line 5: rules.drift_ppm: 600000; from 0"),
-    (GOOD + "refresh_ms = 4000\n", "line 5: rules.refresh_ms: 4000000000 ns; two must fit"),
-    (GOOD + "answer_within_ms = 0\n", "line 5: rules.answer_within_ms: 0; above 0"),
-    (GOOD + "answer_within_ms = 8000\n", "line 5: rules.answer_within_ms: 8000; above 0 and under the 7420"),
-    (GOOD + "lives_ms = 8000\n", "line 5: rules.lives_ms: Object contains unknown field `lives_ms`"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        (GOOD.replace(LEASES, ""), "rules: no [leases] table with keepers"),
+        (GOOD.replace('["127.0.0.1:2379"]', "[]"), "rules: no [leases] table with keepers"),
+        (GOOD.replace('"rulebook.toml"', '""'), "line 4: rules.installation: empty"),
+        (GOOD.replace('"rulebook.toml"', "3"), "line 4: rules.installation: Expected `str`, got `int`"),
+        (LEASES + "[rules]\n", "installation"),
+        (GOOD + 'place = "a\\nb"\n', "line 5: rules.place: 'a\\nb' is not up to 256 printable"),
+        (GOOD + 'head_start = "rulebook.toml"\n', "line 5: rules.head_start: the file of installation"),
+        (GOOD + "life_ms = 0\n", "line 5: rules.life_ms: 0 ns; above 0"),
+        (GOOD + "margin_ms = -1\n", "line 5: rules.margin_ms: -1000000 ns is below 0"),
+        (GOOD + "drift_ppm = 600000\n", "line 5: rules.drift_ppm: 600000; from 0"),
+        (GOOD + "refresh_ms = 4000\n", "line 5: rules.refresh_ms: 4000000000 ns; two must fit"),
+        (GOOD + "answer_within_ms = 0\n", "line 5: rules.answer_within_ms: 0; above 0"),
+        (
+            GOOD + "answer_within_ms = 8000\n",
+            "line 5: rules.answer_within_ms: 8000; above 0 and under the 7420",
+        ),
+        (GOOD + "lives_ms = 8000\n", "line 5: rules.lives_ms: Object contains unknown field `lives_ms`"),
+    ],
+)
 def test_a_table_that_cannot_be_kept_is_refused_with_line_and_field(
-    tmp_path: Path, text: str, told: str,
-) -> None:  # fmt: skip
+    tmp_path: Path,
+    text: str,
+    told: str,
+) -> None:
     path = tmp_path / "fleet.toml"
     path.write_text(text)
     with pytest.raises(Malformed) as wrong:
@@ -72,8 +80,9 @@
 
 @pytest.mark.parametrize("path", sorted(DEPLOY.glob("rulebook*.toml")), ids=lambda path: path.name)
 def test_the_command_accepts_each_example_and_its_alone_is_as_cautious_as_its_rules(
-    path: Path, capsys: pytest.CaptureFixture[str],
-) -> None:  # fmt: skip
+    path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
     assert command(["rules", "check", str(path), "--strict", "--json"]) == 0
     told = json.loads(capsys.readouterr().out)
     kinds = ("changes", "timelines") if "changes" in path.name else ("lists", "quotas", "shares", "wholes")
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -35,8 +35,12 @@
 
 @pytest.fixture
 def keeper(tmp_path: Path) -> Iterator[str]:
-    process = subprocess.Popen([sys.executable, "-m", "standins.keeper", str(tmp_path / "keeper")], cwd=ROOT,
-                               stdout=subprocess.PIPE, text=True)  # fmt: skip
+    process = subprocess.Popen(
+        [sys.executable, "-m", "standins.keeper", str(tmp_path / "keeper")],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     assert process.stdout is not None
     yield process.stdout.readline().split()[-1]
     process.kill()
@@ -47,22 +51,33 @@
 GOOD = LEASES + '[[budgets]]\nname = "database"\nunit = "calls"\nwhole = 20\nmost = 5\nsafe = 1\n'
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    (GOOD.replace("whole = 20", "whole = 4"), "line 6: budgets.whole: 4.0 is less than the safe shares of 5"),
-    (GOOD + "refresh_ms = 5000\n", "line 9: budgets.refresh_ms: 5000000000 ns; two must fit"),
-    (GOOD + "drift_ppm = 600000\n", "line 9: budgets.drift_ppm: 600000; from 0"),
-    (GOOD.replace('"calls"', '"rate"'), "operation: named for a rate"),
-    (GOOD.replace('"calls"', '"cakes"'), "line 5: budgets.unit: Invalid enum value 'cakes'"),
-    (GOOD.replace("most = 5", "most = 0"), "line 7: budgets.most: 0; at least 1"),
-    (GOOD + '[[budgets]]\nname = "b"\nunit = "calls"\nwhole = 2.5\nmost = 1\n', "line 12: budgets.whole: 2"),
-    (GOOD.replace(LEASES, ""), "budgets: no [leases] table with keepers"),
-    (GOOD + GOOD.replace(LEASES, ""), "budgets: two of the name 'database'"),
-    (GOOD.replace('"database"', '"a b"'), "line 4: budgets.name: 'a b' is not"),
-    (GOOD + "cakes = 1\n", "line 9: budgets.cakes: Object contains unknown field `cakes`"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        (
+            GOOD.replace("whole = 20", "whole = 4"),
+            "line 6: budgets.whole: 4.0 is less than the safe shares of 5",
+        ),
+        (GOOD + "refresh_ms = 5000\n", "line 9: budgets.refresh_ms: 5000000000 ns; two must fit"),
+        (GOOD + "drift_ppm = 600000\n", "line 9: budgets.drift_ppm: 600000; from 0"),
+        (GOOD.replace('"calls"', '"rate"'), "operation: named for a rate"),
+        (GOOD.replace('"calls"', '"cakes"'), "line 5: budgets.unit: Invalid enum value 'cakes'"),
+        (GOOD.replace("most = 5", "most = 0"), "line 7: budgets.most: 0; at least 1"),
+        (
+            GOOD + '[[budgets]]\nname = "b"\nunit = "calls"\nwhole = 2.5\nmost = 1\n',
+            "line 12: budgets.whole: 2",
+        ),
+        (GOOD.replace(LEASES, ""), "budgets: no [leases] table with keepers"),
+        (GOOD + GOOD.replace(LEASES, ""), "budgets: two of the name 'database'"),
+        (GOOD.replace('"database"', '"a b"'), "line 4: budgets.name: 'a b' is not"),
+        (GOOD + "cakes = 1\n", "line 9: budgets.cakes: Object contains unknown field `cakes`"),
+    ],
+)
 def test_a_budget_that_cannot_be_kept_is_refused_with_line_and_field(
-    tmp_path: Path, text: str, told: str,
-) -> None:  # fmt: skip
+    tmp_path: Path,
+    text: str,
+    told: str,
+) -> None:
     path = tmp_path / "fleet.toml"
     path.write_text(text)
     with pytest.raises(Malformed) as wrong:
@@ -70,14 +85,25 @@
     assert told in str(wrong.value), str(wrong.value)
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    (GOOD.replace('"calls"', '"retries"'), "line 5: budgets.unit: 'retries': no calls are told"),
-    (GOOD + GOOD.replace(LEASES, "").replace("database", "b").replace('"calls"', '"retries"'), "line 11: "),
-    (GOOD.replace('"calls"', '"rate"\noperation = "cakes"'), "line 6: budgets.operation: 'cakes' is none"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        (GOOD.replace('"calls"', '"retries"'), "line 5: budgets.unit: 'retries': no calls are told"),
+        (
+            GOOD + GOOD.replace(LEASES, "").replace("database", "b").replace('"calls"', '"retries"'),
+            "line 11: ",
+        ),
+        (
+            GOOD.replace('"calls"', '"rate"\noperation = "cakes"'),
+            "line 6: budgets.operation: 'cakes' is none",
+        ),
+    ],
+)
 def test_a_budget_that_binds_nothing_on_sockets_is_refused_with_line_and_field(
-    tmp_path: Path, text: str, told: str,
-) -> None:  # fmt: skip
+    tmp_path: Path,
+    text: str,
+    told: str,
+) -> None:
     path = tmp_path / "fleet.toml"
     path.write_text(text)
     with pytest.raises(Malformed) as wrong:
@@ -238,6 +264,8 @@
         assert sidecar.answer(1).status == 200
         tasks = list(Path(f"/proc/{room.process.pid}/task").iterdir())
         assert len(tasks) == 1
-    code = ("import sys, ringshift.lifecycle.entry; print([m for m in sys.modules if m.startswith(("
-            "'ringshift.fleet', 'ringshift.wire.keeper', 'ringshift.wire.shares', 'etcd3gw', 'requests'))])")
+    code = (
+        "import sys, ringshift.lifecycle.entry; print([m for m in sys.modules if m.startswith(("
+        "'ringshift.fleet', 'ringshift.wire.keeper', 'ringshift.wire.shares', 'etcd3gw', 'requests'))])"
+    )
     assert subprocess.check_output([sys.executable, "-c", code], cwd=ROOT, text=True).strip() == "[]"
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -72,8 +72,10 @@
                 sidecar.send(data)
                 gevent.sleep(0.01)
 
-    trickling = [gevent.spawn(trickle, whole, fastcgi.record(fastcgi.PARAMS, 2, b"x")),
-                 gevent.spawn(trickle, none, fastcgi.record(fastcgi.GET_VALUES, 0))]  # fmt: skip
+    trickling = [
+        gevent.spawn(trickle, whole, fastcgi.record(fastcgi.PARAMS, 2, b"x")),
+        gevent.spawn(trickle, none, fastcgi.record(fastcgi.GET_VALUES, 0)),
+    ]
     assert whole.answer(2).status == 400
     none.until_end()
     assert len(heard) == 1 and serving(door) == [True]
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,42 +15,79 @@
 PROVEN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT)
 
 
-def operation(name: str = "op", effect: Effect = Effect.IDEMPOTENT, calls: bool = False, *,
-              value: float = 1.0, late: float = 0.0, spare: float = 0.0,
-              objective: int = 1500) -> face.Operation:  # fmt: skip
+def operation(
+    name: str = "op",
+    effect: Effect = Effect.IDEMPOTENT,
+    calls: bool = False,
+    *,
+    value: float = 1.0,
+    late: float = 0.0,
+    spare: float = 0.0,
+    objective: int = 1500,
+) -> face.Operation:
     return face.Operation(name, effect, objective * MS, 0.0, 4000 * MS, value, late, 5000 * MS, calls, spare)
 
 
-def machine(*operations: face.Operation, below: face.Below = face.Below.NONE, share: float = 20.0,
-            **other: object) -> face.Machine:  # fmt: skip
+def machine(
+    *operations: face.Operation, below: face.Below = face.Below.NONE, share: float = 20.0, **other: object
+) -> face.Machine:
     plain = face.Machine(
-        cores=4, memory_kb=40_000.0, run_factor=8.0, entry_kb=20.0, cold=False, cold_speed=0.25,
-        ramp=10_000 * MS, fall_multiple=8.0, grace=2000 * MS, tick=2 * MS, fleet=5, callers=3, halt=Halt.DROP,
-        advert=face.Advert.WEIGHT, heeded=1000 * MS, fresh=0, longest_pause=1000 * MS, over_quota_share=0.1,
-        operations=operations or (operation(),), customers=(), gauges=("cpu_busy", "runnable", "mem_used"),
+        cores=4,
+        memory_kb=40_000.0,
+        run_factor=8.0,
+        entry_kb=20.0,
+        cold=False,
+        cold_speed=0.25,
+        ramp=10_000 * MS,
+        fall_multiple=8.0,
+        grace=2000 * MS,
+        tick=2 * MS,
+        fleet=5,
+        callers=3,
+        halt=Halt.DROP,
+        advert=face.Advert.WEIGHT,
+        heeded=1000 * MS,
+        fresh=0,
+        longest_pause=1000 * MS,
+        over_quota_share=0.1,
+        operations=operations or (operation(),),
+        customers=(),
+        gauges=("cpu_busy", "runnable", "mem_used"),
         dependency=face.Dependency(below, share, 5000 * MS, 200 * MS),
-    )  # fmt: skip
+    )
     return replace(plain, **other)  # type: ignore[arg-type]
 
 
 def any_machine(chance: Random) -> face.Machine:
     below = chance.choice(list(face.Below))
     operations = [
-        operation(f"op{i}", chance.choice(list(Effect)),
-                  below is not face.Below.NONE and chance.random() < 0.7,
-                  value=chance.choice([1.0, 3.0, 10.0]), late=chance.choice([0.0, 0.2]),
-                  spare=chance.choice([0.0, 0.5]), objective=chance.choice([300, 1500, 4000]))
+        operation(
+            f"op{i}",
+            chance.choice(list(Effect)),
+            below is not face.Below.NONE and chance.random() < 0.7,
+            value=chance.choice([1.0, 3.0, 10.0]),
+            late=chance.choice([0.0, 0.2]),
+            spare=chance.choice([0.0, 0.5]),
+            objective=chance.choice([300, 1500, 4000]),
+        )
         for i in range(chance.randint(1, 3))
-    ]  # fmt: skip
+    ]
     return machine(
-        *operations, below=below, share=chance.choice([0.3, 1.0, 2.5, 30.0]), cores=chance.choice([1, 2, 6]),
-        callers=chance.choice([3, 900]), fleet=chance.choice([5, 300]),
-        memory_kb=chance.choice([900.0, 5000.0, 60_000.0]), run_factor=chance.choice([2.0, 16.0]),
-        cold=chance.random() < 0.4, fall_multiple=chance.choice([1.5, 3.0, 8.0]),
-        halt=chance.choice(list(Halt)), advert=chance.choice(list(face.Advert)),
+        *operations,
+        below=below,
+        share=chance.choice([0.3, 1.0, 2.5, 30.0]),
+        cores=chance.choice([1, 2, 6]),
+        callers=chance.choice([3, 900]),
+        fleet=chance.choice([5, 300]),
+        memory_kb=chance.choice([900.0, 5000.0, 60_000.0]),
+        run_factor=chance.choice([2.0, 16.0]),
+        cold=chance.random() < 0.4,
+        fall_multiple=chance.choice([1.5, 3.0, 8.0]),
+        halt=chance.choice(list(Halt)),
+        advert=chance.choice(list(face.Advert)),
         fresh=chance.choice([0, 300 * MS]),
         customers=tuple(face.Customer(f"c{i}", 5.0) for i in range(chance.choice([0, 2]))),
-    )  # fmt: skip
+    )
 
 
 @dataclass
@@ -105,9 +142,19 @@
         known = until > self.now and (spec.effect is Effect.TOKENED or self.m.fresh > 0)
         patience = chance.choice([None, spec.client_timeout, 400 * MS, 5 * MS])
         customer = chance.randrange(len(self.m.customers)) if self.m.customers else -1
-        news = face.Arrived(self.made, op, customer, patience, 0.0, chance.uniform(5, 60),
-                            chance.random(), True, chance.randint(0, 2), unread,
-                            holder if known else None)  # fmt: skip
+        news = face.Arrived(
+            self.made,
+            op,
+            customer,
+            patience,
+            0.0,
+            chance.uniform(5, 60),
+            chance.random(),
+            True,
+            chance.randint(0, 2),
+            unread,
+            holder if known else None,
+        )
         news = replace(news, **other)  # type: ignore[arg-type]
         self.made += 1
         arrived = self.now - news.unread
