--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	$(PYTHON) -m pytest -q -p no:cacheprovider -m "not alone and not few" -n 4 --dist loadgroup
 
 lint: build
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	$(PYTHON) -m mypy
 	.venv/bin/lint-imports --no-cache
