--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -11,7 +11,7 @@
 from standins.checkers.leases import S
 from standins.fleet.budgets import BudgetFleet, BudgetScript, draw
 from standins.fleet.harness import Fault, Script
-from tests.side_by_side import results_of
+from tests.side_by_side import results_in_folders, results_of
 
 SCRIPTS, AT_ONCE = 30, 10
 
@@ -56,11 +56,7 @@
 
 @pytest.fixture(scope="module")
 def hard_cases(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[Verdict, Path]]:
-    folder = tmp_path_factory.mktemp("hard")
-    folders = {name: folder / str(number) for number, name in enumerate(HARD)}
-    cases = {name: partial(played, script, folders[name]) for name, script in HARD.items()}
-    verdicts = results_of(cases, AT_ONCE)
-    return {name: (verdict, folders[name]) for name, verdict in verdicts.items()}
+    return results_in_folders(played, HARD, tmp_path_factory.mktemp("hard"), AT_ONCE)
 
 
 @pytest.mark.parametrize("name", HARD)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 
 from standins.checkers.leases import Verdict, check
 from standins.fleet.harness import Fault, Fleet, Script, draw, revealing
-from tests.side_by_side import results_of
+from tests.side_by_side import results_in_folders, results_of
 
 SCRIPTS, AT_ONCE = 30, 10
 
@@ -80,11 +80,7 @@
 
 @pytest.fixture(scope="module")
 def hard_cases(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[Verdict, Path]]:
-    folder = tmp_path_factory.mktemp("hard")
-    folders = {name: folder / str(number) for number, name in enumerate(HARD)}
-    cases = {name: partial(played, script, folders[name]) for name, script in HARD.items()}
-    verdicts = results_of(cases, AT_ONCE)
-    return {name: (verdict, folders[name]) for name, verdict in verdicts.items()}
+    return results_in_folders(played, HARD, tmp_path_factory.mktemp("hard"), AT_ONCE)
 
 
 @pytest.mark.parametrize("name", HARD)
--- a/tests/test_rules_fleet.py
+++ b/tests/test_rules_fleet.py
@@ -16,7 +16,7 @@
 from standins.fleet.harness import Fault
 from standins.fleet.rules import RulesFleet
 from standins.fleet.rulescript import RulesScript, draw
-from tests.side_by_side import results_of
+from tests.side_by_side import results_in_folders, results_of
 
 pytestmark = pytest.mark.few
 
@@ -144,10 +144,7 @@
 
 @pytest.fixture(scope="module")
 def hard_cases(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[Verdict, Path]]:
-    folder = tmp_path_factory.mktemp("hard")
-    folders = {name: folder / str(number) for number, name in enumerate(HARD)}
-    verdicts = results_of({name: partial(played, script, folders[name]) for name, script in HARD.items()})
-    return {name: (verdict, folders[name]) for name, verdict in verdicts.items()}
+    return results_in_folders(played, HARD, tmp_path_factory.mktemp("hard"))
 
 
 @pytest.mark.parametrize("name", HARD)
