Cold credit: half of N again; what came in the settings' time is no measure of it

Cause: of 190 requests a second of some 80 ms a server gets many times N in 1.5 s at its usual load, so after a release nothing was left to ask for, until the ramps ended.

--- a/ringshift/control/door.py
+++ b/ringshift/control/door.py
@@ -56,10 +56,10 @@
             self.out.append(face.Advertise(amount))
 
     def credit(self, share: float) -> float:
-        """A caller's part of what is run and held; of cold cores, half that they survive, or what is left."""
+        """A caller's part of what is run and held; one that comes twice in a row tells how many, no more than
+        told. A part under one has callers skip idle servers; cold cores ask half of what they survive."""
         mean = sum(line.core.mean(self.now) for line in self.lines) / len(self.lines)
         total = self.limited() * (1 + min(map(self.patience, self.lines)) / mean)
         total += self.count[State.STANDING] + self.count[State.CALLING]
         part = share * max(2 * total * max(self.same_caller.mean(self.now), self.same_caller.prior), 1.0)
-        left = max(self.crowd() - self.unread.count * self.machine.overload_span / S, 0.0)
-        return min(part, self.open * left / 2 * self.same_caller.prior) if self.speed() < 1 else part
+        return min(part, self.open * self.crowd() / 2 * self.same_caller.prior) if self.speed() < 1 else part
--- a/ringshift/interface.py
+++ b/ringshift/interface.py
@@ -122,8 +122,6 @@
     gauges: tuple[str, ...]
     in_hand: int = 2**31
     """How many invocations the program around the module can hold, whatever they book."""
-    overload_span: int = 0
-    """Nanoseconds over which what a server gets is held against what it survives; 0 where it is not told."""
 
     def __post_init__(self) -> None:
         """Reject what contradicts itself, naming the setting: guessing in silence would hide it for years."""
@@ -138,7 +136,7 @@
         for name in ("over_quota_share",):
             if not 0 <= getattr(self, name) <= 1:
                 raise ValueError(f"{name} must lie from 0 to 1, not {getattr(self, name)}")
-        for name in ("entry_kb", "grace", "heeded", "fresh", "longest_pause", "overload_span"):
+        for name in ("entry_kb", "grace", "heeded", "fresh", "longest_pause"):
             if getattr(self, name) < 0:
                 raise ValueError(f"{name} must not be negative, not {getattr(self, name)}")
         if not self.operations:
--- a/ringshift/machine.py
+++ b/ringshift/machine.py
@@ -132,5 +132,4 @@
             linger=ns(maybe(extra, "lingers", "env: extra", float, 0.0)),
         ),
         gauges=tuple(maybe(extra, "gauges", "env: extra", list, [])),
-        overload_span=ns(maybe(rules, "overload_for", "env: rules", float, 0.0)),
     )
