Harnesses: the faults common to all stand once

Need: one list stood three times. Change: FAULTS_OF_EACH_HARNESS of standins/fleet/scripts.py, before each harness's own.

--- a/standins/fleet/budgets.py
+++ b/standins/fleet/budgets.py
@@ -24,25 +24,9 @@
 from standins.fleet.dependency import Dependency
 from standins.fleet.harness import Fault, Fleet, Script
 from standins.fleet.proxy import DOWN, UP
+from standins.fleet.scripts import FAULTS_OF_EACH_HARNESS
 
-KINDS = [
-    "stop",
-    "kill",
-    "delay",
-    "blackhole",
-    "blackhole_up",
-    "blackhole_down",
-    "cut",
-    "cut_mid",
-    "refuse",
-    "keeper_kill",
-    "keeper_stop",
-    "join",
-    "leave",
-    "partition",
-    "stop",
-    "kill",
-]
+KINDS = [*FAULTS_OF_EACH_HARNESS, "join", "leave", "partition", "stop", "kill"]
 
 
 @dataclass
--- a/standins/fleet/rulescript.py
+++ b/standins/fleet/rulescript.py
@@ -6,27 +6,9 @@
 from random import Random
 
 from standins.fleet.harness import Fault, Script
+from standins.fleet.scripts import FAULTS_OF_EACH_HARNESS
 
-KINDS = [
-    "stop",
-    "kill",
-    "delay",
-    "blackhole",
-    "blackhole_up",
-    "blackhole_down",
-    "cut",
-    "cut_mid",
-    "refuse",
-    "keeper_kill",
-    "keeper_stop",
-    "join",
-    "leave",
-    "partition",
-    "partition",
-    "stop",
-    "kill",
-    "roll",
-]
+KINDS = [*FAULTS_OF_EACH_HARNESS, "join", "leave", "partition", "partition", "stop", "kill", "roll"]
 LOSSES = ("keeper_restore", "keeper_rollback")  # how a keeper loses data
 ORDERS = ["publish"] * 6 + ["announce", "alone", "withdraw", "text", "slow", "die_proposed", "stop_proposed"]
 
--- a/standins/fleet/scripts.py
+++ b/standins/fleet/scripts.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-KINDS = [
+FAULTS_OF_EACH_HARNESS = [
     "stop",
     "kill",
     "delay",
@@ -22,8 +22,9 @@
     "refuse",
     "keeper_kill",
     "keeper_stop",
-    "kill_all",
 ]
+"""What any fleet with a coordination store can suffer; each harness draws from these and its own."""
+KINDS = [*FAULTS_OF_EACH_HARNESS, "kill_all"]
 
 
 @dataclass(frozen=True)
