--- a/benchmarks/recording.py
+++ b/benchmarks/recording.py
@@ -20,7 +20,7 @@
 
 from standins.agent import Agent
 from standins.caller import Link
-from standins.room import Room
+from standins.host import Host
 
 BEFORE = "b6d3f15"  # the last commit without records
 WAYS = ("off", "lines", "store")
@@ -51,10 +51,10 @@
 
 def served(environ: dict[str, str], calls: int, seed: int, ready: str = "serving") -> tuple[float, float]:
     """The same of a backend with that environment, from its log line that holds `ready` on."""
-    with Room(Agent(lambda job, kind, body: (0.0, "good", body)), environ=environ) as room:
-        room.line(ready)
-        random, pid = Random(seed), room.process.pid
-        links = [Link(room.address()) for _ in range(4)]
+    with Host(Agent(lambda job, kind, body: (0.0, "good", body)), environ=environ) as host:
+        host.line(ready)
+        random, pid = Random(seed), host.process.pid
+        links = [Link(host.address()) for _ in range(4)]
         warm = [gevent.spawn(ask, links[i % 4], 300, random.getrandbits(32)) for i in range(8)]
         gevent.joinall(warm, raise_error=True)
         before = cpu(pid)
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -20,7 +20,7 @@
 
 from standins.agent import Agent
 from standins.caller import Link
-from standins.room import SETTINGS, Room
+from standins.host import SETTINGS, Host
 from standins.sidecar import Sidecar
 
 RUN = (
@@ -65,9 +65,9 @@
         self.up.set()
 
 
-def good(room: Room) -> bool:
+def good(host: Host) -> bool:
     try:
-        (sidecar := Sidecar(room.address())).send(sidecar.check())
+        (sidecar := Sidecar(host.address())).send(sidecar.check())
         with gevent.Timeout(2):
             status = sidecar.answer(1).status
         sidecar.sock.close()
@@ -76,9 +76,9 @@
         return False
 
 
-def load(room: Room, chance: Random) -> None:
+def load(host: Host, chance: Random) -> None:
     """Callers of one backend, each with what it was told: a whole number out, a fraction by chance."""
-    link, told, out = Link(room.address()), [0.0] * CALLERS, [0] * CALLERS
+    link, told, out = Link(host.address()), [0.0] * CALLERS, [0] * CALLERS
 
     def ask(caller: int) -> None:
         out[caller] += 1
@@ -90,7 +90,7 @@
     def check() -> None:
         while True:
             try:
-                (sidecar := Sidecar(room.address())).send(sidecar.check())
+                (sidecar := Sidecar(host.address())).send(sidecar.check())
                 told[:] = [float(sidecar.answer(1).fields.get("X-Advice", "0"))] * CALLERS
                 sidecar.sock.close()
             except (OSError, AssertionError):
@@ -116,23 +116,23 @@
         "rules": {**SETTINGS["rules"], "ramp_time": ramp * 1000},
     }
     agent, started = Slow(chance, ramp), time.time()
-    with Room(agent, settings=settings, command=("-c", RUN)) as room:
+    with Host(agent, settings=settings, command=("-c", RUN)) as host:
         if number % 3 == 0:
-            room.announce.server.stop(0)
+            host.announce.server.stop(0)
         rising = gevent.spawn_later(chance.uniform(0, LATE), agent.rise)
-        room.line("listening on", 60)
+        host.line("listening on", 60)
         listening = time.time()
-        room.line("-> serving", 60)
+        host.line("-> serving", 60)
         greeted = time.time()
-        sending = gevent.spawn(load, room, Random(chance.random()))
-        while not good(room):
+        sending = gevent.spawn(load, host, Random(chance.random()))
+        while not good(host):
             gevent.sleep(0.05)
         ready = time.time()
         gevent.sleep(chance.uniform(*SERVES))
-        room.process.terminate()
-        room.ended(30)
+        host.process.terminate()
+        host.ended(30)
         gevent.killall([sending, rising])
-        a, b, c, d = map(float, re.findall(r"[0-9.]+", room.line("stages ").split("stages")[1]))
+        a, b, c, d = map(float, re.findall(r"[0-9.]+", host.line("stages ").split("stages")[1]))
     parts = [a - started, b - a, d - c, listening - d, greeted - listening, ready - greeted, ready - started]
     return [*parts, parts[-1] - parts[4]]
 
--- a/benchmarks/ruling.py
+++ b/benchmarks/ruling.py
@@ -33,7 +33,7 @@
 from ringshift.wire.rules import RulesLink
 from standins.agent import Agent
 from standins.caller import Link
-from standins.room import ROOT, Room
+from standins.host import ROOT, Host
 
 WAYS = ("off", "off again", "empty", "full", "quotas")
 EMPTY = "[alone]\n"
@@ -111,16 +111,16 @@
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         environ = stack.enter_context(keeper(folder, way))
         agent = Agent(lambda job, kind, body: (0.0, "good", body))
-        self.room = stack.enter_context(Room(agent, environ=environ))
-        self.room.line("serving" if way.startswith("off") else '"state":"READING"')
+        self.host = stack.enter_context(Host(agent, environ=environ))
+        self.host.line("serving" if way.startswith("off") else '"state":"READING"')
 
     def cpu(self) -> float:
         """Seconds of user and system time by the kernel's clock of that process (clock_getcpuclockid)."""
-        return time.clock_gettime(~self.room.process.pid << 3 | 2)
+        return time.clock_gettime(~self.host.process.pid << 3 | 2)
 
     def block(self, calls: int, seed: int) -> float:
         """Microseconds of CPU an invocation."""
-        links = [Link(self.room.address()) for _ in range(4)]  # anew: a backend closes those left unused
+        links = [Link(self.host.address()) for _ in range(4)]  # anew: a backend closes those left unused
         before, random = self.cpu(), Random(seed)
         jobs = [gevent.spawn(ask, links[i % 4], calls // 8, random.getrandbits(32)) for i in range(8)]
         gevent.joinall(jobs, raise_error=True)
@@ -161,7 +161,7 @@
                 spent[way].append(served[way].block(calls, seed))
             costs = ", ".join(f"{way} {one[-1]:.0f} us" for way, one in spent.items())
             print(f"round {index + 1} of {rounds}: {costs}", flush=True)
-        table(spent, {way: resident(one.room.process.pid) for way, one in served.items()})
+        table(spent, {way: resident(one.host.process.pid) for way, one in served.items()})
     return 0
 
 
--- a/benchmarks/same.py
+++ b/benchmarks/same.py
@@ -2,10 +2,10 @@
 revision's) take the same actions as REV's?
 
 REV's `ringshift` is taken out of this repository into a temporary folder (`git archive`), beside a copy of
-this text's tests/world.py. Both texts play the same seeds' random steps in a process of their own and write
-down every action, without fields at their defaults, as an older text may not have them; these are compared
-one by one. From the first step that differs on the news differ too, so
-a seed counts as differing once, with both texts' words for that step. Exits with 1 if any does.
+this text's tests/simulation.py. Both texts play the same seeds' random steps in a process of their own and
+write down every action, without fields at their defaults, as an older text may not have them; these are
+compared one by one. From the first step that differs on the inputs differ too, so a seed counts as differing
+once, with both texts' actions of that step. Exits with 1 if any does.
 
 `--short` asks for no history: it holds this text against a copy of itself, and against a copy with a
 constant changed, which must be found.
@@ -33,7 +33,7 @@
 from random import Random
 import ringshift
 from ringshift import interface as face
-from tests.world import MS, World, any_machine
+from tests.simulation import MS, SimulatedServer, any_machine
 def shown(one):
     told = ((field, getattr(one, field.name)) for field in fields(one))
     return f"{type(one).__name__}({', '.join(f'{f.name}={v!r}' for f, v in told if v != f.default)})"
@@ -42,20 +42,21 @@
 for seed in range(first, first + seeds):
     chance, draws = Random(seed), Random(-1 - seed)
     try:
-        world = World(any_machine(chance), chance)
-        said = world.first
+        server = SimulatedServer(any_machine(chance), chance)
+        said = server.first
         for step in range(steps + 1):
             print(seed, step, *map(shown, said), sep="\\t")
-            world.now += 20 * MS
-            if world.kill and world.now >= world.kill:
+            server.now += 20 * MS
+            if server.kill and server.now >= server.kill:
                 break  # the machine is gone
-            news = world.any_news()
+            news = server.any_news()
             if shares and draws.random() < 0.2:
                 unit = draws.choice(list(face.Unit))
-                news.append(face.Granted(unit, draws.choice([0.0, 1.0, 3.0, 50.0]),
-                                         world.now + draws.randint(-500, 3000) * MS, draws.choice([0.0, 1.0]),
+                amount = draws.choice([0.0, 1.0, 3.0, 50.0])
+                until = server.now + draws.randint(-500, 3000) * MS
+                news.append(face.Granted(unit, amount, until, draws.choice([0.0, 1.0]),
                                          0 if unit is face.Unit.RATE else -1))
-            said = world.step(news)
+            said = server.step(news)
     except AssertionError as wrong:
         print(seed, -1, f"broke a rule: {wrong}", sep="\\t")
 """
@@ -86,7 +87,7 @@
     else:
         shutil.copytree(ROOT / "ringshift", folder / "ringshift")
     (folder / "tests").mkdir()
-    for name in ("__init__.py", "world.py"):
+    for name in ("__init__.py", "simulation.py"):
         shutil.copy(ROOT / "tests" / name, folder / "tests" / name)
     if plant:
         place, old, new = PLANTED
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -5,7 +5,7 @@
 operations, bodies of any size, job ids never seen before, some callers gone before their answer, work of the
 agent that takes from nothing to a second. Every ten seconds resident memory and descriptors of each are read
 from /proc; the slope is fitted by least squares over the second half, after warm-up. At the end each backend
-writes what its largest structures hold (`standins/census`). `--short` serves one minute.
+writes what its largest structures hold (`standins/process_audit`). `--short` serves one minute.
 """
 
 from __future__ import annotations
@@ -25,8 +25,8 @@
 
 from standins.agent import Agent
 from standins.caller import Link
-from standins.census import SITE
-from standins.room import ROOT, SETTINGS, Room
+from standins.host import ROOT, SETTINGS, Host
+from standins.process_audit import SITE
 
 WAYS = {"off": {}, "lines": {"RINGSHIFT_RECORDS": "lines"}}
 EVERY = 10.0  # seconds between two readings
@@ -41,7 +41,7 @@
     return rss / 1024, len(os.listdir(f"/proc/{pid}/fd"))
 
 
-class Quiet(Room):
+class Quiet(Host):
     """Keeps the lines of phases and few others: a half hour of records would fill the measurer instead."""
 
     def read(self) -> None:
@@ -115,29 +115,29 @@
     minutes = 1.0 if told.short else told.minutes
     random = Random(told.seed)
     folder = Path(tempfile.mkdtemp())
-    rooms: dict[str, Quiet] = {}
+    hosts: dict[str, Quiet] = {}
     readings: dict[str, list[tuple[float, float]]] = {way: [] for way in WAYS}
     tallies: dict[str, dict[str, int]] = {way: {} for way in WAYS}
     run = f"exec {sys.executable} -m ringshift"
     for way, environ in WAYS.items():
-        census = {
+        audit = {
             "PYTHONPATH": os.pathsep.join([str(SITE), str(ROOT)]),
             "RINGSHIFT_CENSUS": str(folder / way),
         }
         settings = {**SETTINGS, "extra": {**SETTINGS["extra"], "upstreams": SENDERS}}
-        rooms[way] = Quiet(
-            work(Random(random.getrandbits(32))), shell=run, settings=settings, environ={**environ, **census}
+        hosts[way] = Quiet(
+            work(Random(random.getrandbits(32))), shell=run, settings=settings, environ={**environ, **audit}
         )
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # so that the backends end with it, below
     try:
-        return measure(rooms, readings, tallies, folder, minutes, told, random)
+        return measure(hosts, readings, tallies, folder, minutes, told, random)
     finally:
-        for room in rooms.values():
-            room.__exit__()  # kills a backend still running; a second call after a clean end does nothing
+        for host in hosts.values():
+            host.__exit__()  # kills a backend still running; a second call after a clean end does nothing
 
 
 def measure(
-    rooms: dict[str, Quiet],
+    hosts: dict[str, Quiet],
     readings: dict[str, list[tuple[float, float]]],
     tallies: dict[str, dict[str, int]],
     folder: Path,
@@ -147,18 +147,18 @@
 ) -> int:
     start = time.monotonic()
     until = start + minutes * 60
-    for way, room in rooms.items():
-        room.serving()
+    for way, host in hosts.items():
+        host.serving()
         for _ in range(4):
             gevent.spawn(
-                callers, room.address(), Random(random.getrandbits(32)), told.rate / 4, until, tallies[way]
+                callers, host.address(), Random(random.getrandbits(32)), told.rate / 4, until, tallies[way]
             )
     while time.monotonic() < until:
         gevent.sleep(EVERY)
         at = time.monotonic() - start
         line = []
-        for way, room in rooms.items():
-            mb, fds = resident(room.process.pid)
+        for way, host in hosts.items():
+            mb, fds = resident(host.process.pid)
             readings[way].append((at, mb))
             line.append(f"{way} {mb:.1f} MB {fds} fds {sum(tallies[way].values())} answered")
         print(f"{at / 60:5.1f} min: " + ", ".join(line), flush=True)
@@ -167,7 +167,7 @@
         "| records | MB at 1 min | MB at the end | peak | slope over the second half, MB an hour | answers |"
     )
     print("| --- | --- | --- | --- | --- | --- |")
-    for way in rooms:
+    for way in hosts:
         seen = readings[way]
         first = next((m for t, m in seen if t >= 60), seen[0][1])
         ends = ", ".join(f"{k} {v}" for k, v in sorted(tallies[way].items()))
@@ -175,20 +175,20 @@
             f"| {way} | {first:.1f} | {seen[-1][1]:.1f} | {max(m for _, m in seen):.1f} | "
             f"{slope(seen):+.2f} | {ends} |"
         )
-    for way, room in rooms.items():
-        room.process.send_signal(signal.SIGUSR2)
+    for way, host in hosts.items():
+        host.process.send_signal(signal.SIGUSR2)
         path = folder / way
-        room.line("census written", 60)
+        host.line("audit written", 60)
         held = json.loads(path.read_text())
         if "error" in held:
-            print(f"\n{way}: the census failed: {held['error']}")
+            print(f"\n{way}: the audit failed: {held['error']}")
         else:
             print(f"\n{way}: {held['rss_kb'] / 1024:.1f} MB, {held['objects']} objects; held at the end:")
             print("| held by | holders | entries in all | most in one |\n| --- | --- | --- | --- |")
             for entry in held["largest"]:
                 print(f"| `{entry['held_by']}` | {entry['holders']} | {entry['length']} | {entry['most']} |")
-        room.process.send_signal(signal.SIGTERM)
-        room.ended(30)
+        host.process.send_signal(signal.SIGTERM)
+        host.ended(30)
     return 0
 
 
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 
 from standins.agent import Agent
-from standins.room import Room
+from standins.host import Host
 
 
 def at_work(job: str, kind: str, body: bytes) -> tuple[float, str, bytes]:
@@ -20,15 +20,15 @@
     stop = Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         gevent.signal_handler(number, stop.set)
-    with Room(Agent(at_work), echo=True) as room:
-        sidecar = room.serving()
+    with Host(Agent(at_work), echo=True) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, "look", b"hello"))
         answer = sidecar.answer(1)
         print(f"/call/look 'hello' -> {answer.status} {answer.body.decode()!r} {answer.fields}", flush=True)
-        print("FastCGI on {}:{}; Ctrl-C tells the backend to leave".format(*room.address()), flush=True)
+        print("FastCGI on {}:{}; Ctrl-C tells the backend to leave".format(*host.address()), flush=True)
         stop.wait()
-        room.process.terminate()
-        return room.ended()
+        host.process.terminate()
+        return host.ended()
 
 
 if __name__ == "__main__":
--- a/standins/guard/trace.py
+++ b/standins/guard/trace.py
@@ -27,7 +27,7 @@
 
 from standins import guard
 from standins.agent import Agent
-from standins.room import ROOT, Room
+from standins.host import ROOT, Host
 
 REFUSED = {
     "fork",
@@ -93,25 +93,25 @@
     return seen
 
 
-def serve(room: Room) -> None:
+def serve(host: Host) -> None:
     """As the guard test serves: both classes, a deep check, SIGHUP, two reports, the notice to leave."""
-    sidecar = room.serving()
+    sidecar = host.serving()
     for request in range(1, 31):
         sidecar.send(sidecar.call(request, ("look", "order")[request % 2], b"%d" % request))
-    checks = room.sidecar()
+    checks = host.sidecar()
     checks.send(checks.check(1, deep=True))
     for request in range(1, 31):
         sidecar.answer(request)
     checks.answer(1)
     # Signals go to the backend, strace's child: strace itself would end on them.
-    (backend,) = guard.children(room.process.pid)
-    room.path.write_bytes(orjson.dumps(room.told))
+    (backend,) = guard.children(host.process.pid)
+    host.path.write_bytes(orjson.dumps(host.told))
     os.kill(backend, signal.SIGHUP)
-    room.line("configuration read")
-    seen = len(room.announce.reports)
-    room.wait(room.announce.reported, lambda: len(room.announce.reports) >= seen + 2)
+    host.line("configuration read")
+    seen = len(host.announce.reports)
+    host.wait(host.announce.reported, lambda: len(host.announce.reports) >= seen + 2)
     os.kill(backend, signal.SIGTERM)
-    room.ended(30)
+    host.ended(30)
 
 
 def main() -> int:
@@ -129,8 +129,8 @@
         print(f"trace: the run line has changed, and this command must follow it: {line}", file=sys.stderr)
         return 2
     line = line.replace("exec .venv/bin/python", f"exec {strace} -f -qq -s 200 -o {out} {sys.executable}")
-    with Room(Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=line) as room:
-        serve(room)
+    with Host(Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=line) as host:
+        serve(host)
     seen = read(out.read_text().splitlines())
     print(f"run line under strace: {line}\n")
     print(
--- a/standins/room.py
+++ b/standins/host.py
@@ -41,7 +41,7 @@
 }
 
 
-class Room:
+class Host:
     def __init__(
         self,
         agent: Agent | None = None,
@@ -81,7 +81,7 @@
         self.process = subprocess.Popen(argv, cwd=ROOT, env=environ, stderr=subprocess.PIPE)
         self.reading = gevent.spawn(self.read)
 
-    def __enter__(self) -> Room:
+    def __enter__(self) -> Host:
         return self
 
     def __exit__(self, *_: Any) -> None:
--- a/standins/census/__init__.py
+++ b/standins/process_audit/__init__.py
@@ -1,4 +1,4 @@
-"""A census of a backend's structures for measurements: `site/` goes on the measured PYTHONPATH."""
+"""An audit of a backend's structures for measurements: `site/` goes on the measured PYTHONPATH."""
 
 from __future__ import annotations
 
--- a/standins/census/site/sitecustomize.py
+++ b/standins/process_audit/site/sitecustomize.py
@@ -2,7 +2,7 @@
 
 The file named by RINGSHIFT_CENSUS gets one JSON object: resident memory now, the program's objects by type,
 and what the containers (dict, list, set, deque, bytearray) held by its objects hold, summed by the attribute
-that holds them. It says `census written` on standard error when done.
+that holds them. It says `audit written` on standard error when done.
 Signal and file are the measurement's, not the backend's, which has neither.
 """
 
@@ -35,15 +35,15 @@
     return isinstance(module, str) and module.startswith("ringshift")
 
 
-def census(*_: Any) -> None:
-    """Writes the census or, if it fails, why: a handler that raises would raise inside the backend."""
+def audit(*_: Any) -> None:
+    """Writes the audit or, if it fails, why: a handler that raises would raise inside the backend."""
     try:
         told = count()
     except Exception as error:  # noqa: BLE001  the measurement must not end what it measures
         told = {"error": repr(error)}
     with open(os.environ["RINGSHIFT_CENSUS"], "w") as out:
         json.dump(told, out)
-    sys.stderr.write("census written\n")  # the measurer waits for this line, not for the file
+    sys.stderr.write("audit written\n")  # the measurer waits for this line, not for the file
     sys.stderr.flush()
 
 
@@ -76,4 +76,4 @@
 
 
 if os.environ.get("RINGSHIFT_CENSUS"):
-    signal.signal(signal.SIGUSR2, census)
+    signal.signal(signal.SIGUSR2, audit)
--- a/standins/stage.py
+++ b/standins/stage.py
@@ -26,7 +26,7 @@
 
 from standins.caller import Caller, Target
 from standins.farm import Farm
-from standins.room import ROOT, SETTINGS
+from standins.host import ROOT, SETTINGS
 from standins.skew import Skew
 from standins.watcher import Watcher
 
--- a/tests/crossings/fleet.py
+++ b/tests/crossings/fleet.py
@@ -9,7 +9,7 @@
 
 from ringshift import interface as face
 from ringshift.control import Controller
-from tests.world import MS
+from tests.simulation import MS
 
 STEP = 25 * MS
 TRIES = 3  # backends that a caller tries for one request
--- a/tests/crossings/test_agent_link.py
+++ b/tests/crossings/test_agent_link.py
@@ -16,9 +16,9 @@
 from ringshift.wire import news
 from ringshift.wire.agent import Agent as Link
 from standins.agent import Agent
-from standins.room import Room
+from standins.host import Host
+from tests.simulation import MS
 from tests.test_owner import Played
-from tests.world import MS
 
 
 def job(request: int) -> str:
@@ -85,8 +85,8 @@
 def test_a_restarted_agent_counts_from_one_and_is_heard() -> None:
     """Numbers up to the last one read were passed over: all outcomes of the new process were lost. What ran
     before is of unknown fate: it is answered by its due time, as failed, and never launched again."""
-    with Room() as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host() as host:
+        sidecar, agent = host.serving(), host.agent
         for request in (1, 2, 3):
             sidecar.send(sidecar.call(request))
             agent.until(lambda request=request: bool(agent.launched(job(request))))  # type: ignore[misc]
@@ -119,8 +119,8 @@
 def test_an_outcome_beyond_the_notices_kept_is_answered_in_time_and_its_run_given_up() -> None:
     """The run counted against memory and cores for ever: four such ones, and four cores stood idle."""
     agent = Forgetful()
-    with Room(agent) as room:
-        sidecar = room.serving()
+    with Host(agent) as host:
+        sidecar = host.serving()
         for request in (1, 2, 3, 4):
             sidecar.send(sidecar.call(request, "order", HTTP_X_ALLOW_MS="900"))
         agent.until(lambda: len(agent.launches) == 4)
@@ -129,7 +129,7 @@
             agent.finish(job(request))
         agent.notify(type="aside", state="later")
         assert [sidecar.answer(request, 2.0).status for request in (1, 2, 3, 4)] == [500] * 4
-        room.line("run given up", 10.0)
+        host.line("run given up", 10.0)
         assert [len(agent.launched(job(request))) for request in (1, 2, 3, 4)] == [1] * 4
         sidecar.send(sidecar.call(5, "order"))
         agent.until(lambda: bool(agent.launched(job(5))))
@@ -146,8 +146,8 @@
 
 def test_an_outcome_told_again_on_a_new_link_ends_nothing_twice() -> None:
     agent = Retelling()
-    with Room(agent) as room:
-        sidecar = room.serving()
+    with Host(agent) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1) + sidecar.call(2, "order"))
         agent.until(lambda: len(agent.launches) == 2)
         agent.finish(job(1))
@@ -170,8 +170,8 @@
 
 def test_an_outcome_that_crosses_its_freeze_is_no_second_answer_and_frees_its_place() -> None:
     agent = Crossing()
-    with Room(agent) as room:
-        sidecar = room.serving()
+    with Host(agent) as host:
+        sidecar = host.serving()
         for request in (1, 2, 3, 4):
             sidecar.send(sidecar.call(request, "order", HTTP_X_ALLOW_MS="700"))
         assert [sidecar.answer(request).status for request in (1, 2, 3, 4)] == [500] * 4
@@ -183,8 +183,8 @@
 
 
 def test_answers_and_refusals_of_jobs_given_up_or_unknown_change_nothing() -> None:
-    with Room() as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host() as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1, "order", HTTP_X_ALLOW_MS="700"))
         assert sidecar.answer(1).status == 500
         agent.until(lambda: bool(agent.notices))  # cut, as it was told to stop
@@ -386,8 +386,8 @@
 
 def test_a_notice_of_an_unknown_type_ends_nothing_and_is_not_asked_for_again() -> None:
     """It ended the link, was told again on the next one, and so no run was ever heard of."""
-    with Room() as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host() as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1) + sidecar.call(2))
         agent.until(lambda: len(agent.launches) == 2)
         agent.notify(type="unheard-of", job=job(1))
@@ -395,7 +395,7 @@
         assert sidecar.answer(2).body == b"two"
         agent.finish(job(1), result=b"one")
         assert sidecar.answer(1).body == b"one"
-        assert "'unheard-of'" in room.line("agent tells what this program does not know")
+        assert "'unheard-of'" in host.line("agent tells what this program does not know")
         agent.cut_link(b"")
         sidecar.send(sidecar.call(3))
         agent.until(lambda: bool(agent.launched(job(3))))
--- a/tests/crossings/test_cold_fleet.py
+++ b/tests/crossings/test_cold_fleet.py
@@ -18,10 +18,10 @@
 
 from ringshift import interface as face
 from standins.agent import Agent
-from standins.room import SETTINGS, Room
+from standins.host import SETTINGS, Host
 from standins.sidecar import Answer, Sidecar
 from tests.crossings.fleet import Backend, Cold, Fleet, Heard
-from tests.world import MS, machine, operation
+from tests.simulation import MS, machine, operation
 
 CALLERS = 100
 SETTINGS_OF = [
@@ -153,13 +153,13 @@
     def __init__(self, chance: Random) -> None:
         self.agent = Agent(self.work, state="new")
         self.chance = chance
-        self.room = Room(self.agent, settings=TOLD)
+        self.host = Host(self.agent, settings=TOLD)
         self.sent: list[int] = []
         self.taken: list[int] = []
 
     def begin(self) -> None:
-        self.room.line("-> serving")
-        self.born, self.address = time.monotonic_ns(), self.room.address()
+        self.host.line("-> serving")
+        self.born, self.address = time.monotonic_ns(), self.host.address()
 
     def age(self) -> int:
         return time.monotonic_ns() - self.born
@@ -236,7 +236,7 @@
     with ExitStack() as stack:
         made = [Site(Random(number)) for number in range(PROCESSES)]
         for site in made:
-            stack.enter_context(site.room)
+            stack.enter_context(site.host)
         for site in made:
             site.begin()
         yield made
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -19,7 +19,7 @@
 from ringshift.wire.announce import Announcer
 from standins.agent import Agent
 from standins.announce import Announce
-from standins.room import Room
+from standins.host import Host
 from standins.sidecar import Sidecar
 
 pytestmark = pytest.mark.alone
@@ -43,10 +43,10 @@
     listener.reports.remove("last")
 
 
-def service_again(room: Room) -> None:
+def service_again(host: Host) -> None:
     """At the address that the program was told."""
-    room.announce.server = DatagramServer(room.announce.server.address, room.announce.heard)  # type: ignore[arg-type]
-    room.announce.server.start()
+    host.announce.server = DatagramServer(host.announce.server.address, host.announce.heard)  # type: ignore[arg-type]
+    host.announce.server.start()
 
 
 # Reports.
@@ -55,34 +55,34 @@
 @pytest.mark.parametrize("when", ["at the start", "later"])
 def test_a_service_that_is_lost_hears_again_once_it_is_back(when: str) -> None:
     """Nothing else depends on it meanwhile."""
-    with Room(Agent(at_once, up=False)) as room:
+    with Host(Agent(at_once, up=False)) as host:
         if when == "at the start":
-            room.announce.server.stop(0)
-        room.agent.up.set()
-        sidecar = room.serving()
+            host.announce.server.stop(0)
+        host.agent.up.set()
+        sidecar = host.serving()
         if when == "later":
-            room.wait(room.announce.reported, lambda: bool(room.announce.reports))
-            room.announce.server.stop(0)
+            host.wait(host.announce.reported, lambda: bool(host.announce.reports))
+            host.announce.server.stop(0)
         sidecar.send(sidecar.call(1))
         assert sidecar.answer(1).status == 200
-        room.announce.reports.clear()
-        service_again(room)
-        room.wait(room.announce.reported, lambda: "announce n3 true" in room.announce.reports)
+        host.announce.reports.clear()
+        service_again(host)
+        host.wait(host.announce.reported, lambda: "announce n3 true" in host.announce.reports)
 
 
 def test_no_report_follows_the_notice() -> None:
-    with Room(stop_ms=4000.0) as room:
-        sidecar = room.serving()
+    with Host(stop_ms=4000.0) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, "order", HTTP_X_ALLOW_MS="9000"))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.wait(room.announce.reported, lambda: bool(room.announce.reports))
-        room.process.send_signal(signal.SIGTERM)
-        room.line("leaving: 1 in hand")
-        heard_last(room.announce)
-        room.announce.reports.clear()
-        assert sidecar.answer(1).status == 500 and room.ended() == 0  # several reports' time later
-        heard_last(room.announce)
-        assert not room.announce.reports
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.wait(host.announce.reported, lambda: bool(host.announce.reports))
+        host.process.send_signal(signal.SIGTERM)
+        host.line("leaving: 1 in hand")
+        heard_last(host.announce)
+        host.announce.reports.clear()
+        assert sidecar.answer(1).status == 500 and host.ended() == 0  # several reports' time later
+        heard_last(host.announce)
+        assert not host.announce.reports
 
 
 def test_a_report_due_in_the_step_of_the_notice_is_not_sent() -> None:
@@ -144,15 +144,15 @@
 
 def test_the_list_may_lapse_while_requests_still_come() -> None:
     """Reports that no one hears cost nothing that arrives."""
-    with Room(Agent(at_once)) as room:
-        sidecar = room.serving()
-        room.wait(room.announce.reported, lambda: bool(room.announce.reports))
-        room.announce.server.stop(0)
+    with Host(Agent(at_once)) as host:
+        sidecar = host.serving()
+        host.wait(host.announce.reported, lambda: bool(host.announce.reports))
+        host.announce.server.stop(0)
         for request in range(1, 40):
             sidecar.send(sidecar.call(request))
             assert sidecar.answer(request).status == 200
             gevent.sleep(0.1)  # 3.9 s in all: an entry lapses after 3
-        assert room.process.poll() is None
+        assert host.process.poll() is None
 
 
 # Descriptors.
@@ -163,8 +163,8 @@
 )
 
 
-def descriptors(room: Room) -> list[str]:
-    folder = Path("/proc", str(room.process.pid), "fd")
+def descriptors(host: Host) -> list[str]:
+    folder = Path("/proc", str(host.process.pid), "fd")
     found = []
     for entry in folder.iterdir():
         try:
@@ -174,62 +174,62 @@
     return found
 
 
-def processor_seconds(room: Room) -> float:
-    fields = Path("/proc", str(room.process.pid), "stat").read_text().rpartition(")")[2].split()
+def processor_seconds(host: Host) -> float:
+    fields = Path("/proc", str(host.process.pid), "stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 def test_what_the_program_holds_for_itself_leaves_room_for_all_that_it_makes_anew() -> None:
     """A told limit is kept with the old link, a new one and the file open beside all connections."""
-    with Room(Agent(at_once)) as room:
-        room.serving().sock.close()
+    with Host(Agent(at_once)) as host:
+        host.serving().sock.close()
         with gevent.Timeout(10):
-            while len([name for name in descriptors(room) if name.startswith("socket:")]) > 3:
+            while len([name for name in descriptors(host) if name.startswith("socket:")]) > 3:
                 gevent.sleep(0.01)  # the listener, the agent's link and the reports' socket are left
-        assert len(descriptors(room)) + LINK_MADE_ANEW + FILE <= OWN_DESCRIPTORS
+        assert len(descriptors(host)) + LINK_MADE_ANEW + FILE <= OWN_DESCRIPTORS
 
 
-def fill(room: Room, half_sent: bool) -> list[Sidecar]:
+def fill(host: Host, half_sent: bool) -> list[Sidecar]:
     """As many as the limit, and more in the backlog. Those within a request can't make room for others until
     the sweep gives them up."""
-    clients = [room.sidecar() for _ in range(SOCKETS + 40)]
+    clients = [host.sidecar() for _ in range(SOCKETS + 40)]
     for client in clients if half_sent else ():
         client.send(client.call(1)[:30])
     with gevent.Timeout(10):
-        while len(descriptors(room)) < SOCKETS - OWN_DESCRIPTORS:
+        while len(descriptors(host)) < SOCKETS - OWN_DESCRIPTORS:
             gevent.sleep(0.01)
     return clients
 
 
 @pytest.mark.parametrize("half_sent", [False, True], ids=["silent", "half sent"])
 def test_with_all_connections_taken_link_file_and_check_still_find_a_descriptor(half_sent: bool) -> None:
-    with Room(Agent(at_once), sockets=SOCKETS, command=("-c", LIMITED)) as room:
-        room.serving().sock.close()
-        room.announce.server.stop(0)
-        clients = fill(room, half_sent)
-        agent = room.agent
+    with Host(Agent(at_once), sockets=SOCKETS, command=("-c", LIMITED)) as host:
+        host.serving().sock.close()
+        host.announce.server.stop(0)
+        clients = fill(host, half_sent)
+        agent = host.agent
         agent.cut_link()
         agent.until(lambda: len(agent.ports) == 2)
         server = agent.serve()
-        room.replace(agent="{}:{}".format(*server.address))
-        room.line("configuration read")
+        host.replace(agent="{}:{}".format(*server.address))
+        host.line("configuration read")
         agent.until(lambda: agent.ports[-1] == server.address[1])
-        check = room.sidecar()
+        check = host.sidecar()
         check.send(check.check(deep=True))
         assert check.answer(1).status == 200
-        assert len(descriptors(room)) <= SOCKETS
-        assert not [line for line in room.lines if "Too many open files" in line]
-        assert len(clients) == SOCKETS + 40 and room.process.poll() is None
+        assert len(descriptors(host)) <= SOCKETS
+        assert not [line for line in host.lines if "Too many open files" in line]
+        assert len(clients) == SOCKETS + 40 and host.process.poll() is None
 
 
 def test_without_room_for_connections_the_program_does_not_spin() -> None:
     """All connections within a request, more in the backlog: a third of a core at most while it waits."""
-    with Room(Agent(at_once), sockets=SOCKETS, command=("-c", LIMITED)) as room:
-        room.serving().sock.close()
-        room.announce.server.stop(0)
-        clients = fill(room, True)
-        room.line("no room for a connection")
-        before = processor_seconds(room)
+    with Host(Agent(at_once), sockets=SOCKETS, command=("-c", LIMITED)) as host:
+        host.serving().sock.close()
+        host.announce.server.stop(0)
+        clients = fill(host, True)
+        host.line("no room for a connection")
+        before = processor_seconds(host)
         gevent.sleep(1.0)
-        assert processor_seconds(room) - before < 0.33
-        assert room.process.poll() is None and clients
+        assert processor_seconds(host) - before < 0.33
+        assert host.process.poll() is None and clients
--- a/tests/crossings/test_keyed_repeats.py
+++ b/tests/crossings/test_keyed_repeats.py
@@ -13,11 +13,11 @@
 from ringshift.store.keyed import KeyedOperation, KeyedResults
 from ringshift.wire import news
 from standins.agent import Agent
-from standins.room import SETTINGS, Room
+from standins.host import SETTINGS, Host
+from tests.simulation import MS, machine, operation
 from tests.test_owner import Played
-from tests.world import MS, machine, operation
 
-WINDOW = 5000 * MS  # of the operations of tests.world
+WINDOW = 5000 * MS  # of the operations of tests.simulation
 KEYED: dict[str, Any] = {
     **SETTINGS,
     "classes": [{**SETTINGS["classes"][0], "effect": "keyed", "window": 3000.0}, *SETTINGS["classes"][1:]],
@@ -172,23 +172,23 @@
 
 
 def test_tries_of_one_key_on_two_connections_run_once_and_get_one_result() -> None:
-    with Room(settings=KEYED) as room:
-        first, second = room.serving(), room.sidecar()
+    with Host(settings=KEYED) as host:
+        first, second = host.serving(), host.sidecar()
         first.send(first.call(1, HTTP_X_UNIQUE="a" * 32))
-        room.agent.until(lambda: bool(room.agent.launched(job(1))))
+        host.agent.until(lambda: bool(host.agent.launched(job(1))))
         second.send(second.call(2, HTTP_X_UNIQUE="a" * 32) + second.call(3, HTTP_X_UNIQUE="b" * 32))
-        room.agent.until(lambda: bool(room.agent.launched(job(3))))
-        room.agent.finish(job(1), result=b"once")
+        host.agent.until(lambda: bool(host.agent.launched(job(3))))
+        host.agent.finish(job(1), result=b"once")
         assert [first.answer(1).body, second.answer(2).body] == [b"once"] * 2
         second.send(second.call(4, HTTP_X_UNIQUE="a" * 32))
         assert second.answer(4).body == b"once"
-        assert not room.agent.launched(job(2)) and not room.agent.launched(job(4))
+        assert not host.agent.launched(job(2)) and not host.agent.launched(job(4))
 
 
 def test_a_copied_key_with_another_body_is_neither_served_nor_holds_it() -> None:
     """A bad client was given the result of the request whose key it had copied."""
-    with Room(settings=KEYED) as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host(settings=KEYED) as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1, body=b"copied", HTTP_X_UNIQUE="a" * 32))
         agent.until(lambda: bool(agent.launched(job(1))))
         sidecar.send(sidecar.call(2, HTTP_X_UNIQUE="a" * 32))
@@ -204,7 +204,7 @@
 
 
 def test_a_key_longer_than_its_bound_fails_its_request_alone() -> None:
-    with Room(Agent(lambda job, kind, body: (0.0, "good", b"made")), settings=KEYED) as room:
-        sidecar = room.serving()
+    with Host(Agent(lambda job, kind, body: (0.0, "good", b"made")), settings=KEYED) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, HTTP_X_UNIQUE="a" * 129) + sidecar.call(2, HTTP_X_UNIQUE="a" * 128))
         assert [sidecar.answer(request).status for request in (1, 2)] == [400, 200]
--- a/tests/crossings/test_recovery.py
+++ b/tests/crossings/test_recovery.py
@@ -12,7 +12,7 @@
 
 from ringshift import interface as face
 from tests.crossings.fleet import STEP, Backend, Cold
-from tests.world import MS, World, machine, operation
+from tests.simulation import MS, SimulatedServer, machine, operation
 
 S = 1000 * MS
 WORK = 300 * MS
@@ -118,21 +118,24 @@
 @pytest.mark.parametrize("lasts", [5, 10])
 def test_a_backend_whose_dependency_is_well_again_is_ready_within_fifteen_seconds(lasts: int) -> None:
     """While it is not ready nobody sends: what was seen of the loss has to fade before it tries again."""
-    world, good = World(machine(operation(calls=True), below=face.Below.SHARED, cores=6), Random(1)), True
+    server, good = (
+        SimulatedServer(machine(operation(calls=True), below=face.Below.SHARED, cores=6), Random(1)),
+        True,
+    )
 
     def go_on(seconds: float, outcome: face.Outcome, load: bool) -> None:
         nonlocal good
         for _ in range(round(seconds * 20)):
-            news: list[face.Input] = [world.arrive(unread=0, patience=None)] if load else []
-            news += [world.end_call(one, outcome) for one in world.of("calling")]
-            news += [world.finish(one, face.Outcome.STOPPED) for one in world.of("at call") if one.answered]
-            for one in world.of("running"):
+            news: list[face.Input] = [server.arrive(unread=0, patience=None)] if load else []
+            news += [server.end_call(one, outcome) for one in server.of("calling")]
+            news += [server.finish(one, face.Outcome.STOPPED) for one in server.of("at call") if one.answered]
+            for one in server.of("running"):
                 if one.call is None:
                     one.state = "at call"
                     news.append(face.CallWanted(one.news.inv))
                 else:
-                    news.append(world.finish(one))
-            for action in world.step(news, 50 * MS):
+                    news.append(server.finish(one))
+            for action in server.step(news, 50 * MS):
                 good = action.good if isinstance(action, face.Readiness) else good
 
     go_on(3, face.Outcome.SUCCEEDED, True)
--- a/tests/crossings/test_reload.py
+++ b/tests/crossings/test_reload.py
@@ -22,11 +22,11 @@
 from ringshift.wire.agent import Agent as Link
 from standins.agent import Agent
 from standins.announce import Announce
-from standins.room import SETTINGS, Room
+from standins.host import SETTINGS, Host
 from tests.crossings.test_agent_link import Peer, greet, line
+from tests.simulation import MS, SimulatedServer, any_machine, machine, operation
 from tests.test_owner import Played
 from tests.test_program import TOLD, at_once
-from tests.world import MS, World, any_machine, machine, operation
 
 OTHER = {
     **SETTINGS,
@@ -41,78 +41,78 @@
 def test_a_sighup_before_the_handler_stands_ends_nothing() -> None:
     """As `run` starts it: the shell lets it pass, and the file is read after the handler stands."""
     shell = f"trap '' HUP; kill -HUP $$; exec {sys.executable} -m ringshift"
-    with Room(Agent(at_once), shell=shell) as room:
-        sidecar = room.serving()
+    with Host(Agent(at_once), shell=shell) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
         assert sidecar.answer(1).status == 200
 
 
 def test_of_several_at_once_the_last_file_counts() -> None:
     """The process stands while three come: they are one signal, and one reading."""
-    with Room(Agent(at_once)) as room:
-        room.line("-> serving")
-        room.process.send_signal(signal.SIGSTOP)
+    with Host(Agent(at_once)) as host:
+        host.line("-> serving")
+        host.process.send_signal(signal.SIGSTOP)
         listeners = [Announce() for _ in range(3)]
-        servers = [room.agent.serve() for _ in range(3)]
+        servers = [host.agent.serve() for _ in range(3)]
         for server, listener in zip(servers, listeners, strict=True):
-            room.replace(agent="{}:{}".format(*server.address), announce=listener.address)
-        room.process.send_signal(signal.SIGCONT)
-        room.agent.until(lambda: room.agent.ports[-1] == servers[-1].address[1])
-        room.wait(listeners[-1].reported, lambda: bool(listeners[-1].reports))
-        room.line("configuration read")
-        assert sum("configuration read" in text for text in room.lines) == 1 and len(room.agent.ports) == 2
-        sidecar = room.sidecar()
+            host.replace(agent="{}:{}".format(*server.address), announce=listener.address)
+        host.process.send_signal(signal.SIGCONT)
+        host.agent.until(lambda: host.agent.ports[-1] == servers[-1].address[1])
+        host.wait(listeners[-1].reported, lambda: bool(listeners[-1].reports))
+        host.line("configuration read")
+        assert sum("configuration read" in text for text in host.lines) == 1 and len(host.agent.ports) == 2
+        sidecar = host.sidecar()
         sidecar.send(sidecar.call(1))
         assert sidecar.answer(1).status == 200
 
 
 @pytest.mark.parametrize("what", ["missing", "empty"])
 def test_a_file_that_is_not_there_or_empty_changes_nothing(what: str) -> None:
-    with Room(Agent(at_once)) as room:
-        sidecar = room.serving()
+    with Host(Agent(at_once)) as host:
+        sidecar = host.serving()
         if what == "missing":
-            room.path.unlink()
-            room.process.send_signal(signal.SIGHUP)
+            host.path.unlink()
+            host.process.send_signal(signal.SIGHUP)
         else:
-            room.replace(b"")
-        room.line("configuration stays as it was")
+            host.replace(b"")
+        host.line("configuration stays as it was")
         sidecar.send(sidecar.call(1))
-        assert sidecar.answer(1).status == 200 and len(room.agent.ports) == 1
+        assert sidecar.answer(1).status == 200 and len(host.agent.ports) == 1
 
 
 def test_another_customers_settings_move_addresses_and_change_nothing_else() -> None:
     """They count from the next start on, and a line says so."""
-    with Room(Agent(at_once)) as room:
-        sidecar = room.serving()
-        server = room.agent.serve()
-        room.replace(settings=OTHER, agent="{}:{}".format(*server.address))
-        room.line("settings: changed, which counts from the next start on")
-        room.agent.until(lambda: room.agent.ports[-1] == server.address[1])
+    with Host(Agent(at_once)) as host:
+        sidecar = host.serving()
+        server = host.agent.serve()
+        host.replace(settings=OTHER, agent="{}:{}".format(*server.address))
+        host.line("settings: changed, which counts from the next start on")
+        host.agent.until(lambda: host.agent.ports[-1] == server.address[1])
         sidecar.send(sidecar.call(1, "look") + sidecar.call(2, "quote"))
         assert (sidecar.answer(1).status, sidecar.answer(2).status) == (200, 400)
-        assert sidecar.out == {} and [kind for _, kind, _ in room.agent.launches] == ["look"]
+        assert sidecar.out == {} and [kind for _, kind, _ in host.agent.launches] == ["look"]
 
 
 def test_a_shorter_stop_read_before_the_notice_holds() -> None:
-    with Room(stop_ms=60_000.0) as room:
-        sidecar = room.serving()
-        room.replace(stop_ms=900.0)
-        room.line("configuration read")
+    with Host(stop_ms=60_000.0) as host:
+        sidecar = host.serving()
+        host.replace(stop_ms=900.0)
+        host.line("configuration read")
         sidecar.send(sidecar.call(1, "order"))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.process.terminate()
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.process.terminate()
         assert sidecar.answer(1, 0.9).status == 500
-        assert room.ended(2) == 0
+        assert host.ended(2) == 0
 
 
 def test_an_address_moved_while_the_old_one_is_dialled_in_vain_is_taken_at_once() -> None:
-    with Room(Agent(at_once)) as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host(Agent(at_once)) as host:
+        sidecar, agent = host.serving(), host.agent
         agent.server.stop(0)
         agent.cut_link()
-        room.line("agent can't be reached")
+        host.line("agent can't be reached")
         server = agent.serve()
-        room.replace(agent="{}:{}".format(*server.address))
+        host.replace(agent="{}:{}".format(*server.address))
         agent.until(lambda: agent.ports[-1] == server.address[1], 2.0)
         sidecar.send(sidecar.call(1))
         assert sidecar.answer(1).status == 200
@@ -206,13 +206,13 @@
 
 def decisions(seed: int) -> Turn:
     chance = Random(seed)
-    world = World(any_machine(chance), chance)
+    server = SimulatedServer(any_machine(chance), chance)
 
     def turn() -> object:
-        if world.kill and world.now + 20 * MS >= world.kill:
+        if server.kill and server.now + 20 * MS >= server.kill:
             return None
-        world.now += 20 * MS
-        return world.step(world.any_news())
+        server.now += 20 * MS
+        return server.step(server.any_news())
 
     return turn
 
--- a/tests/crossings/test_repeats.py
+++ b/tests/crossings/test_repeats.py
@@ -11,8 +11,8 @@
 from ringshift.interface import Effect
 from ringshift.store.results import ENTRY
 from ringshift.wire import news
+from tests.simulation import MS, SimulatedServer, machine, operation
 from tests.test_owner import Played, reads
-from tests.world import MS, World, machine, operation
 
 FRESH = 300 * MS
 
@@ -166,25 +166,25 @@
 
 
 def test_a_tokened_one_is_kept_for_its_window_to_the_millisecond() -> None:
-    world = World(machine(operation(effect=Effect.TOKENED)), Random(1))
-    window, kept = world.m.operations[0].window, world.m.entry_kb
-    first = world.arrive(unread=0, patience=None)
-    said = world.step([first])
+    server = SimulatedServer(machine(operation(effect=Effect.TOKENED)), Random(1))
+    window, kept = server.m.operations[0].window, server.m.entry_kb
+    first = server.arrive(unread=0, patience=None)
+    said = server.step([first])
     assert [(a.inv, a.ttl) for a in said if isinstance(a, face.Remember)] == [(first.inv, window)]
-    world.step([world.finish(world.seen[first.inv])])
-    world.step([], window - MS)
-    again = world.arrive(unread=0, patience=None, repeats=first.inv)
-    said = world.step([again])
+    server.step([server.finish(server.seen[first.inv])])
+    server.step([], window - MS)
+    again = server.arrive(unread=0, patience=None, repeats=first.inv)
+    said = server.step([again])
     assert any(isinstance(a, face.Reuse) for a in said) and not any(isinstance(a, face.Start) for a in said)
-    world.step([world.finish(world.seen[again.inv])])
-    assert world.controller.memory == pytest.approx(kept)  # booked a little longer than it lives
-    world.step([], MS + 20 * MS)
-    assert world.controller.memory == pytest.approx(0.0, abs=1e-6)
+    server.step([server.finish(server.seen[again.inv])])
+    assert server.controller.memory == pytest.approx(kept)  # booked a little longer than it lives
+    server.step([], MS + 20 * MS)
+    assert server.controller.memory == pytest.approx(0.0, abs=1e-6)
 
 
 def test_a_tokened_one_that_can_not_be_kept_is_turned_away_unrun() -> None:
     """Run with no entry, its repeat inside the window would look like new work and run again."""
-    world = World(machine(operation(effect=Effect.TOKENED), entry_kb=50_000.0), Random(1))
-    said = world.step([world.arrive(unread=0, patience=None, kb=5.0)])
+    server = SimulatedServer(machine(operation(effect=Effect.TOKENED), entry_kb=50_000.0), Random(1))
+    said = server.step([server.arrive(unread=0, patience=None, kb=5.0)])
     kinds = {type(action) for action in said}
     assert face.Throttle in kinds and face.Start not in kinds
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -18,9 +18,9 @@
 from ringshift.runtime.bounds import MIB, bounds
 from ringshift.wire import news
 from standins.agent import Agent
-from standins.room import Room
+from standins.host import Host
+from tests.simulation import MS, SimulatedServer, machine, operation
 from tests.test_owner import Hands, Played
-from tests.world import MS, World, machine, operation
 
 pytestmark = pytest.mark.alone
 
@@ -37,9 +37,9 @@
     return f"{request:016x}"
 
 
-def paused(room: Room) -> None:
+def paused(host: Host) -> None:
     """Until the process is seen to stand."""
-    stat = Path("/proc", str(room.process.pid), "stat")
+    stat = Path("/proc", str(host.process.pid), "stat")
     with gevent.Timeout(10):
         while stat.read_text().rpartition(")")[2].split()[0] != "T":
             gevent.sleep(0.005)
@@ -68,35 +68,35 @@
 @pytest.mark.parametrize("name", ["SIGTERM", "SIGINT"])
 def test_a_notice_before_it_listens_ends_it_as_drained(moment: str, name: str) -> None:
     """It ended by the signal: a crash to whoever reads the status."""
-    with Room(Agent(at_once), command=("-c", HIT.format(name) + moment)) as room:
-        assert room.ended() == 0
-        assert not [line for line in room.lines if "listening on" in line]
+    with Host(Agent(at_once), command=("-c", HIT.format(name) + moment)) as host:
+        assert host.ended() == 0
+        assert not [line for line in host.lines if "listening on" in line]
 
 
 @pytest.mark.parametrize("name", ["SIGTERM", "SIGHUP"])
 def test_signals_while_the_interpreter_exits_leave_its_status(name: str) -> None:
     ending = "import atexit; atexit.register(hit); from ringshift.lifecycle.entry import run; sys.exit(run())"
-    with Room(Agent(up=False), command=("-c", HIT.format(name) + ending)) as room:
-        room.line("-> waiting")
-        room.process.send_signal(signal.SIGTERM)
-        assert room.ended() == 0
+    with Host(Agent(up=False), command=("-c", HIT.format(name) + ending)) as host:
+        host.line("-> waiting")
+        host.process.send_signal(signal.SIGTERM)
+        assert host.ended() == 0
 
 
 # Between the listener and the greeting.
 
 
 def test_a_notice_before_the_greeting_leaves_nothing_open() -> None:
-    with Room(Agent(at_once, up=False), stop_ms=60_000.0) as room:
-        room.line("-> waiting")
-        sidecar = room.sidecar()
+    with Host(Agent(at_once, up=False), stop_ms=60_000.0) as host:
+        host.line("-> waiting")
+        sidecar = host.sidecar()
         sidecar.send(sidecar.call(1))
         assert sidecar.answer(1).status == 429
         sidecar.send(sidecar.call(2)[:-3])  # half of a request is in the kernel or in the program
-        room.process.send_signal(signal.SIGTERM)
-        room.line("waiting -> leaving")
+        host.process.send_signal(signal.SIGTERM)
+        host.line("waiting -> leaving")
         sidecar.send(sidecar.call(2)[-3:])
         assert sidecar.answer(2).status == 429
-        assert room.ended() == 0 and not room.agent.launches and not room.announce.reports
+        assert host.ended() == 0 and not host.agent.launches and not host.announce.reports
 
 
 def test_a_greeting_after_the_notice_runs_nothing() -> None:
@@ -140,59 +140,59 @@
     """What runs is heard of at the agent's new address, and the drain ends as any."""
     code = {"notice within the reload": IN_REREAD, "reload within the notice": IN_NOTICE}.get(order)
     command = ("-m", "ringshift") if code is None else ("-c", code)
-    with Room(Agent(), stop_ms=6000.0, command=command) as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host(Agent(), stop_ms=6000.0, command=command) as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1, "order"))
         agent.until(lambda: bool(agent.launches))
         server = agent.serve()
         moved = "{}:{}".format(*server.address)
         if order == "both at once":
-            room.process.send_signal(signal.SIGSTOP)
-            paused(room)
+            host.process.send_signal(signal.SIGSTOP)
+            paused(host)
         if order == "reload within the notice":
-            room.path.write_bytes(orjson.dumps({**room.told, "agent": moved}))
+            host.path.write_bytes(orjson.dumps({**host.told, "agent": moved}))
         else:
-            room.replace(agent=moved)
+            host.replace(agent=moved)
         if order != "notice within the reload":
-            room.process.send_signal(signal.SIGTERM)
-        room.process.send_signal(signal.SIGCONT)
-        room.line("serving -> leaving")
-        room.line("configuration read")
+            host.process.send_signal(signal.SIGTERM)
+        host.process.send_signal(signal.SIGCONT)
+        host.line("serving -> leaving")
+        host.line("configuration read")
         agent.until(lambda: agent.ports[-1] == server.address[1])
         agent.finish(job(1), result=b"moved")
-        assert sidecar.answer(1).body == b"moved" and room.ended() == 0
+        assert sidecar.answer(1).body == b"moved" and host.ended() == 0
 
 
 # The agent's link.
 
 
 def test_a_notice_during_the_links_reconnect_still_answers_all() -> None:
-    with Room(stop_ms=3000.0) as room:
-        sidecar = room.serving()
+    with Host(stop_ms=3000.0) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, "order", HTTP_X_ALLOW_MS="900"))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.agent.server.stop(0)
-        room.agent.cut_link()
-        room.line("agent can't be reached")
-        room.process.send_signal(signal.SIGTERM)
-        room.line("serving -> leaving")
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.agent.server.stop(0)
+        host.agent.cut_link()
+        host.line("agent can't be reached")
+        host.process.send_signal(signal.SIGTERM)
+        host.line("serving -> leaving")
         sidecar.send(sidecar.call(2))
         assert sidecar.answer(1, 3).status == 500  # it may have run
         assert sidecar.answer(2, 3).status in (429, 500)
-        assert room.ended() == 0
+        assert host.ended() == 0
 
 
 def test_a_link_lost_in_drain_and_made_anew_brings_the_outcome() -> None:
-    with Room(stop_ms=5000.0) as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host(stop_ms=5000.0) as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1, "order"))
         agent.until(lambda: bool(agent.launches))
-        room.process.send_signal(signal.SIGTERM)
-        room.line("leaving: 1 in hand")
+        host.process.send_signal(signal.SIGTERM)
+        host.line("leaving: 1 in hand")
         agent.cut_link()
         agent.finish(job(1), result=b"kept")  # while there is no link
         assert sidecar.answer(1).body == b"kept" and len(agent.launched(job(1))) <= 2
-        assert room.ended() == 0
+        assert host.ended() == 0
 
 
 # The grace, to the millisecond.
@@ -203,21 +203,21 @@
 def test_the_grace_ends_within_a_millisecond(grace: int, unread: int) -> None:
     """By when it came, whenever it is read; and never later than the list forgets, 3 s after the notice."""
     for past, runs in ((-1, True), (0, True), (1, False)):
-        world = World(machine(operation(), grace=grace * MS), Random(1))
-        world.step([world.leave(20_000 * MS)])
-        arrived = world.arrive(patience=3000 * MS, rank=1.0, kb=5.0, unread=unread * MS, repeats=None)
-        said = world.step([arrived], forward=(min(grace, 3000) + past + unread) * MS)
+        server = SimulatedServer(machine(operation(), grace=grace * MS), Random(1))
+        server.step([server.leave(20_000 * MS)])
+        arrived = server.arrive(patience=3000 * MS, rank=1.0, kb=5.0, unread=unread * MS, repeats=None)
+        said = server.step([arrived], forward=(min(grace, 3000) + past + unread) * MS)
         assert any(isinstance(action, face.Start) for action in said) is runs
         assert any(isinstance(action, face.Throttle) for action in said) is not runs
 
 
 def test_a_run_that_ends_after_the_grace_is_answered_with_its_result() -> None:
-    with Room(Agent(looks_only), stop_ms=6000.0) as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host(Agent(looks_only), stop_ms=6000.0) as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1, "order"))
         agent.until(lambda: bool(agent.launches))
-        room.process.send_signal(signal.SIGTERM)
-        room.line("leaving: 1 in hand")
+        host.process.send_signal(signal.SIGTERM)
+        host.line("leaving: 1 in hand")
         sidecar.send(sidecar.call(2))
         assert sidecar.answer(2).status == 200  # within the grace
         last, status = 2, 200
@@ -228,7 +228,7 @@
                 status = sidecar.answer(last).status
         assert status == 429 and not agent.launched(job(last))
         agent.finish(job(1), result=b"late")
-        assert sidecar.answer(1).body == b"late" and room.ended() == 0
+        assert sidecar.answer(1).body == b"late" and host.ended() == 0
 
 
 # Launches, the queue and the last look.
@@ -268,31 +268,31 @@
         "def held(self): os.kill(os.getpid(), signal.SIGSTOP); close(self)\n"
         "Program.close = held; from ringshift.lifecycle.entry import run; sys.exit(run())"
     )
-    with Room(Agent(at_once), stop_ms=8000.0, command=("-c", code)) as room:
-        known = room.serving()
+    with Host(Agent(at_once), stop_ms=8000.0, command=("-c", code)) as host:
+        known = host.serving()
         known.send(known.call(1))
         assert known.answer(1).status == 200
-        room.process.send_signal(signal.SIGTERM)
-        paused(room)
-        new = room.sidecar()
+        host.process.send_signal(signal.SIGTERM)
+        paused(host)
+        new = host.sidecar()
         for request, sidecar in ((2, known), (3, new)):
             sidecar.send(sidecar.call(request))
-        room.process.send_signal(signal.SIGCONT)
+        host.process.send_signal(signal.SIGCONT)
         for request, sidecar in ((2, known), (3, new)):
             assert sidecar.answer(request).status == 429
             sidecar.until_end()
-        assert room.ended() == 0 and [id for id, _, _ in room.agent.launches] == [job(1)]
+        assert host.ended() == 0 and [id for id, _, _ in host.agent.launches] == [job(1)]
 
 
 def test_answers_that_lie_in_the_kernel_survive_the_exit() -> None:
     """Thirty-two of the largest, of which the sidecar reads none until the process is gone."""
-    with Room(Agent(lambda job, kind, body: (0.0, "good", bytes(4096))), stop_ms=4000.0) as room:
-        sidecar = room.serving()
+    with Host(Agent(lambda job, kind, body: (0.0, "good", bytes(4096))), stop_ms=4000.0) as host:
+        sidecar = host.serving()
         for request in range(1, 33):
             sidecar.send(sidecar.call(request))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.process.send_signal(signal.SIGTERM)
-        assert room.ended() == 0
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.process.send_signal(signal.SIGTERM)
+        assert host.ended() == 0
         assert {sidecar.answer(request).status for request in range(1, 33)} <= {200, 429}
         assert not sidecar.ended
 
@@ -302,52 +302,52 @@
 
 def test_a_pause_longer_than_the_grace_runs_nothing_that_came_after_it() -> None:
     """The grace counted from the end of the pause: what came long after the notice was run."""
-    with Room(Agent(looks_only), stop_ms=5000.0) as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host(Agent(looks_only), stop_ms=5000.0) as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1, "order"))
         agent.until(lambda: bool(agent.launches))
-        room.process.send_signal(signal.SIGSTOP)
-        paused(room)
-        room.process.send_signal(signal.SIGTERM)
+        host.process.send_signal(signal.SIGSTOP)
+        paused(host)
+        host.process.send_signal(signal.SIGTERM)
         gevent.sleep(0.4)  # the grace is 0.3
         sidecar.send(sidecar.call(2))
-        other = room.sidecar()
+        other = host.sidecar()
         other.send(other.call(3))
-        room.process.send_signal(signal.SIGCONT)
+        host.process.send_signal(signal.SIGCONT)
         assert [sidecar.answer(2).status, other.answer(3).status] == [429, 429]
         agent.finish(job(1))
         assert sidecar.answer(1).status == 200
-        assert room.ended() == 0 and [id for id, _, _ in agent.launches] == [job(1)]
+        assert host.ended() == 0 and [id for id, _, _ in agent.launches] == [job(1)]
 
 
 @pytest.mark.alone
 def test_after_a_pause_all_is_answered_by_the_kill_that_follows_the_notice() -> None:
     """The kill counted from the end of the pause: a run in hand had no answer when it came."""
-    with Room(stop_ms=2000.0) as room:
-        sidecar = room.serving()
+    with Host(stop_ms=2000.0) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, "order"))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.process.send_signal(signal.SIGSTOP)
-        paused(room)
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.process.send_signal(signal.SIGSTOP)
+        paused(host)
         noticed = time.monotonic()
-        room.process.send_signal(signal.SIGTERM)
+        host.process.send_signal(signal.SIGTERM)
         gevent.sleep(1.0)
-        room.process.send_signal(signal.SIGCONT)
+        host.process.send_signal(signal.SIGCONT)
         assert sidecar.answer(1).status == 500 and time.monotonic() < noticed + 2.0
-        assert room.ended() == 0
+        assert host.ended() == 0
 
 
 def test_a_pause_longer_than_the_time_to_the_kill_still_answers_all() -> None:
     """The machine stood with all on it, its killer too: what is in hand is answered at once."""
-    with Room(stop_ms=600.0) as room:
-        sidecar = room.serving()
+    with Host(stop_ms=600.0) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, "order", HTTP_X_ALLOW_MS="9000"))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.process.send_signal(signal.SIGSTOP)
-        paused(room)
-        room.process.send_signal(signal.SIGTERM)
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.process.send_signal(signal.SIGSTOP)
+        paused(host)
+        host.process.send_signal(signal.SIGTERM)
         gevent.sleep(0.7 + BEFORE_KILL)
         sidecar.send(sidecar.call(2))
-        room.process.send_signal(signal.SIGCONT)
+        host.process.send_signal(signal.SIGCONT)
         assert sidecar.answer(1, 1).status == 500 and sidecar.answer(2, 1).status == 429
-        assert room.ended() == 0
+        assert host.ended() == 0
--- a/tests/retirement/test_backend.py
+++ b/tests/retirement/test_backend.py
@@ -10,9 +10,9 @@
 
 from ringshift.cli.main import command
 from standins.agent import Agent
-from standins.room import Room
+from standins.host import Host
 from standins.sidecar import Answer, Sidecar
-from tests.retirement.world import Keeper, book
+from tests.retirement.processes import Keeper, book
 
 
 @pytest.fixture
@@ -44,9 +44,9 @@
     assert command(["rules", "publish", str(first), *words]) == 0
     agent = Agent(lambda job, kind, body: (0.0, "good", b"made"))
     environ = {"RINGSHIFT_SETTINGS": str(settings), "RINGSHIFT_RECORDS": "lines"}
-    with Room(agent, environ=environ) as room:
-        sidecar = room.serving()
-        room.line('"state":"READING"')
+    with Host(agent, environ=environ) as host:
+        sidecar = host.serving()
+        host.line('"state":"READING"')
         assert "Deprecation" not in asked(sidecar, 1).fields
         assert command(["retire", "plan", str(plan), *words]) == 0
         for request in (2, 3, 4):
@@ -54,7 +54,7 @@
             assert told.status == 200 and told.fields["Deprecation"].startswith("@")
             assert told.fields["Sunset"].endswith(" GMT") and "successor-version" in told.fields["Link"]
         assert "Deprecation" not in asked(sidecar, 5, "order").fields
-        room.line('"ready":1', 30)  # decided with this caller past the floor
+        host.line('"ready":1', 30)  # decided with this caller past the floor
         refused = next(
             told for told in (asked(sidecar, request) for request in range(6, 2000)) if told.status != 200
         )
@@ -64,6 +64,6 @@
         assert served.status == 200 and "Deprecation" in served.fields
         assert asked(sidecar, 2002, "order").status == 200
         assert asked(sidecar, 2003).status == 429  # a new try finds the same
-        room.line('"ruled":')
-        room.process.send_signal(signal.SIGTERM)
-        assert room.ended() == 0
+        host.line('"ruled":')
+        host.process.send_signal(signal.SIGTERM)
+        assert host.ended() == 0
--- a/tests/retirement/test_clearing.py
+++ b/tests/retirement/test_clearing.py
@@ -36,8 +36,8 @@
 from ringshift.wire.retiring import Held, RetireLink, Word
 from ringshift.wire.rules import RulesLink
 from standins.fleet.emulated_clearing import DAY, Fleet
-from tests.retirement.made import ANNOUNCED, FIRST, LINE, S
-from tests.retirement.world import LONG, Keeper
+from tests.retirement.builders import ANNOUNCED, FIRST, LINE, S
+from tests.retirement.processes import LONG, Keeper
 
 NAME, ONE, TWO, AWAY = LINE.name, "r1.1.a", "r2.2.b", "r3.3.c"
 GONE = Position(phase="WITHDRAWN", since=0)
--- a/tests/retirement/test_commands.py
+++ b/tests/retirement/test_commands.py
@@ -19,8 +19,8 @@
 from ringshift.rulebook.document import read
 from ringshift.wire.keeper import b64
 from ringshift.wire.retiring import RetireLink, Row, Word
-from tests.retirement.made import TEXT
-from tests.retirement.world import Keeper
+from tests.retirement.builders import TEXT
+from tests.retirement.processes import Keeper
 
 BOOK = "[alone]\n"
 PLAN = "[[timelines]]\n" + TEXT.replace("[floor]", "[timelines.floor]").replace(
--- a/tests/retirement/test_figures.py
+++ b/tests/retirement/test_figures.py
@@ -7,7 +7,7 @@
 from ringshift.retirement.conditions import Conditions
 from ringshift.retirement.figures import Figures, Tally
 from ringshift.retirement.judge import Finding, Freshness, Summed, judge, summed
-from tests.retirement.made import S
+from tests.retirement.builders import S
 
 CONDITIONS = Conditions(least_answers=100)
 
--- a/tests/retirement/test_fleet.py
+++ b/tests/retirement/test_fleet.py
@@ -14,7 +14,7 @@
 from ringshift.retirement.shed import key, lot
 from ringshift.rulebook.document import read
 from ringshift.wire.retiring import RetireLink, Word
-from tests.retirement.world import FAR, Backend, Fleet, book
+from tests.retirement.processes import FAR, Backend, Fleet, book
 from tests.side_by_side import play_all
 
 LOTS = key(read(book([(0, 0.5)])).timelines[0])
--- a/tests/retirement/test_follow.py
+++ b/tests/retirement/test_follow.py
@@ -8,7 +8,7 @@
 from ringshift.retirement.conditions import WHOLE
 from ringshift.retirement.follow import TABLE, Follower, State, Word
 from ringshift.retirement.shed import Decided, key, shedding
-from tests.retirement.made import DARK, DAY, END, LIGHT, LINE, S
+from tests.retirement.builders import DARK, DAY, END, LIGHT, LINE, S
 
 KEY, FRESH = key(LINE), 10 * S
 CALLERS = frozenset((1, 2, 3))
--- a/tests/retirement/test_link.py
+++ b/tests/retirement/test_link.py
@@ -16,7 +16,7 @@
 from ringshift.retirement.warn import Counted
 from ringshift.wire.keeper import KeeperLink, b64
 from ringshift.wire.retiring import MOST_ROW, Held, RetireLink, Row, Word, read_row
-from tests.retirement.world import Keeper
+from tests.retirement.processes import Keeper
 
 TASK = b"/ringshift/tasks/retire-old"
 POSITION = Position(Decided(3, 99, 1, 200_000, 0, frozenset((5, 7))), "SHEDDING", 12, why="due, good")
--- a/tests/retirement/test_plan.py
+++ b/tests/retirement/test_plan.py
@@ -14,7 +14,19 @@
 from ringshift.schedule.change import ALL, Change, Drain, Freeze, Move, Quota, Scope, World
 from ringshift.schedule.rules import Rule as Routing
 from ringshift.schedule.validate import Schedule
-from tests.retirement.made import ANNOUNCED, DARK, DAY, END, FIRST, LIGHT, LINE, SECOND, WARNED, S, timeline
+from tests.retirement.builders import (
+    ANNOUNCED,
+    DARK,
+    DAY,
+    END,
+    FIRST,
+    LIGHT,
+    LINE,
+    SECOND,
+    WARNED,
+    S,
+    timeline,
+)
 
 OP = Scope(frozenset(("order-book",)))
 ONTO = [{"from": "hall-a", "to": "hall-b"}]
--- a/tests/retirement/test_program.py
+++ b/tests/retirement/test_program.py
@@ -23,7 +23,7 @@
 from ringshift.retirement.warn import Counted
 from ringshift.rulebook.document import Rulebook, Rules
 from ringshift.wire.retiring import Answer, Held, Kept, RetireLink, Row, Word
-from tests.retirement.made import ANNOUNCED, DARK, FIRST, LINE, WARNED, S, timeline
+from tests.retirement.builders import ANNOUNCED, DARK, FIRST, LINE, WARNED, S, timeline
 
 KEY = key(LINE)
 ALL = frozenset(range(50))
--- a/tests/retirement/test_ramp.py
+++ b/tests/retirement/test_ramp.py
@@ -14,7 +14,19 @@
 from ringshift.retirement.shed import Decided, key, lot
 from ringshift.retirement.timeline import Phase, Timeline
 from ringshift.retirement.warn import Counted
-from tests.retirement.made import ANNOUNCED, DARK, DAY, END, FIRST, LIGHT, LINE, SECOND, WARNED, S, timeline
+from tests.retirement.builders import (
+    ANNOUNCED,
+    DARK,
+    DAY,
+    END,
+    FIRST,
+    LIGHT,
+    LINE,
+    SECOND,
+    WARNED,
+    S,
+    timeline,
+)
 
 KEY = key(LINE)
 CALLERS = range(40)
--- a/tests/retirement/test_shed.py
+++ b/tests/retirement/test_shed.py
@@ -14,7 +14,7 @@
     shedding,
     sheds,
 )
-from tests.retirement.made import DARK, DAY, END, FIRST, LIGHT, LINE, timeline
+from tests.retirement.builders import DARK, DAY, END, FIRST, LIGHT, LINE, timeline
 
 KEY = key(LINE)
 CALLERS = st.integers(0, 2**40)
--- a/tests/retirement/test_timeline.py
+++ b/tests/retirement/test_timeline.py
@@ -9,7 +9,19 @@
 import pytest
 
 from ringshift.retirement.timeline import Phase, Timeline, ns, phase, planned
-from tests.retirement.made import ANNOUNCED, DARK, DAY, END, FIRST, LIGHT, LINE, SECOND, WARNED, S, timeline
+from tests.retirement.builders import (
+    ANNOUNCED,
+    DARK,
+    DAY,
+    END,
+    FIRST,
+    LIGHT,
+    LINE,
+    SECOND,
+    WARNED,
+    S,
+    timeline,
+)
 
 
 def test_instants_are_exact_and_offsets_count() -> None:
--- a/tests/retirement/test_warn.py
+++ b/tests/retirement/test_warn.py
@@ -10,7 +10,7 @@
 from ringshift.retirement.conditions import WHOLE, Floor
 from ringshift.retirement.shed import key, lot
 from ringshift.retirement.warn import Counted, Warned, cut, fields, fold, join, lowest, ready, total
-from tests.retirement.made import ANNOUNCED, DAY, LINE, WARNED, S, timeline
+from tests.retirement.builders import ANNOUNCED, DAY, LINE, WARNED, S, timeline
 
 KEY = key(LINE)
 FLOOR = Floor(answers=3, over_s=10, clocks_apart_s=2)
--- a/tests/rulebook/rooms.py
+++ b/tests/rulebook/memory_fleet.py
@@ -25,9 +25,9 @@
 class MemoryLink(RulesLink):
     """Each of `fates` is of one call: "lost" before it came to the keeper, "unheard" after."""
 
-    def __init__(self, room: Room) -> None:
+    def __init__(self, fleet: MemoryFleet) -> None:
         self.books = {}
-        self.room = room
+        self.fleet = fleet
         self.fates: list[str] = []
         self.slow = 0  # ns from the next call's sending until the keeper has it
 
@@ -36,9 +36,9 @@
         if fate == "lost":
             raise Lost("lost")
         if self.slow:
-            self.room.wait(self.slow / 1e9)
+            self.fleet.wait(self.slow / 1e9)
             self.slow = 0
-        store, told = self.room.store, decoded(orjson.loads(orjson.dumps(body)))
+        store, told = self.fleet.store, decoded(orjson.loads(orjson.dumps(body)))
         answer: dict[str, Any]
         if path == "/kv/txn":
             done, responses = store.txn(0, told["compare"], told["success"], told["failure"])
@@ -59,7 +59,7 @@
 
 
 @dataclass
-class Room:
+class MemoryFleet:
     """`wait` is what a publisher waits with: the time goes on, and the readers not in `silent` confirm."""
 
     now: int = 1_000_000_000_000
--- a/tests/rulebook/test_commands.py
+++ b/tests/rulebook/test_commands.py
@@ -24,7 +24,7 @@
 from ringshift.rulebook.writing import write
 from ringshift.wire.keeper import b64
 from ringshift.wire.rules import RulesLink, key, write_row
-from standins.room import ROOT
+from standins.host import ROOT
 
 TERMS = ReadingTerms(life=8 * S, margin=200 * MS, refresh=100 * MS)
 BOOK = """text = "winter"
--- a/tests/rulebook/test_loss.py
+++ b/tests/rulebook/test_loss.py
@@ -19,7 +19,7 @@
 from standins.fleet.planted_rules import BUGS
 from standins.keeper.store import Store, restored
 from tests.rulebook.emulated import BASE, TERMS
-from tests.rulebook.rooms import Room, book
+from tests.rulebook.memory_fleet import MemoryFleet, book
 
 FIRST = Version((0, 4), BASE, digest(BASE))
 TOLD = Told((0, 30), FIRST, replace(FIRST, stamp=(0, 6), digest="6" * 64))
@@ -57,16 +57,16 @@
     assert publisher.play is None and publisher.highest == (0, 6)
 
 
-def started(*names: str) -> Room:
-    room = Room()
-    assert room.publishing().publish(book("x")).in_force
-    room.join(*names)
-    return room
+def started(*names: str) -> MemoryFleet:
+    fleet = MemoryFleet()
+    assert fleet.publishing().publish(book("x")).in_force
+    fleet.join(*names)
+    return fleet
 
 
-def proposed(room: Room, entry: str) -> Version:
+def proposed(fleet: MemoryFleet, entry: str) -> Version:
     """By a process that looks, proposes and is no more."""
-    link = room.link()
+    link = fleet.link()
     held = link.read()
     assert held.told is not None
     (effect,) = Publisher.begun(TERMS, held.told, held.highest).publish(book(entry))
@@ -74,106 +74,106 @@
     return effect.version
 
 
-def put_back(room: Room, image: dict[str, Any], entry: str) -> tuple[Version, Version]:
+def put_back(fleet: MemoryFleet, image: dict[str, Any], entry: str) -> tuple[Version, Version]:
     """A first book of a number, taken in by all; the disk put back; another book of that number, before
     any reader was heard of again."""
-    first = proposed(room, "p")
-    room.wait(0.6)
-    assert all(first in reader.basis for reader in room.readers.values())
-    room.store = Store.from_image(image, 0)
-    second = proposed(room, entry)
+    first = proposed(fleet, "p")
+    fleet.wait(0.6)
+    assert all(first in reader.basis for reader in fleet.readers.values())
+    fleet.store = Store.from_image(image, 0)
+    second = proposed(fleet, entry)
     assert second.stamp == first.stamp and second.digest != first.digest
     return first, second
 
 
 def test_a_word_on_the_first_book_of_a_number_never_counts_for_the_second() -> None:
-    room = started("a", "b")
-    first, second = put_back(room, room.store.image(), "q")
-    room.wait(0.6)  # they confirm, and say what they took in
-    rows = room.link().read().rows
+    fleet = started("a", "b")
+    first, second = put_back(fleet, fleet.store.image(), "q")
+    fleet.wait(0.6)  # they confirm, and say what they took in
+    rows = fleet.link().read().rows
     assert {row.acked for row in rows.values()} == {first.mark}
-    outcome = room.publishing().settle()
+    outcome = fleet.publishing().settle()
     assert outcome.done and outcome.version is not None and outcome.version.reason == "the keeper lost data"
     assert outcome.version.stamp > second.stamp and outcome.version.stamp[0] == 1
     for _ in range(3):
-        room.wait(0.5)
-    assert {digest(one) for one in room.rules()} == {digest(book("x").rules())}
+        fleet.wait(0.5)
+    assert {digest(one) for one in fleet.rules()} == {digest(book("x").rules())}
 
 
 def test_one_that_took_a_withdrawn_number_in_and_went_on_is_heard_as_well() -> None:
     """It holds the book no more, and would take the second one in; its word of before is on the first."""
-    room = started("a")
-    image = room.store.image()
-    first = proposed(room, "p")
-    room.wait(0.6)
-    assert room.publishing().withdraw().state is State.WITHDRAWN
-    room.wait(0.6)
-    assert room.link().read().rows["a"].acked == first.mark and len(room.readers["a"].basis) == 1
-    room.silent.add("a")
-    room.store = Store.from_image(image, 0)
-    link, row = room.link(), replace(room.readers["a"].row, n=99, seen=(0, 0))
-    second = proposed(room, "q")
+    fleet = started("a")
+    image = fleet.store.image()
+    first = proposed(fleet, "p")
+    fleet.wait(0.6)
+    assert fleet.publishing().withdraw().state is State.WITHDRAWN
+    fleet.wait(0.6)
+    assert fleet.link().read().rows["a"].acked == first.mark and len(fleet.readers["a"].basis) == 1
+    fleet.silent.add("a")
+    fleet.store = Store.from_image(image, 0)
+    link, row = fleet.link(), replace(fleet.readers["a"].row, n=99, seen=(0, 0))
+    second = proposed(fleet, "q")
     link.confirm("a", row)
-    outcome = room.publishing().settle(TERMS.refresh)
-    held = room.link().read()
+    outcome = fleet.publishing().settle(TERMS.refresh)
+    held = fleet.link().read()
     assert second.stamp == first.stamp and held.told is not None and held.told.in_force != second, outcome
 
 
 def test_another_book_in_force_under_a_number_that_a_reader_holds_opens_an_epoch_by_its_word_alone() -> None:
-    room = started("a", "b")
-    image = room.store.image()
-    assert room.publishing().publish(book("p")).in_force
-    room.wait(0.6)
-    room.silent = {"a", "b"}
-    room.store = Store.from_image(image, 0)
-    assert room.publishing().publish(book("q")).in_force  # both leases were waited for
+    fleet = started("a", "b")
+    image = fleet.store.image()
+    assert fleet.publishing().publish(book("p")).in_force
+    fleet.wait(0.6)
+    fleet.silent = {"a", "b"}
+    fleet.store = Store.from_image(image, 0)
+    assert fleet.publishing().publish(book("q")).in_force  # both leases were waited for
     for _ in range(6):  # the head's revision is above what they saw of the first keeper
-        proposed(room, "r")
-        assert room.publishing().withdraw().done
-    assert room.publishing().settle().state is State.NOTHING
-    room.silent = set()
-    room.wait(0.6)
-    assert not any(reader.acting(room.now) for reader in room.readers.values())  # alone, and answering on
-    found = room.link().read()
+        proposed(fleet, "r")
+        assert fleet.publishing().withdraw().done
+    assert fleet.publishing().settle().state is State.NOTHING
+    fleet.silent = set()
+    fleet.wait(0.6)
+    assert not any(reader.acting(fleet.now) for reader in fleet.readers.values())  # alone, and answering on
+    found = fleet.link().read()
     assert picture(found, found, 0, TERMS).lost
-    assert room.publishing().settle().done
+    assert fleet.publishing().settle().done
     for _ in range(3):
-        room.wait(0.5)
-    assert {digest(one) for one in room.rules()} == {digest(book("q").rules())}
+        fleet.wait(0.5)
+    assert {digest(one) for one in fleet.rules()} == {digest(book("q").rules())}
 
 
 def test_a_keeper_restored_as_documented_is_known_without_any_reader_and_no_number_is_given_again() -> None:
-    room = started()
-    image = restored(room.store.image())
-    first = proposed(room, "p")
-    room.store = Store.from_image(image, 0)
-    found = room.link().read()
+    fleet = started()
+    image = restored(fleet.store.image())
+    first = proposed(fleet, "p")
+    fleet.store = Store.from_image(image, 0)
+    found = fleet.link().read()
     assert found.moved and picture(found, found, 0, TERMS).lost and found.highest < first.stamp
-    second = room.publishing().publish(book("q")).version
+    second = fleet.publishing().publish(book("q")).version
     assert second is not None and second.stamp == (1, 3) and second.stamp > first.stamp
-    assert not room.link().read().moved
-    assert room.publishing().settle().state is State.NOTHING
+    assert not fleet.link().read().moved
+    assert fleet.publishing().settle().state is State.NOTHING
 
 
 def test_taking_a_proposal_back_at_a_restored_keeper_does_not_hide_the_loss() -> None:
-    room = started()
-    proposed(room, "p")
-    room.store = Store.from_image(restored(room.store.image()), 0)
-    assert room.publishing().withdraw().state is State.WITHDRAWN and room.link().read().moved
-    assert room.publishing().settle().done and not room.link().read().moved
+    fleet = started()
+    proposed(fleet, "p")
+    fleet.store = Store.from_image(restored(fleet.store.image()), 0)
+    assert fleet.publishing().withdraw().state is State.WITHDRAWN and fleet.link().read().moved
+    assert fleet.publishing().settle().done and not fleet.link().read().moved
 
 
 def test_a_write_made_of_what_another_keeper_answered_does_not_land_where_the_head_differs() -> None:
-    room = started()
-    image = room.store.image()
-    proposed(room, "p")
-    link = room.link()
+    fleet = started()
+    image = fleet.store.image()
+    proposed(fleet, "p")
+    link = fleet.link()
     held = link.read()
     assert held.told is not None and held.told.proposed is not None
-    room.store = Store.from_image(image, 0)
-    while room.link().read().head_revision < held.head_revision:  # the same revision, another history
-        proposed(room, "r")
-        room.publishing().withdraw()
+    fleet.store = Store.from_image(image, 0)
+    while fleet.link().read().head_revision < held.head_revision:  # the same revision, another history
+        proposed(fleet, "r")
+        fleet.publishing().withdraw()
     publisher = Publisher.begun(TERMS, held.told, held.highest)
     (effect,) = publisher.withdraw()
     assert not link.do(effect, held)
--- a/tests/rulebook/test_publisher_process.py
+++ b/tests/rulebook/test_publisher_process.py
@@ -22,7 +22,7 @@
 from standins.fleet.publisher import Publisher
 from standins.fleet.rules import RulesFleet
 from standins.fleet.rulescript import RulesScript
-from standins.room import ROOT
+from standins.host import ROOT
 from tests.test_keeper import Member
 
 WITHIN = 60  # seconds of a case, on a loaded machine
--- a/tests/schedule/test_commands.py
+++ b/tests/schedule/test_commands.py
@@ -15,7 +15,7 @@
 
 from ringshift.cli.keeping import user
 from ringshift.cli.main import command
-from standins.room import ROOT
+from standins.host import ROOT
 
 BOOK = 'text = "first"\n[alone]\n'
 
--- a/tests/world.py
+++ b/tests/simulation.py
@@ -108,7 +108,7 @@
 
 
 @dataclass
-class World:
+class SimulatedServer:
     m: face.Machine
     chance: Random
     now: int = 10**12
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -22,9 +22,9 @@
 
 from ringshift import interface as face
 from standins.agent import Agent
-from standins.room import Room
+from standins.host import Host
 from standins.sidecar import Sidecar
-from tests.world import MS, World, machine, operation
+from tests.simulation import MS, SimulatedServer, machine, operation
 
 STEP, SPAN, RAMP = 25 * MS, 1500 * MS, 17_000 * MS  # of the play; overload_for and ramp_time
 WORK = 300 * MS  # the mean of the board's operations on one warm core
@@ -42,30 +42,30 @@
 # What it tells.
 
 
-def checked(room: Room) -> tuple[int, str]:
-    (sidecar := room.serving()).send(sidecar.check())
+def checked(host: Host) -> tuple[int, str]:
+    (sidecar := host.serving()).send(sidecar.check())
     answer = sidecar.answer(1)
     return answer.status, answer.fields["X-Advice"]
 
 
 @pytest.mark.parametrize("state, word, status", [("new", "false", 503), ("old", "true", 200)])
 def test_the_first_word_on_each_channel_tells_how_it_started(state: str, word: str, status: int) -> None:
-    with Room(Agent(own, state=state)) as room:
-        told, advice = checked(room)
-        room.wait(room.announce.reported, lambda: bool(room.announce.reports))
-        assert (told, room.announce.reports[0]) == (status, f"announce n3 {word}")
-        (sidecar := room.sidecar()).send(sidecar.call(1))
+    with Host(Agent(own, state=state)) as host:
+        told, advice = checked(host)
+        host.wait(host.announce.reported, lambda: bool(host.announce.reports))
+        assert (told, host.announce.reports[0]) == (status, f"announce n3 {word}")
+        (sidecar := host.sidecar()).send(sidecar.call(1))
         answer = sidecar.answer(1)  # a cold one serves what comes, and tells the same value
         assert (answer.status, answer.fields["X-Advice"]) == (200, advice)
 
 
 def test_checks_and_reports_change_at_once_when_it_is_warm() -> None:
-    with Room(Agent(own, state="new"), command=("-c", ON_CHANGE)) as room:
-        assert checked(room)[0] == 503
-        room.line("warm after")
-        assert checked(room)[0] == 200
-        room.wait(room.announce.reported, lambda: "announce n3 true" in room.announce.reports)
-        assert [report.split()[-1] for report, _ in groupby(room.announce.reports)] == ["false", "true"]
+    with Host(Agent(own, state="new"), command=("-c", ON_CHANGE)) as host:
+        assert checked(host)[0] == 503
+        host.line("warm after")
+        assert checked(host)[0] == 200
+        host.wait(host.announce.reported, lambda: "announce n3 true" in host.announce.reports)
+        assert [report.split()[-1] for report, _ in groupby(host.announce.reports)] == ["false", "true"]
 
 
 # What it takes.
@@ -90,21 +90,21 @@
         return most + 2 * sqrt(most) + 2
 
     def play(self) -> Flood:
-        world, left, age = World(self.m, Random(1)), dict[int, float](), 0
-        self.note(0, world.first)
+        server, left, age = SimulatedServer(self.m, Random(1)), dict[int, float](), 0
+        self.note(0, server.first)
         while age < RAMP:
-            age, world.now = age + STEP, world.now + STEP
-            running = [s.news.inv for s in world.of("running")]
-            cores = [inv for inv in running if world.now - world.seen[inv].since > self.disk]
+            age, server.now = age + STEP, server.now + STEP
+            running = [s.news.inv for s in server.of("running")]
+            cores = [inv for inv in running if server.now - server.seen[inv].since > self.disk]
             for inv in cores:
                 left[inv] = left.get(inv, WORK) - STEP * self.speed(age) * min(1.0, self.m.cores / len(cores))
-            news: list[face.Input] = [world.finish(world.seen[inv]) for inv in cores if left[inv] <= 0]
-            due = [name for at, name in world.timers if at <= world.now]
-            world.timers = [timer for timer in world.timers if timer[0] > world.now]
+            news: list[face.Input] = [server.finish(server.seen[inv]) for inv in cores if left[inv] <= 0]
+            due = [name for at, name in server.timers if at <= server.now]
+            server.timers = [timer for timer in server.timers if timer[0] > server.now]
             news += [face.TimerFired(name, [1.0, len(cores), None]) for name in due]
-            new = [world.arrive(i % 3, unread=0, patience=None, caller=i % self.m.callers) for i in range(6)]
-            self.note(age, world.step([*news, *new]))
-            self.taken += [age for one in new if world.seen[one.inv].state in ("held", "running")]
+            new = [server.arrive(i % 3, unread=0, patience=None, caller=i % self.m.callers) for i in range(6)]
+            self.note(age, server.step([*news, *new]))
+            self.taken += [age for one in new if server.seen[one.inv].state in ("held", "running")]
         return self
 
     def note(self, age: int, said: list[face.Action]) -> None:
@@ -174,8 +174,8 @@
     def job(number: int, request: int) -> str:
         return f"{number:08x}{request:08x}"
 
-    with Room(Agent(), stop_ms=5000.0, listen=port) as room:
-        agent, callers = room.agent, [room.serving() for _ in range(30)]
+    with Host(Agent(), stop_ms=5000.0, listen=port) as host:
+        agent, callers = host.agent, [host.serving() for _ in range(30)]
 
         def burst(*requests: int) -> None:
             for number, caller in enumerate(callers):
@@ -190,9 +190,9 @@
 
         burst(1, 2, 3)
         agent.until(lambda: len(agent.launches) >= 4)
-        room.process.terminate()
+        host.process.terminate()
         burst(4, 5)
-        room.line("leaving: ")
+        host.line("leaving: ")
         burst(6, 7)
         agent.work = own  # till now what runs keeps it from leaving
         for id in list(agent.running):
@@ -204,11 +204,11 @@
                     (200, id.encode(), [b"body"]),
                     (429, b"", []),
                 )
-        assert room.ended() == 0
+        assert host.ended() == 0
         for caller in callers:  # open on this side till the end: the address must be had all the same
             caller.until_end()
             assert not caller.ended
-        with Room(Agent(own, state="new"), listen=port) as successor:
+        with Host(Agent(own, state="new"), listen=port) as successor:
             assert checked(successor)[0] == 503
 
 
@@ -225,8 +225,8 @@
             return False
         return request in sidecar.ended
 
-    with Room(Agent(own), stop_ms=1000.0, listen=port) as room:
-        agent, callers = room.agent, [room.serving() for _ in range(10)]
+    with Host(Agent(own), stop_ms=1000.0, listen=port) as host:
+        agent, callers = host.agent, [host.serving() for _ in range(10)]
 
         def go_on(number: int) -> str:
             request = 1
@@ -236,11 +236,11 @@
 
         asking = [gevent.spawn(go_on, number) for number in range(len(callers))]
         agent.until(lambda: len(agent.launches) >= 100)
-        room.process.terminate()
+        host.process.terminate()
         gevent.joinall(asking, timeout=10, raise_error=True)
         crossed = [str(one.value) for one in asking]
-        assert room.ended() == 0 and not [id for id in crossed if agent.launched(id)]
-        with Room(Agent(own, state="new"), listen=port) as successor:
+        assert host.ended() == 0 and not [id for id in crossed if agent.launched(id)]
+        with Host(Agent(own, state="new"), listen=port) as successor:
             fresh = successor.serving()
             assert all(ask(fresh, request, id) for request, id in enumerate(crossed, 1))
             ran = [id for id, _, _ in successor.agent.launches]
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -17,7 +17,7 @@
 
 from standins import guard
 from standins.agent import Agent
-from standins.room import ROOT, SETTINGS, Room
+from standins.host import ROOT, SETTINGS, Host
 
 PLANTED = {
     "fork": "import os; os.fork()",
@@ -77,36 +77,36 @@
 def test_the_backend_as_run_starts_it_needs_nothing_that_the_bench_refuses() -> None:
     # The stand-ins' settings ask for real deep checks, so that the check below exercises the agent too.
     assert SETTINGS["extra"]["real_checks"] is True
-    with Room(
+    with Host(
         Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=run_line(), environ=guarded()
-    ) as room:
+    ) as host:
         try:
-            serve_and_leave(room)
+            serve_and_leave(host)
         finally:
             # First, as a refused call may have ended the program before anything else could be seen.
-            assert [line for line in room.lines if "guard:" in line] == []
+            assert [line for line in host.lines if "guard:" in line] == []
 
 
-def serve_and_leave(room: Room) -> None:
-    sidecar = room.serving()
-    pid = room.process.pid
+def serve_and_leave(host: Host) -> None:
+    sidecar = host.serving()
+    pid = host.process.pid
     assert os.path.basename(guard.program(pid)).startswith("python"), "run did not end by exec"
     for request in range(1, 31):
         sidecar.send(sidecar.call(request, ("look", "order")[request % 2], b"%d" % request))
-    checks = room.sidecar()  # a health check ends its connection after the answer
+    checks = host.sidecar()  # a health check ends its connection after the answer
     checks.send(checks.check(1, deep=True))
     ends = [sidecar.answer(request).status for request in range(1, 31)]
     assert set(ends) <= {200, 429} and ends.count(200) >= 10  # the module may throttle a burst
     assert checks.answer(1).status == 200
-    room.replace()  # a SIGHUP in service reads the configuration anew
-    room.line("configuration read")
+    host.replace()  # a SIGHUP in service reads the configuration anew
+    host.line("configuration read")
     before, start = guard.threads(pid), time.monotonic()
-    seen = len(room.announce.reports)
-    room.wait(room.announce.reported, lambda: len(room.announce.reports) >= seen + 2)
+    seen = len(host.announce.reports)
+    host.wait(host.announce.reported, lambda: len(host.announce.reports) >= seen + 2)
     assert not guard.busy(before, guard.threads(pid), time.monotonic() - start)
     assert guard.children(pid) == []
-    room.process.send_signal(signal.SIGTERM)
-    assert room.ended() == 0
+    host.process.send_signal(signal.SIGTERM)
+    assert host.ended() == 0
 
 
 def test_the_trace_reader_tells_threads_from_processes_and_names_refused_sockets() -> None:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -15,8 +15,8 @@
 from etcd3gw.client import Etcd3Client
 from etcd3gw.exceptions import Etcd3Exception
 
+from standins.host import ROOT
 from standins.keeper.store import KeeperError, S, Store
-from standins.room import ROOT
 
 
 class Member:
@@ -209,7 +209,7 @@
 
     from standins.agent import Agent
     from standins.fleet.proxy import Proxy
-    from standins.room import Room
+    from standins.host import Host
 
     member = Member(tmp_path / "member")
     proxy = Proxy(("127.0.0.1", member.port))
@@ -229,17 +229,17 @@
     settings.write_text(f'[leases]\nkeepers = ["{address}"]\nttl_s = 10\n')
     line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     try:
-        with Room(
+        with Host(
             Agent(lambda job, kind, body: (0.0, "good", b"made")),
             shell=line.replace(".venv/bin/python", sys.executable),
             environ={"RINGSHIFT_SETTINGS": str(settings)},
-        ) as room:
-            sidecar = room.serving()
+        ) as host:
+            sidecar = host.serving()
             for request in range(1, 6):
                 sidecar.send(sidecar.call(request, "look", b"%d" % request))
             assert [sidecar.answer(request).status for request in range(1, 6)].count(200) >= 1
-            room.process.send_signal(signal.SIGTERM)
-            assert room.ended() == 0
+            host.process.send_signal(signal.SIGTERM)
+            assert host.ended() == 0
         assert seen == []
         # And the count is not blind: a connection of our own is seen (gevent's: the proxy is in this hub).
         probe = gevent.socket.create_connection(("127.0.0.1", int(address.rsplit(":", 1)[1])))
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -27,7 +27,7 @@
 from ringshift.wire import news
 from ringshift.wire.agent import Agent
 from ringshift.wire.outbox import Outbox
-from tests.world import MS, machine, operation
+from tests.simulation import MS, machine, operation
 
 
 class Hands:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -20,7 +20,7 @@
 from ringshift.wire import announce, fastcgi
 from standins.agent import Agent
 from standins.announce import Announce
-from standins.room import SETTINGS, Room
+from standins.host import SETTINGS, Host
 from standins.sidecar import Answer
 
 
@@ -34,64 +34,64 @@
 
 def test_serves_what_the_agent_made_and_reports_itself() -> None:
     body = bytes(range(256)) * 8
-    with Room(Agent(at_once)) as room:
-        sidecar = room.serving()
+    with Host(Agent(at_once)) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, "order", body))
         answer = sidecar.answer(1)
         assert (answer.status, answer.body) == (200, b"order:" + body)
         assert float(answer.fields["X-Advice"]) > 0
-        room.wait(room.announce.reported, lambda: "announce n3 true" in room.announce.reports)
+        host.wait(host.announce.reported, lambda: "announce n3 true" in host.announce.reports)
 
 
 def test_open_requests_share_a_connection_and_are_answered_in_any_order() -> None:
     """All that is open belongs to this connection: one more gets OVERLOADED, and none is mixed up."""
     extra = {**SETTINGS["extra"], "n_cores": 40}
-    with Room(settings={**SETTINGS, "extra": extra}) as room:
-        sidecar = room.serving()
+    with Host(settings={**SETTINGS, "extra": extra}) as host:
+        sidecar = host.serving()
         for request in range(1, 33):
             sidecar.send(sidecar.call(request, "order", b"%d" % request))
         sidecar.send(sidecar.call(33))
         assert sidecar.answer(33).protocol == fastcgi.OVERLOADED
         for _ in range(32):
-            room.agent.until(lambda: bool(room.agent.running))
-            id = max(room.agent.running)  # the last one first
-            room.agent.finish(id, result=room.agent.launched(id)[0])
+            host.agent.until(lambda: bool(host.agent.running))
+            id = max(host.agent.running)  # the last one first
+            host.agent.finish(id, result=host.agent.launched(id)[0])
             answer = sidecar.answer(int(id, 16))
             assert (answer.status, answer.body) == (200, b"%d" % int(id, 16))
 
 
 def test_abort_ends_the_request_and_its_result_goes_nowhere() -> None:
-    with Room() as room:
-        sidecar = room.serving()
+    with Host() as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
-        room.agent.until(lambda: bool(room.agent.launches))
+        host.agent.until(lambda: bool(host.agent.launches))
         sidecar.send(fastcgi.record(fastcgi.ABORT, 1))
         assert sidecar.answer(1).status == 0
-        room.agent.until(lambda: any(c["type"] == "freeze" for c in room.agent.commands))
+        host.agent.until(lambda: any(c["type"] == "freeze" for c in host.agent.commands))
         sidecar.send(sidecar.call(1, HTTP_X_JOB_ID=job(2)))
-        room.agent.until(lambda: bool(room.agent.launched(job(2))))
-        room.agent.finish(job(2), result=b"second")
+        host.agent.until(lambda: bool(host.agent.launched(job(2))))
+        host.agent.finish(job(2), result=b"second")
         assert sidecar.answer(1).body == b"second"
 
 
 def test_what_can_not_end_in_time_is_refused_and_never_launched() -> None:
-    with Room() as room:
-        sidecar = room.serving()
+    with Host() as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, HTTP_X_ALLOW_MS="20"))
         answer = sidecar.answer(1)
-        assert answer.status == 429 and answer.fields["X-Terminal"] == "1" and not room.agent.launches
+        assert answer.status == 429 and answer.fields["X-Terminal"] == "1" and not host.agent.launches
 
 
 @pytest.mark.parametrize("end", ["bad", "late"])
 def test_what_ran_is_never_refused(end: str) -> None:
     """429, 503 and OVERLOADED promise that nothing ran: a sidecar would send an order again."""
-    with Room() as room:
-        sidecar = room.serving()
+    with Host() as host:
+        sidecar = host.serving()
         for request, operation in ((1, "look"), (2, "order")):
             sidecar.send(sidecar.call(request, operation, HTTP_X_ALLOW_MS="3000" if end == "bad" else "700"))
-            room.agent.until(lambda request=request: bool(room.agent.launched(job(request))))  # type: ignore[misc]
+            host.agent.until(lambda request=request: bool(host.agent.launched(job(request))))  # type: ignore[misc]
             if end == "bad":
-                room.agent.finish(job(request), "bad", b"")
+                host.agent.finish(job(request), "bad", b"")
             answer = sidecar.answer(request)
             assert answer.status == 500 and answer.protocol == fastcgi.COMPLETE
 
@@ -114,13 +114,13 @@
 
 def test_a_request_that_can_not_be_taken_fails_alone() -> None:
     """Answered as failed, never launched; a kind of line each, and the connection goes on."""
-    with Room(Agent(at_once)) as room:
-        sidecar = room.serving()
+    with Host(Agent(at_once)) as host:
+        sidecar = host.serving()
         for request, (why, wrong) in enumerate(BAD.items(), 1):
             sidecar.send(sidecar.call(request, **wrong))
             assert sidecar.answer(request).status == 400, why
-        assert not room.agent.launches
-        assert "operation unknown" in room.line("request answered as errored")
+        assert not host.agent.launches
+        assert "operation unknown" in host.line("request answered as errored")
         sidecar.send(sidecar.call(50))
         assert sidecar.answer(50).status == 200
         sidecar.send(sidecar.call(51, HTTP_X_JOB_ID=job(99), HTTP_X_UNKNOWN="1"))
@@ -128,44 +128,44 @@
 
 
 def test_a_job_id_in_use_fails_the_newcomer() -> None:
-    with Room() as room:
-        sidecar = room.serving()
+    with Host() as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
-        room.agent.until(lambda: bool(room.agent.launches))
+        host.agent.until(lambda: bool(host.agent.launches))
         sidecar.send(sidecar.call(2, HTTP_X_JOB_ID=job(1)))
         assert sidecar.answer(2).status == 400
-        room.agent.finish(job(1))
-        assert sidecar.answer(1).status == 200 and len(room.agent.launches) == 1
+        host.agent.finish(job(1))
+        assert sidecar.answer(1).status == 200 and len(host.agent.launches) == 1
 
 
 def test_bytes_that_are_no_fastcgi_end_their_connection_after_what_came_whole() -> None:
-    with Room() as room:
-        first, other = room.serving(), room.sidecar()
+    with Host() as host:
+        first, other = host.serving(), host.sidecar()
         first.send(first.call(1) + b"GET / HTTP/1.1\r\n\r\n")
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.agent.finish(job(1))
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.agent.finish(job(1))
         assert first.answer(1).status == 200
         first.until_end()
-        assert "version 71" in room.line("bytes that are not FastCGI")
+        assert "version 71" in host.line("bytes that are not FastCGI")
         other.send(other.call(2))
-        room.agent.until(lambda: bool(room.agent.launched(job(2))))
+        host.agent.until(lambda: bool(host.agent.launched(job(2))))
 
 
 def test_a_half_closed_connection_still_gets_its_answers() -> None:
-    with Room() as room:
-        sidecar = room.serving()
+    with Host() as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1) + sidecar.begin(2))
         sidecar.sock.shutdown(1)
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.agent.finish(job(1), result=b"kept")
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.agent.finish(job(1), result=b"kept")
         assert sidecar.answer(1).body == b"kept" and sidecar.answer(2).status == 400
         sidecar.until_end()
 
 
 def test_without_keep_conn_the_connection_ends_after_its_answer() -> None:
-    with Room() as room:
-        room.line("listening on")
-        sidecar = room.sidecar()
+    with Host() as host:
+        host.line("listening on")
+        sidecar = host.sidecar()
         sidecar.send(sidecar.check())
         assert sidecar.answer(1).status == 200
         sidecar.until_end()
@@ -173,39 +173,39 @@
 
 def test_an_agent_that_comes_late_is_waited_for() -> None:
     """Before it checks hear good, nothing is announced; its cold start is told to the module."""
-    with Room(Agent(at_once, up=False, state="new")) as room:
-        sidecar = room.sidecar()
+    with Host(Agent(at_once, up=False, state="new")) as host:
+        sidecar = host.sidecar()
         sidecar.send(sidecar.check())
-        assert sidecar.answer(1).status == 200 and not room.announce.reports
-        room.agent.up.set()
-        room.line("cold start")
-        other = room.serving()
+        assert sidecar.answer(1).status == 200 and not host.announce.reports
+        host.agent.up.set()
+        host.line("cold start")
+        other = host.serving()
         other.send(other.check())
         assert other.answer(1).status == 503
-        room.wait(room.announce.reported, lambda: "announce n3 false" in room.announce.reports)
+        host.wait(host.announce.reported, lambda: "announce n3 false" in host.announce.reports)
 
 
 def test_deep_checks_do_work_and_fail_in_time() -> None:
     """The module has checks answered from store until runs take far longer than usual: here they hang."""
     classes = [{"name": "look", "effect": "safe", "aim": 200.0, "hard_limit": 9000.0, "late_worth": 0.2}]
-    with Room(settings={**SETTINGS, "classes": classes}) as room:
+    with Host(settings={**SETTINGS, "classes": classes}) as host:
 
         def checked(deep: bool = True) -> int:
-            sidecar = room.sidecar()
+            sidecar = host.sidecar()
             sidecar.send(sidecar.check(deep=deep))
             return sidecar.answer(1).status
 
         def exercised() -> int:
-            return sum(c["type"] == "exercise" for c in room.agent.commands)
+            return sum(c["type"] == "exercise" for c in host.agent.commands)
 
-        sidecar = room.serving()
+        sidecar = host.serving()
         assert checked() == 200 and not exercised()
         for request in range(1, 5):
             sidecar.send(sidecar.call(request, HTTP_X_ALLOW_MS="9000"))
         with gevent.Timeout(10):
             while not exercised():
                 assert checked() == 200
-        for room.agent.exercise, status in (("bad", 503), (None, 503)):
+        for host.agent.exercise, status in (("bad", 503), (None, 503)):
             assert (checked(), checked(deep=False)) == (status, 200)
         assert exercised() == 3
 
@@ -216,8 +216,8 @@
 def test_a_link_that_ends_anywhere_is_made_anew_and_loses_nothing(last: bytes) -> None:
     """What ended meanwhile is told from the last number read; what the agent never read is launched again;
     what it did read is not, as it may have ended in between."""
-    with Room() as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host() as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1) + sidecar.call(2, "order"))
         agent.until(lambda: len(agent.launches) == 2)
         samples = len(agent.commands)
@@ -231,67 +231,67 @@
         subscribed = [c["n"] for c in agent.commands if c["type"] == "subscribe"]
         assert subscribed[:2] == [0, 2]
         assert [agent.launched(job(n)) for n in (1, 2)] == [[b"body"], [b"body"]]
-        room.line("agent's link ended")
+        host.line("agent's link ended")
         sidecar.send(sidecar.call(3))
         agent.until(lambda: bool(agent.launched(job(3))))
 
 
 def test_due_times_hold_without_a_link() -> None:
-    with Room() as room:
-        sidecar = room.serving()
+    with Host() as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, "order", HTTP_X_ALLOW_MS="800"))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.agent.server.stop(0)
-        room.agent.cut_link()
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.agent.server.stop(0)
+        host.agent.cut_link()
         assert sidecar.answer(1, 2).status == 500
 
 
 def test_a_refused_launch_fails_its_request() -> None:
-    with Room() as room:
-        sidecar = room.serving()
+    with Host() as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.agent.say({"type": "refusal", "state": "launch", "job": job(1)})
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.agent.say({"type": "refusal", "state": "launch", "job": job(1)})
         assert sidecar.answer(1, 1.0).status == 500
-        room.line("agent refused a command")
+        host.line("agent refused a command")
 
 
 def test_a_sidecar_that_does_not_read_loses_its_connection_alone() -> None:
     """Its answers may fill one outbox, not the memory."""
-    with Room(Agent(lambda job, kind, body: (0.0, "good", bytes(4096)))) as room:
-        slow, other = room.serving(), room.sidecar()
+    with Host(Agent(lambda job, kind, body: (0.0, "good", bytes(4096)))) as host:
+        slow, other = host.serving(), host.sidecar()
         values = fastcgi.record(fastcgi.GET_VALUES, 0, fastcgi.write_pairs({"FCGI_MPXS_CONNS": ""}))
         with pytest.raises(ConnectionError):
             for _ in range(5000):
                 slow.send(values * 400)
-        room.line("does not read its answers")
+        host.line("does not read its answers")
         other.send(other.call(1))
         assert other.answer(1).status == 200
 
 
 def test_at_the_descriptor_limit_the_longest_idle_connection_makes_room() -> None:
-    with Room(Agent(at_once), sockets=28) as room:
-        idle = [room.serving() for _ in range(4)]
+    with Host(Agent(at_once), sockets=28) as host:
+        idle = [host.serving() for _ in range(4)]
         for request, sidecar in enumerate(idle, 1):
             sidecar.send(sidecar.call(request))
             assert sidecar.answer(request).status == 200
-        sidecar = room.sidecar()
+        sidecar = host.sidecar()
         sidecar.send(sidecar.call(9))
         assert sidecar.answer(9).status == 200
         idle[0].until_end()
-        assert room.process.poll() is None
+        assert host.process.poll() is None
 
 
 def test_where_all_are_busy_new_connections_wait_their_turn() -> None:
-    with Room(sockets=26) as room:
-        busy = [room.serving() for _ in range(2)]
+    with Host(sockets=26) as host:
+        busy = [host.serving() for _ in range(2)]
         for request, sidecar in enumerate(busy, 1):
             sidecar.send(sidecar.call(request))
-        room.agent.until(lambda: len(room.agent.launches) == 2)
-        waiting = room.sidecar()
+        host.agent.until(lambda: len(host.agent.launches) == 2)
+        waiting = host.sidecar()
         waiting.send(waiting.check())
-        room.line("no room for a connection")
-        room.agent.finish(job(1))
+        host.line("no room for a connection")
+        host.agent.finish(job(1))
         assert busy[0].answer(1).status == 200 and waiting.answer(1).status == 200
 
 
@@ -301,20 +301,20 @@
         "import resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, (20, 20)); "
         "from ringshift.lifecycle.entry import run; sys.exit(run())"
     )
-    with Room(Agent(at_once), command=("-c", code)) as room:
+    with Host(Agent(at_once), command=("-c", code)) as host:
         sidecars = []
         for request in range(1, 31):
-            sidecars.append(sidecar := room.serving())
+            sidecars.append(sidecar := host.serving())
             sidecar.send(sidecar.call(request))
             assert sidecar.answer(request).status == 200
-        assert room.process.poll() is None
+        assert host.process.poll() is None
 
 
 def test_an_announce_service_that_is_down_is_no_trouble() -> None:
-    with Room(Agent(at_once, up=False)) as room:
-        room.announce.server.stop(0)
-        room.agent.up.set()
-        sidecar = room.serving()
+    with Host(Agent(at_once, up=False)) as host:
+        host.announce.server.stop(0)
+        host.agent.up.set()
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
         assert sidecar.answer(1).status == 200
 
@@ -326,9 +326,9 @@
 
 
 def test_management_records_and_unknown_roles_are_answered() -> None:
-    with Room() as room:
-        room.line("listening on")
-        sidecar = room.sidecar()
+    with Host() as host:
+        host.line("listening on")
+        sidecar = host.sidecar()
         sidecar.send(
             fastcgi.record(fastcgi.GET_VALUES, 0, fastcgi.write_pairs({"FCGI_MPXS_CONNS": "", "X": ""}))
         )
@@ -344,16 +344,16 @@
 # A new configuration.
 
 
-def elsewhere(room: Room) -> tuple[StreamServer, Announce, dict[str, Any]]:
+def elsewhere(host: Host) -> tuple[StreamServer, Announce, dict[str, Any]]:
     """New addresses of the agent and of an announce service."""
-    server, listener = room.agent.serve(), Announce()
+    server, listener = host.agent.serve(), Announce()
     return server, listener, {"agent": "{}:{}".format(*server.address), "announce": listener.address}
 
 
 def test_a_new_configuration_moves_link_and_reports_at_once_and_runs_go_on() -> None:
     """SIGHUP ended the program. The old addresses take nothing new; no run is lost or run again."""
-    with Room() as room:
-        sidecar, agent = room.serving(), room.agent
+    with Host() as host:
+        sidecar, agent = host.serving(), host.agent
         sidecar.send(sidecar.call(1) + sidecar.call(2, "order"))
         agent.until(lambda: len(agent.launches) == 2)
         agent.finish(job(1), result=b"one")
@@ -361,44 +361,44 @@
         # Only a launch that is not known to have been read is told again, and then the agent passes it over.
         before = len(agent.commands)
         agent.until(lambda: sum(c["type"] == "sample" for c in agent.commands[before:]) >= 3)
-        server, listener, addresses = elsewhere(room)
-        room.replace(**addresses)
+        server, listener, addresses = elsewhere(host)
+        host.replace(**addresses)
         agent.until(lambda: agent.ports[-1] == server.address[1])
         agent.server.stop(0)
-        room.wait(listener.reported, lambda: "announce n3 true" in listener.reports, 2.0)
+        host.wait(listener.reported, lambda: "announce n3 true" in listener.reports, 2.0)
         agent.finish(job(2), result=b"two")
         assert sidecar.answer(2).body == b"two"
-        old = len(room.announce.reports)
+        old = len(host.announce.reports)
         sidecar.send(sidecar.call(3))
         agent.until(lambda: bool(agent.launched(job(3))))
         listener.reports.clear()
-        room.wait(listener.reported, lambda: len(listener.reports) >= 2)
-        assert len(room.announce.reports) == old and len(agent.ports) == 2
+        host.wait(listener.reported, lambda: len(listener.reports) >= 2)
+        assert len(host.announce.reports) == old and len(agent.ports) == 2
         assert [c["n"] for c in agent.commands if c["type"] == "subscribe"] == [0, 1]
         assert agent.launched(job(2)) == [b"body"]
-        assert not [line for line in room.lines if "link ended" in line]
+        assert not [line for line in host.lines if "link ended" in line]
 
 
 def test_a_new_configuration_is_taken_in_every_phase_and_twice_in_a_row() -> None:
     """The second one comes while the link of the first is not greeted, the third while leaving."""
-    with Room(Agent(up=False), stop_ms=5000.0) as room:
-        room.line("listening on")
-        agent = room.agent
+    with Host(Agent(up=False), stop_ms=5000.0) as host:
+        host.line("listening on")
+        agent = host.agent
         for _ in range(2):
-            server, _, addresses = elsewhere(room)
-            room.replace(**addresses)
+            server, _, addresses = elsewhere(host)
+            host.replace(**addresses)
             agent.until(lambda server=server: server.address[1] in agent.ports)  # type: ignore[misc]
         agent.up.set()
-        sidecar = room.serving()
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
         agent.until(lambda: bool(agent.launches))
-        room.process.terminate()
-        room.line("serving -> leaving")
-        server, _, addresses = elsewhere(room)
-        room.replace(**addresses)
+        host.process.terminate()
+        host.line("serving -> leaving")
+        server, _, addresses = elsewhere(host)
+        host.replace(**addresses)
         agent.until(lambda: agent.ports[-1] == server.address[1])
         agent.finish(job(1), result=b"moved")
-        assert sidecar.answer(1).body == b"moved" and room.ended() == 0
+        assert sidecar.answer(1).body == b"moved" and host.ended() == 0
 
 
 @pytest.mark.parametrize(
@@ -420,13 +420,13 @@
 def test_a_wrong_new_configuration_changes_nothing(
     named: str, data: bytes | None, other: dict[str, Any]
 ) -> None:
-    with Room(Agent(at_once)) as room:
-        sidecar = room.serving()
-        _, listener, addresses = elsewhere(room)
-        room.replace(data, **{**addresses, **other})
-        assert named in room.line("configuration stays as it was")
+    with Host(Agent(at_once)) as host:
+        sidecar = host.serving()
+        _, listener, addresses = elsewhere(host)
+        host.replace(data, **{**addresses, **other})
+        assert named in host.line("configuration stays as it was")
         sidecar.send(sidecar.call(1))
-        assert sidecar.answer(1).status == 200 and len(room.agent.ports) == 1 and not listener.reports
+        assert sidecar.answer(1).status == 200 and len(host.agent.ports) == 1 and not listener.reports
 
 
 TOLD: dict[str, Any] = {
@@ -477,9 +477,9 @@
         "main.read_backend = lambda: (read(), os.kill(os.getpid(), signal.SIGHUP))[0]; "
         "sys.exit(main.run())"
     )
-    with Room(Agent(at_once), command=("-c", code)) as room:
-        room.line("configuration read")
-        sidecar = room.serving()
+    with Host(Agent(at_once), command=("-c", code)) as host:
+        host.line("configuration read")
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
         assert sidecar.answer(1).status == 200
 
@@ -489,16 +489,16 @@
 
 def test_leaves_after_what_is_in_hand_and_refuses_what_comes_late() -> None:
     work = lambda job, kind, body: at_once(job, kind, body) if kind == "look" else None  # noqa: E731
-    with Room(Agent(work), stop_ms=5000.0) as room:
-        sidecar, agent = room.serving(), room.agent
-        idle = room.sidecar()
+    with Host(Agent(work), stop_ms=5000.0) as host:
+        sidecar, agent = host.serving(), host.agent
+        idle = host.sidecar()
         sidecar.send(sidecar.call(1, "order"))
         agent.until(lambda: bool(agent.launches))
-        room.process.send_signal(signal.SIGTERM)
-        room.process.send_signal(signal.SIGTERM)
-        room.line("-> leaving")
-        reports = len(room.announce.reports)
-        room.line("leaving: 1 in hand")
+        host.process.send_signal(signal.SIGTERM)
+        host.process.send_signal(signal.SIGTERM)
+        host.line("-> leaving")
+        reports = len(host.announce.reports)
+        host.line("leaving: 1 in hand")
         answers: list[Answer] = []
         noticed = time.monotonic()
         while not answers or answers[-1].status == 200:  # within the grace it runs what comes
@@ -513,40 +513,40 @@
         assert sidecar.answer(1).status == 200
         sidecar.until_end()
         idle.until_end()
-        assert room.ended() == 0
-        assert sum("told to leave" in line for line in room.lines) == 1
-        assert len(room.announce.reports) <= reports + 1  # one may have been on its way
+        assert host.ended() == 0
+        assert sum("told to leave" in line for line in host.lines) == 1
+        assert len(host.announce.reports) <= reports + 1  # one may have been on its way
 
 
 @pytest.mark.alone
 def test_all_is_answered_by_the_kill() -> None:
-    with Room(stop_ms=900.0) as room:
-        sidecar = room.serving()
+    with Host(stop_ms=900.0) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, "order"))
-        room.agent.until(lambda: bool(room.agent.launches))
-        room.process.send_signal(signal.SIGTERM)
+        host.agent.until(lambda: bool(host.agent.launches))
+        host.process.send_signal(signal.SIGTERM)
         assert sidecar.answer(1, 0.9).status == 500
-        assert room.ended(2) == 0
+        assert host.ended(2) == 0
 
 
 def test_a_request_in_the_kernels_backlog_at_the_notice_is_answered() -> None:
-    with Room(Agent(at_once)) as room:
-        room.line("-> serving")
-        room.process.send_signal(signal.SIGSTOP)
-        waiting = [room.sidecar() for _ in range(3)]
+    with Host(Agent(at_once)) as host:
+        host.line("-> serving")
+        host.process.send_signal(signal.SIGSTOP)
+        waiting = [host.sidecar() for _ in range(3)]
         for sidecar in waiting:
             sidecar.send(sidecar.call(1, HTTP_X_JOB_ID=job(id(sidecar))))
-        room.process.send_signal(signal.SIGTERM)
-        room.process.send_signal(signal.SIGCONT)
+        host.process.send_signal(signal.SIGTERM)
+        host.process.send_signal(signal.SIGCONT)
         assert [sidecar.answer(1).status for sidecar in waiting] == [200] * 3
-        assert room.ended() == 0
+        assert host.ended() == 0
 
 
 def test_leaves_at_once_while_the_agent_is_not_up() -> None:
-    with Room(Agent(up=False), stop_ms=60_000.0) as room:
-        room.line("-> waiting")
-        room.process.send_signal(signal.SIGTERM)
-        assert room.ended() == 0  # far from the kill
+    with Host(Agent(up=False), stop_ms=60_000.0) as host:
+        host.line("-> waiting")
+        host.process.send_signal(signal.SIGTERM)
+        assert host.ended() == 0  # far from the kill
 
 
 # What can't be started.
@@ -581,9 +581,9 @@
     ],
 )
 def test_wrong_configuration_ends_it_with_one_plain_line(named: str, wrong: dict[str, Any]) -> None:
-    with Room(**wrong) as room:
-        assert room.ended() == 2
-        assert len(room.lines) == 1 and named in room.lines[0]
+    with Host(**wrong) as host:
+        assert host.ended() == 2
+        assert len(host.lines) == 1 and named in host.lines[0]
 
 
 KEYED: dict[str, Any] = {
@@ -597,26 +597,26 @@
     """They were refused at the start, so that every backend of such a site ended with status 2."""
     dependency = {"below": below, "calls_by_class": [True, False], "dep_share": 0.4, "dep_window": 5000.0}
     called = {**SETTINGS["extra"], **dependency}
-    with Room(Agent(at_once), settings={**KEYED, "extra": called}) as room:
-        sidecar = room.serving()
+    with Host(Agent(at_once), settings={**KEYED, "extra": called}) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1) + sidecar.call(2, "order"))
         assert [sidecar.answer(request).body for request in (1, 2)] == [b"look:body", b"order:body"]
 
 
 def test_a_keyed_operation_that_may_have_run_is_never_turned_away_nor_run_again() -> None:
     """No key reaches the program, so a second run or a second try elsewhere would double its effect."""
-    with Room(settings=KEYED) as room:
-        sidecar = room.serving()
+    with Host(settings=KEYED) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1, HTTP_X_ALLOW_MS="700"))
-        room.agent.until(lambda: bool(room.agent.launched(job(1))))
+        host.agent.until(lambda: bool(host.agent.launched(job(1))))
         assert sidecar.answer(1).status == 500
-        assert len(room.agent.launched(job(1))) == 1
+        assert len(host.agent.launched(job(1))) == 1
 
 
 def test_an_address_in_use_ends_it_with_one_plain_line() -> None:
-    with Room() as first:
+    with Host() as first:
         host, port = first.address()
-        with Room(listen=f"{host}:{port}") as second:
+        with Host(listen=f"{host}:{port}") as second:
             assert second.ended() == 1
             assert len(second.lines) == 1 and f"listen: {host}:{port} can't be bound" in second.lines[0]
 
@@ -626,11 +626,11 @@
         "import sys, ringshift.owner as o; from ringshift.lifecycle.entry import run; "
         "o.HEARD.pop(o.news.Called); sys.exit(run())"
     )
-    with Room(command=("-c", code)) as room:
-        sidecar = room.serving()
+    with Host(command=("-c", code)) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
-        assert room.ended() == 1
-        room.line("ended by a bug")
+        assert host.ended() == 1
+        host.line("ended by a bug")
 
 
 def test_a_bug_in_a_connection_ends_that_connection() -> None:
@@ -640,10 +640,10 @@
         "def odd(request, *rest): return read(request, *rest) if request.id == 1 else 1 // 0\n"
         "c.read = odd; sys.exit(run())"
     )
-    with Room(Agent(at_once), command=("-c", code)) as room:
-        bad, good = room.serving(), room.sidecar()
+    with Host(Agent(at_once), command=("-c", code)) as host:
+        bad, good = host.serving(), host.sidecar()
         bad.send(bad.call(2))
         bad.until_end()
-        room.line("bug in a connection")
+        host.line("bug in a connection")
         good.send(good.call(1))
         assert good.answer(1).status == 200
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -32,8 +32,8 @@
 from ringshift.store.reader import Refusal, read, write
 from ringshift.store.ring import Ring, file_name
 from standins.agent import Agent
-from standins.room import Room
-from tests.world import machine
+from standins.host import Host
+from tests.simulation import machine
 
 S = 10**9
 
@@ -318,15 +318,15 @@
     told = tmp_path / "operators.toml"
     told.write_text(f'[records]\nlines = true\nfolder = "{tmp_path}/ring"\n')
     agent = Agent(lambda job, kind, body: (0.0, "good", body))
-    with Room(agent, environ={"RINGSHIFT_SETTINGS": str(told)}) as room:
-        sidecar = room.serving()
+    with Host(agent, environ={"RINGSHIFT_SETTINGS": str(told)}) as host:
+        sidecar = host.serving()
         for request in range(1, 6):
             sidecar.send(sidecar.call(request))
             assert sidecar.answer(request).status == 200
-        room.line('"succeeded":5')
-        room.process.terminate()
-        assert room.ended() == 0
-        records = [read(line.encode()) for line in room.lines]
+        host.line('"succeeded":5')
+        host.process.terminate()
+        assert host.ended() == 0
+        records = [read(line.encode()) for line in host.lines]
     assert all(isinstance(one, Record) for one in records)
     assert isinstance(records[-1], Record) and records[-1].body == Ended(0, 0)
     kept = [one for _, _, one in read_source(tmp_path / "ring" / "n3.db")]
--- a/tests/test_ruled.py
+++ b/tests/test_ruled.py
@@ -13,14 +13,14 @@
 from ringshift.interface import Clause, Effect, Ruled
 from ringshift.rulebook.document import Portion, Quota, Rules
 from ringshift.rulebook.indices import Names, found, ruled
-from tests.world import MS, World, any_machine, machine, operation
+from tests.simulation import MS, SimulatedServer, any_machine, machine, operation
 
 NONE = frozenset[int]()
 S = 1000 * MS
 
 
-def world(*operations: face.Operation, cores: int = 4) -> World:
-    return World(machine(*operations, cores=cores), Random(1))
+def server(*operations: face.Operation, cores: int = 4) -> SimulatedServer:
+    return SimulatedServer(machine(*operations, cores=cores), Random(1))
 
 
 def back(
@@ -29,7 +29,7 @@
     return Ruled(held_back=(operations, customers, callers))
 
 
-def comes(played: World, op: int = 0, **other: object) -> face.Arrived:
+def comes(played: SimulatedServer, op: int = 0, **other: object) -> face.Arrived:
     plain: dict[str, object] = {"unread": 0, "patience": None, "repeats": None, "caller": 1}
     return played.arrive(op, **(plain | other))
 
@@ -47,7 +47,7 @@
 def test_a_rulebook_that_refuses_nobody_changes_no_action(seed: int) -> None:
     def play(under_rules: bool) -> list[list[face.Action]]:
         chance = Random(seed)
-        played = World(any_machine(chance), chance)
+        played = SimulatedServer(any_machine(chance), chance)
         if under_rules:
             played.controller.decide(played.now, [back(callers=frozenset({99})), Ruled(shed={0: 10})])
         said = []
@@ -63,7 +63,7 @@
 @given(st.integers(0, 2**32))
 def test_the_four_rules_hold_whatever_rulebook_comes_and_goes(seed: int) -> None:
     chance = Random(seed)
-    played = World(any_machine(chance), chance)
+    played = SimulatedServer(any_machine(chance), chance)
 
     def some(most: int) -> frozenset[int] | None:
         if chance.random() < 0.5:
@@ -95,17 +95,17 @@
 def test_who_is_held_back_is_turned_away_for_good_at_once_and_apart_from_overload() -> None:
     others, nothing = Ruled(let_through=(None, None, frozenset({2}))), Ruled(let_through=(NONE, None, None))
     for rules in (back(operations=frozenset({0})), back(callers=frozenset({1})), others, nothing):
-        played = world()
+        played = server()
         played.step([rules])
         told = turned(played.step([news := comes(played)]), news.inv)
         assert told == face.Throttle(news.inv, 0, True, True, True), rules
-    played = world()
+    played = server()
     played.step([back(callers=frozenset({1}))])
     assert one(played.step([news := comes(played, caller=2)]), face.Start, news.inv)
 
 
 def test_what_was_read_before_is_not_begun_where_the_new_rules_forbid_it_and_what_runs_runs_on() -> None:
-    played = world(cores=1)
+    played = server(cores=1)
     first, second = comes(played), comes(played)
     assert one(played.step([first]), face.Start, first.inv)
     while one(played.step([second]), face.Start, second.inv):
@@ -119,7 +119,7 @@
 
 
 def test_a_step_of_a_retirement_sheds_no_one_who_was_read_before_it() -> None:
-    played = world(cores=1)
+    played = server(cores=1)
     held = comes(played, lot=10)
     while one(played.step([held]), face.Start, held.inv):
         held = comes(played, lot=10)
@@ -133,7 +133,7 @@
 
 
 def test_a_keyed_repeat_of_what_ran_gets_its_result_whatever_the_rules_say_by_then() -> None:
-    played = world(operation(effect=Effect.TOKENED))
+    played = server(operation(effect=Effect.TOKENED))
     first = comes(played, lot=5)
     assert one(played.step([first]), face.Start, first.inv)
     played.step([played.finish(played.seen[first.inv])])
@@ -147,7 +147,7 @@
 
 
 def test_a_share_to_be_served_elsewhere_is_turned_away_with_no_wish_to_give_up() -> None:
-    played = world(operation(), operation("other"))
+    played = server(operation(), operation("other"))
     played.step([Ruled(clauses=found([Clause(operations=frozenset({0}), away=300_000)]))])
     away = 0
     for _ in range(2000):
@@ -164,7 +164,7 @@
 
 
 def test_a_rate_holds_over_versions_that_keep_it() -> None:
-    played = world(operation())
+    played = server(operation())
     clause, begun = Clause(callers=frozenset({1}), rate=5.0), 0
     for turn in range(500):
         rules = Ruled(clauses=found([clause, Clause(rate=1000.0)][: 1 + turn % 2]))
@@ -175,9 +175,9 @@
     assert 45 <= begun <= 52  # 10 s at 5 a second, taken at every fiftieth second
 
 
-def shut(*operations: face.Operation) -> World:
+def shut(*operations: face.Operation) -> SimulatedServer:
     """One core, and a line so long that whoever comes with a low rank is turned away for overload."""
-    played = world(*(operations or (operation(),)), cores=1)
+    played = server(*(operations or (operation(),)), cores=1)
     for _ in range(40):
         played.step([comes(played, rank=1.0, caller=7) for _ in range(4)], forward=20 * MS)
     told = turned(played.step([news := comes(played, rank=0.0, caller=7)]), news.inv)
@@ -207,7 +207,7 @@
 
 def test_what_any_clause_turns_away_is_told_as_ruled_and_not_as_final_with_the_door_shut_as_well() -> None:
     drain, quota = Clause(away=10**6), Clause(callers=frozenset({1}), rate=0.0)
-    for clause, played in ((drain, world()), (quota, world()), (drain, shut())):
+    for clause, played in ((drain, server()), (quota, server()), (drain, shut())):
         played.step([Ruled(clauses=found([clause]))])
         told = turned(played.step([news := comes(played)]), news.inv)
         assert told is not None and told.ruled and not told.final
@@ -225,7 +225,7 @@
 
     ones = [Clause(some(3), some(6), some(20), chance.choice([1.0, 5.0]), n) for n in range(30)]
     at = [found(ones[:20]), found(ones[20:])]
-    played = World(
+    played = SimulatedServer(
         machine(
             operation(),
             operation("b"),
@@ -255,7 +255,7 @@
 
 
 def test_a_quota_on_its_ramp_holds_though_its_rate_is_told_anew_at_each_step() -> None:
-    played, begun = world(operation()), 0
+    played, begun = server(operation()), 0
     for turn in range(500):
         clause = Clause(rate=5.0 + (500 - turn) / 1e6)
         news = comes(played)
@@ -266,7 +266,7 @@
 
 
 def test_a_caller_beyond_its_quota_takes_nothing_of_what_it_shares_with_others() -> None:
-    played, begun = world(operation()), 0
+    played, begun = server(operation()), 0
     clauses = found([Clause(rate=20.0), Clause(callers=frozenset({1}), rate=1.0)])
     played.step([Ruled(clauses=clauses)])
     for _ in range(250):
--- a/tests/test_rules_program.py
+++ b/tests/test_rules_program.py
@@ -14,7 +14,7 @@
 import pytest
 
 from standins.agent import Agent
-from standins.room import ROOT, Room
+from standins.host import ROOT, Host
 from standins.sidecar import Answer, Sidecar
 
 BOOK = """
@@ -93,9 +93,9 @@
     return ringshift("rules", "publish", file, "--author", "a", "--reason", "r", "--settings", path)
 
 
-def after(room: Room, said: int, text: str) -> None:
+def after(host: Host, said: int, text: str) -> None:
     """Waits for a log line that came after the first `said`."""
-    room.wait(room.logged, lambda: any(text in line for line in room.lines[said:]), 20)
+    host.wait(host.logged, lambda: any(text in line for line in host.lines[said:]), 20)
 
 
 def asked(sidecar: Sidecar, request: int, operation: str = "look", caller: int = 4) -> Answer:
@@ -107,30 +107,30 @@
     path = settings(tmp_path, keeper)
     agent = Agent(lambda job, kind, body: (0.0, "good", b"made"))
     environ = {"RINGSHIFT_SETTINGS": path, "RINGSHIFT_RECORDS": "lines"}
-    with Room(agent, environ=environ) as room:
-        sidecar = room.serving()
+    with Host(agent, environ=environ) as host:
+        sidecar = host.serving()
         refused = asked(sidecar, 1, caller=9)  # nothing was ever published: the installation's `alone`
         assert refused.status == 429 and refused.fields["X-Terminal"] == "1"
         assert asked(sidecar, 2).status == 200
         publish(path, book(tmp_path, callers='"4"'))
-        room.line('"state":"READING"')
+        host.line('"state":"READING"')
         refused = asked(sidecar, 3)
         assert refused.status == 429 and refused.fields["X-Terminal"] == "1"
         assert "X-Wait-Ms" not in refused.fields  # come back never, not later
         assert asked(sidecar, 4, caller=9).status == 200
         assert publish(path, book(tmp_path, operations='"order"'))["state"] == "IN_FORCE"
-        said = len(room.lines)
+        said = len(host.lines)
         keeper.kill()
-        after(room, said, '"state":"ALONE"')
+        after(host, said, '"state":"ALONE"')
         assert asked(sidecar, 5, caller=9).status == 429
         assert asked(sidecar, 6, "order").status == 200  # `alone` holds back none: what it names is all of it
-        said = len(room.lines)
+        said = len(host.lines)
         keeper.start()
-        after(room, said, '"state":"READING"')
+        after(host, said, '"state":"READING"')
         assert asked(sidecar, 7, "order").status == 429 and asked(sidecar, 8, caller=9).status == 200
-        room.line('"ruled":1')  # refusals by the rulebook are counted apart in the records
-        room.process.send_signal(signal.SIGTERM)
-        assert room.ended() == 0
+        host.line('"ruled":1')  # refusals by the rulebook are counted apart in the records
+        host.process.send_signal(signal.SIGTERM)
+        assert host.ended() == 0
         status = ringshift("rules", "status", "--settings", path)
         assert status["readers"] == []  # its last word: no publication waits for it
     assert len(agent.launches) == 4
@@ -140,10 +140,10 @@
     """Off on the platform: without the operators' file nothing of it is imported and no thread is started."""
     line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     line = line.replace(".venv/bin/python", sys.executable)
-    with Room(Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=line) as room:
-        assert asked(room.serving(), 1).status == 200
-        assert len(list(Path(f"/proc/{room.process.pid}/task").iterdir())) == 1
-        opened = Path(f"/proc/{room.process.pid}/maps").read_text()
+    with Host(Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=line) as host:
+        assert asked(host.serving(), 1).status == 200
+        assert len(list(Path(f"/proc/{host.process.pid}/task").iterdir())) == 1
+        opened = Path(f"/proc/{host.process.pid}/maps").read_text()
         assert "msgspec" not in opened and "xxhash" not in opened
     words = "'ringshift.rulebook', 'ringshift.schedule', 'ringshift.retirement', 'ringshift.wire.rules'"
     code = (
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -28,7 +28,7 @@
 from ringshift.settings.operators import read_operators
 from ringshift.wire.shares import BudgetLink, read_ask, read_ledger, write_ledger, written_at
 from standins.agent import Agent
-from standins.room import Room
+from standins.host import Host
 
 ROOT = Path(__file__).parent.parent
 
@@ -162,8 +162,8 @@
 
     agent = Agent(work)
     environ = {"RINGSHIFT_SETTINGS": str(settings), "RINGSHIFT_RECORDS": "lines"}
-    with Room(agent, environ=environ) as room:
-        sidecar = room.serving()
+    with Host(agent, environ=environ) as host:
+        sidecar = host.serving()
 
         def feed() -> None:
             for request in range(1, 1000):  # far more than four cores, or any share, can do
@@ -173,7 +173,7 @@
         feeding = gevent.spawn(feed)
         agent.until(lambda: len(agent.launches) >= 4)
         assert most[0] == 1  # without a grant yet: the safe share
-        room.line('"new":3.0', 20)  # the unknown was waited out, then all there is was granted
+        host.line('"new":3.0', 20)  # the unknown was waited out, then all there is was granted
         agent.until(lambda: len(agent.running) == 3)
         done = len(agent.launches)
         agent.until(lambda: len(agent.launches) >= done + 12)
@@ -195,8 +195,8 @@
             gevent.sleep(0.01)
         feeding.kill()
         agent.until(lambda: not agent.running)
-        room.process.send_signal(signal.SIGTERM)
-        assert room.ended() == 0
+        host.process.send_signal(signal.SIGTERM)
+        assert host.ended() == 0
         link = BudgetLink([keeper], time.monotonic_ns, 2.0)
         held = link.read("database")
         assert [ask.leaving for ask in held.asks] == [True]
@@ -237,8 +237,8 @@
         "life_ms = 1500\nrefresh_ms = 200\nmargin_ms = 100\n"
     )
     agent = Agent(lambda job, kind, body: (0.0, "good", b"made"))
-    with Room(agent, environ={"RINGSHIFT_SETTINGS": str(settings), "RINGSHIFT_RECORDS": "lines"}) as room:
-        sidecar, began = room.serving(), time.monotonic()
+    with Host(agent, environ={"RINGSHIFT_SETTINGS": str(settings), "RINGSHIFT_RECORDS": "lines"}) as host:
+        sidecar, began = host.serving(), time.monotonic()
 
         def feed() -> None:
             for request in range(1, 10_000):  # a hundred a second at the most
@@ -246,7 +246,7 @@
                 gevent.sleep(0.01)
 
         feeding = gevent.spawn(feed)
-        room.line('"new":18.0', 20)
+        host.line('"new":18.0', 20)
         granted, before = time.monotonic(), len(agent.launches)
         assert before <= 18 * (granted - began) + 1.8 + 1
         agent.until(lambda: len(agent.launches) >= before + 40)
@@ -258,11 +258,11 @@
     """Off on the platform: without the operators' file nothing of it is imported and no thread is started."""
     line = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     line = line.replace(".venv/bin/python", sys.executable)
-    with Room(Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=line) as room:
-        sidecar = room.serving()
+    with Host(Agent(lambda job, kind, body: (0.0, "good", b"made")), shell=line) as host:
+        sidecar = host.serving()
         sidecar.send(sidecar.call(1))
         assert sidecar.answer(1).status == 200
-        tasks = list(Path(f"/proc/{room.process.pid}/task").iterdir())
+        tasks = list(Path(f"/proc/{host.process.pid}/task").iterdir())
         assert len(tasks) == 1
     code = (
         "import sys, ringshift.lifecycle.entry; print([m for m in sys.modules if m.startswith(("
