--- a/tests/test_process_audit.py
+++ b/tests/test_process_audit.py
@@ -13,7 +13,7 @@
 from standins.process_audit import SITE
 
 
-def test_the_census_of_a_serving_backend_is_written_and_the_backend_serves_on(tmp_path: Path) -> None:
+def test_the_audit_of_a_serving_backend_is_written_and_the_backend_serves_on(tmp_path: Path) -> None:
     path = tmp_path / "audit.json"
     environ = {"PYTHONPATH": os.pathsep.join([str(SITE), str(ROOT)]), "RINGSHIFT_CENSUS": str(path)}
     agent = Agent(lambda job, kind, body: (0.0, "good", body))
