--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,9 +16,9 @@
 from common import TROUBLE, Backend, answer, call, new_job, play
 
 HERE = Path(__file__).resolve().parent
-SECONDS = 90.0  # of the bad clients' sending
+SECONDS = 100.0  # of the bad clients' sending
 CLIENTS = 3
-MEMORY_MB, SOCKETS = 64, 512
+MEMORY_MB, SOCKETS = 48, 512
 OUT_OF_RANGE, IN_RANGE = "1e300", "9300"
 USUAL_EVERY = 0.1  # seconds between two calls of the usual sidecar
 
@@ -33,8 +33,10 @@
                 backend.agent.known[job] = b"body"
                 writer.write(call(1, "tank-lookup", job, IN_RANGE, 4))
                 ends["sent"] += 1
+                backend.record.note(f"{job} sent by the usual sidecar")
                 status = str((await answer(reader))[1])
                 ends[status] = ends.get(status, 0) + 1
+                backend.record.note(f"{job} answered {status}")
                 await asyncio.sleep(USUAL_EVERY)
         except (OSError, EOFError):
             ends["connection ended"] = ends.get("connection ended", 0) + 1
@@ -77,7 +79,7 @@
             backend.record.say(f"bad client: {(await client.communicate())[0].decode().strip()}")
     sidecar.cancel()
     agent = backend.agent
-    backend.record.say(f"agent: {agent.ran} run, {agent.refused} launches refused; usual sidecar {ends}")
+    backend.record.say(f"agent: {len(agent.ran)} run, {agent.refused} launches refused; usual sidecar {ends}")
     return broken
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,7 +18,7 @@
 SECONDS = 60.0
 CLIENTS, PROCESSES = 200, 2
 PIECE = 2  # bytes of a record
-MEMORY_MB, SOCKETS = 80, 512
+MEMORY_MB, SOCKETS = 64, 512
 USUAL_EVERY = 0.1  # seconds between two calls of the usual sidecar
 
 
@@ -31,8 +31,10 @@
                 backend.agent.known[job] = b"body"
                 writer.write(call(1, "tank-lookup", job, "9300", 4))
                 ends["sent"] += 1
+                backend.record.note(f"{job} sent by the usual sidecar")
                 status = str((await answer(reader))[1])
                 ends[status] = ends.get(status, 0) + 1
+                backend.record.note(f"{job} answered {status}")
                 await asyncio.sleep(USUAL_EVERY)
         except (OSError, EOFError):
             ends["connection ended"] = ends.get("connection ended", 0) + 1
@@ -66,7 +68,7 @@
             await backend.process.wait()
             broken = True
     sidecar.cancel()
-    told.say(f"agent: {backend.agent.ran} run; usual sidecar {ends}")
+    told.say(f"agent: {len(backend.agent.ran)} run; usual sidecar {ends}")
     return broken
 
 
--- a/review/3/endless_clients.py
+++ b/review/3/endless_clients.py
@@ -1,6 +1,6 @@
 """Clients whose messages never end, in small pieces.
 
-Each begins eight requests on its connection, as FastCGI allows, and sends the parameters of each in records
+Each begins four requests on its connection, as FastCGI allows, and sends the parameters of each in records
 of some bytes without ever ending one; it reads what is sent to it, and comes again once its connection ends.
 Told on the command line: host, port, how many, for how many seconds, and the bytes of a record.
 """
@@ -16,7 +16,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from common import PARAMS, begin, record
 
-REQUESTS = 8
+REQUESTS = 4
 BYTES = 8000  # of the parameters of one request
 LONGEST = 10.0  # seconds without an end of the connection, after which a client closes by itself
 
--- a/review/common.py
+++ b/review/common.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import struct
 import sys
@@ -65,9 +66,13 @@
         self.began = time.monotonic()
 
     def say(self, text: str) -> None:
+        print(self.note(text), flush=True)
+
+    def note(self, text: str) -> str:
+        """In the file alone: one request, one run."""
         line = f"{time.monotonic() - self.began:8.2f} {text}"
         print(line, file=self.file, flush=True)
-        print(line, flush=True)
+        return line
 
 
 # FastCGI.
@@ -121,9 +126,9 @@
 class Agent:
     """A render farm agent: runs what the usual sidecars sent, refuses each other id."""
 
-    def __init__(self, took: float = 0.05) -> None:
-        self.took, self.known = took, dict[str, bytes]()
-        self.refused = self.ran = 0
+    def __init__(self, record: Record, took: float = 0.05) -> None:
+        self.record, self.took, self.known = record, took, dict[str, bytes]()
+        self.refused, self.ran = 0, set[str]()
         self.notices: list[bytes] = []
         self.link: asyncio.StreamWriter | None = None
 
@@ -151,7 +156,8 @@
             self.refused += 1
             self.say(type="refusal", state="launch", job=job)
             return
-        self.ran += 1
+        self.ran.add(job)
+        self.record.note(f"{job} runs")
         asyncio.get_running_loop().call_later(self.took, self.end, job)
 
     def end(self, job: str) -> None:
@@ -184,7 +190,7 @@
 
     def __init__(self, record: Record, memory_mb: int, sockets: int) -> None:
         self.record, self.limits = record, {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
-        self.agent, self.address = Agent(), ("127.0.0.1", free_port())
+        self.agent, self.address = Agent(record), ("127.0.0.1", free_port())
         self.folder = tempfile.TemporaryDirectory()
         self.announce = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.others: list[asyncio.subprocess.Process] = []
@@ -256,7 +262,8 @@
         """What the process itself holds: anonymous and shared memory, without the files that it maps."""
         text = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
         held = dict(line.split(":", 1) for line in text.splitlines() if line.startswith("Rss"))
-        return sum(int(held[name].split()[0]) for name in ("RssAnon", "RssShmem")) / 1024
+        # Of a process that has ended there is nothing.
+        return sum(int(held.get(name, "0").split()[0]) for name in ("RssAnon", "RssShmem")) / 1024
 
     def cpu_seconds(self) -> float:
         fields = Path(f"/proc/{self.process.pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
@@ -269,6 +276,10 @@
     told.say(f"TROUBLE={int(TROUBLE)}, memory {memory_mb} MB, {sockets} descriptors")
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # ended from outside it still ends what it started
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with Backend(told, memory_mb, sockets) as backend:
             if not await backend.serves():
                 told.say("the backend does not serve")
@@ -279,6 +290,6 @@
 
     try:
         return asyncio.run(run())
-    except Exception as wrong:  # whatever keeps the case from running
+    except (Exception, asyncio.CancelledError) as wrong:  # whatever keeps the case from running
         told.say(f"could not run: {wrong!r}")
         return 2
