Deadlines go with their invocations; figures from outside have ends at both sides

Callers saw: a backend killed for memory. Cause: the decisions keep an invocation's deadlines on a heap that they leave only when their time comes, not when the invocation is over. Evidence: after 20,000 launches that the agent refused, of all containers of owner, decisions and stores only the heap had grown (23,826 entries; 3.3 MB with a wait of 9300 ms, 3.4 MB with 9e14, 5.9 MB with 1e300, whose integers are longer). The missing upper bound of X-Allow-Ms, the other hypothesis, made the time endless and the entries larger; with it alone, the largest figure let through would leak as before, and 9300 ms kept 9.3 s of all that was refused. Change: DeadlineHeap lets deadlines go whose owners are over, by passes that double, so that it is bounded by those in hand and not by rate or figure. X-Allow-Ms ends at 1e15 as the other figures do (1e303 was a bug's trace and the end of its connection), and a wait longer than the operation's time-out counts as that. On related paths: one timer for all deep checks in place of one each that stayed for a second; an agent's times below none count as none; a start before the clock's beginning is one at it; gauges that no machine has are not known, as an infinite one would stay in the means.

--- a/ringshift/control/controller.py
+++ b/ringshift/control/controller.py
@@ -92,8 +92,7 @@
         if self.leaving_at and self.now >= self.kill_at - LAST - BEAT:
             for left in list(self.invs.values()):
                 self.step_to(left, News.DUE)
-        while self.alarms and self.alarms[0][0] <= self.now:
-            _, index, _, news = heappop(self.alarms)
+        for index, news in self.alarms.due(self.now):
             inv = self.invs.get(index)
             if inv and news is News.LATE and inv.state is RUNNING and self.now < inv.goal:
                 self.alarm(inv.goal, inv, News.LATE)
--- a/ringshift/control/invocation.py
+++ b/ringshift/control/invocation.py
@@ -8,6 +8,7 @@
 
 from ringshift import interface as face
 from ringshift.control.measures import BEAT, MEMORY, MS, DecayingSum, S
+from ringshift.deadline_heap import DeadlineHeap
 from ringshift.interface import Effect, Halt, Outcome
 
 QUOTA_SPAN = 2 * S  # over which a customer's admitted work is held against its quota
@@ -86,7 +87,7 @@
         self.machine, self.random, self.now, self.born = machine, Random(seed), 0, -1
         self.out, self.forgotten, self.invs = list[face.Action](), list[int](), dict[int, Inv]()
         self.lines, self.count = [Line(op) for op in machine.operations], dict.fromkeys(State, 0)
-        self.alarms: list[tuple[int, int, int, News]] = []
+        self.alarms = DeadlineHeap[News](self.invs)
         self.room, self.entries, self.memory, self.sum_started = ROOM * machine.memory_kb, list[int](), 0.0, 0
 
     def step_to(self, inv: Inv, news: News) -> None:
@@ -113,7 +114,7 @@
         return inv.kb * (0 if state is OVER else 1 if state in WEIGHTLESS else self.machine.run_factor)
 
     def alarm(self, at: int, inv: Inv, news: News) -> None:
-        heappush(self.alarms, (at, inv.id, news.value, news))
+        self.alarms.add(at, inv.id, news)
 
     def forget(self, inv: Inv) -> None:
         if inv.line.op.effect is Effect.TOKENED:
--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from itertools import count
 from typing import Any
@@ -46,6 +46,15 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class DeepCheck:
+    """A health check that waits for the agent's work; nanoseconds."""
+
+    door: Door
+    request: int
+    until: int
+
+
 class Owner:
     def __init__(
         self,
@@ -73,7 +82,9 @@
         self.timers: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.order, self.refs = count(), count(1)
         self.sampled_for: dict[str, int] = {}  # sample -> the module's timer that waits for it
-        self.checks: dict[str, tuple[Door, int]] = {}
+        self.checks: dict[str, DeepCheck] = {}
+        self.checks_watched = False
+        """Whether a timer waits for the oldest check: one for all, as answered ones would leave theirs."""
         self.mark = self.confirmed = 0
         self.barrier = 0  # the sample whose answer comes after all notices that a new link still had to tell
         self.longest = max(op.client_timeout for op in machine.operations)
@@ -202,7 +213,7 @@
                 inv=inv.index,
                 operation=item.operation,
                 customer=-1,
-                patience=None if item.allow is None else max(item.allow - unread, 0),
+                patience=self.patience(item, unread),
                 cost=0.0,
                 kb=item.kb,
                 rank=item.rank,
@@ -214,6 +225,13 @@
             )
         )
 
+    def patience(self, item: news.Called, unread: int) -> int | None:
+        """How long its sender still waits, None where that is not told. No client waits longer than its
+        operation's time-out in all: what tells more must not be held, with its memory, for as long."""
+        if item.allow is None:
+            return None
+        return max(min(item.allow, self.machine.operations[item.operation].client_timeout) - unread, 0)
+
     def original(self, inv: Invocation, unread: int) -> int | None:
         """Of which invocation this one is a repeat."""
         now = self.clock.now()
@@ -229,15 +247,27 @@
             item.door.send(item.request, calls.checked(item.request, self.fields, False))
         else:
             ref = f"check-{next(self.refs)}"
-            self.checks[ref] = item.door, item.request
+            self.checks[ref] = check = DeepCheck(item.door, item.request, self.clock.now() + CHECK_IN)
             self.agent.exercise(ref)
-            self.timer(self.clock.now() + CHECK_IN, self.end_check, news.Exercised(ref, False))
+            if not self.checks_watched:
+                self.checks_watched = True
+                self.timer(check.until, self.end_late_checks, None)
+
+    def end_late_checks(self, _: None) -> None:
+        """The oldest come first, as all have the same time."""
+        now = self.clock.now()
+        for ref in [ref for ref, check in self.checks.items() if check.until <= now]:
+            self.end_check(news.Exercised(ref, False))
+        oldest = next(iter(self.checks.values()), None)
+        self.checks_watched = oldest is not None
+        if oldest is not None:
+            self.timer(oldest.until, self.end_late_checks, None)
 
     def end_check(self, item: news.Exercised) -> None:
         check = self.checks.pop(item.ref, None)
         if check is not None:
-            door, request = check
-            door.send(request, calls.checked(request, self.fields, item.good and self.health[0]))
+            good = item.good and self.health[0]
+            check.door.send(check.request, calls.checked(check.request, self.fields, good))
 
     def on_caller_left(self, item: news.CallerLeft) -> None:
         inv = self.invocations.caller_left(item.door, item.request)
@@ -254,7 +284,7 @@
             start = "cold" if item.cold else "warm"
             logger.info("agent greeted after {} ms, {} start", item.took // MS, start)
             self.watch.greeted(item.cold, item.took)
-            self.decide(now - item.took)  # it warms since its own start
+            self.decide(max(now - item.took, 0))  # it warms since its own start
             if self.shared:
                 self.look_at_shares(now)
             self.ready(self.health[0])
--- a/ringshift/wire/agent.py
+++ b/ringshift/wire/agent.py
@@ -15,7 +15,7 @@
 from gevent.socket import wait_read
 from loguru import logger
 
-from ringshift.machine import Malformed, maybe, need, ns
+from ringshift.machine import MOST, Malformed, maybe, need, ns
 from ringshift.runtime.bounds import Budget
 from ringshift.runtime.logs import counted
 from ringshift.wire.lines import Lines, TooLong
@@ -167,11 +167,16 @@
         return NOTICES[kind](fields)
 
 
+def read_took(fields: Fields, message: str) -> int:
+    """Nanoseconds. A span that ends before it began, by a clock that was set back, took no time."""
+    return max(ns(maybe(fields, "took", message, float, 0.0)), 0)
+
+
 def read_greeting(fields: Fields) -> News:
     state = need(fields, "state", "greeting", str)
     if state not in ("new", "old"):
         raise Malformed(f"greeting: state {state!r}")
-    return Greeted(state == "new", ns(maybe(fields, "took", "greeting", float, 0.0)))
+    return Greeted(state == "new", read_took(fields, "greeting"))
 
 
 def read_outcome(fields: Fields) -> News:
@@ -182,15 +187,21 @@
     return RunEnded(
         need(fields, "job", "outcome", str),
         need(fields, "state", "outcome", str),
-        ns(maybe(fields, "took", "outcome", float, 0.0)),
+        read_took(fields, "outcome"),
         result,
     )
 
 
 def read_sampled(fields: Fields) -> News:
     gauges = maybe(fields, "gauges", "sampled", list, [])
-    gauges = [gauge if isinstance(gauge, (int, float)) else None for gauge in gauges]
-    return Sampled(need(fields, "ref", "sampled", str), gauges)
+    return Sampled(need(fields, "ref", "sampled", str), [read_gauge(gauge) for gauge in gauges])
+
+
+def read_gauge(told: Any) -> float | None:
+    """None, as not known, for what no machine has: a mean that it goes into would never be rid of it."""
+    if isinstance(told, bool) or not isinstance(told, (int, float)) or not 0 <= told <= MOST:
+        return None
+    return told
 
 
 def read_exercised(fields: Fields) -> News:
--- a/ringshift/wire/calls.py
+++ b/ringshift/wire/calls.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from urllib.parse import parse_qs
 
-from ringshift.machine import NS_PER_MS, ns
+from ringshift.machine import MOST, NS_PER_MS, ns
 from ringshift.wire import fastcgi
 from ringshift.wire.news import Called, Checked, Door
 
@@ -56,7 +56,7 @@
     size = params.get("CONTENT_LENGTH", "")
     if size and size != str(len(request.body)):
         raise Wrong("CONTENT_LENGTH is not the length of the body")
-    allow = number(params, "HTTP_X_ALLOW_MS", 0.0) if "HTTP_X_ALLOW_MS" in params else None
+    allow = number(params, "HTTP_X_ALLOW_MS", 0.0, MOST) if "HTTP_X_ALLOW_MS" in params else None
     return Called(
         door=door,
         request=request.id,
@@ -64,7 +64,7 @@
         operation=operation,
         body=request.body,
         item=params.get("HTTP_X_ITEM", ""),
-        came=round(number(params, "HTTP_X_DOOR_TIME", 0.0, 1e15) * NS_PER_MS),
+        came=round(number(params, "HTTP_X_DOOR_TIME", 0.0, MOST) * NS_PER_MS),
         allow=None if allow is None else ns(allow),
         kb=number(params, "HTTP_X_RAM_KB", 1e-9, MOST_KB),
         rank=number(params, "HTTP_X_PRECEDENCE", 0.0, 1.0),
@@ -84,7 +84,7 @@
 
 def sent(params: Fields) -> int:
     """Beyond the protocol: a sender may tell its own clock too. The door time is the machine's."""
-    return round(number(params, "HTTP_X_SENT_TIME", 0.0, 1e15) * NS_PER_MS)
+    return round(number(params, "HTTP_X_SENT_TIME", 0.0, MOST) * NS_PER_MS)
 
 
 def advice(amount: float | None) -> dict[str, str]:
