--- a/tests/crossings/test_figures.py
+++ b/tests/crossings/test_figures.py
@@ -12,25 +12,16 @@
 from loguru import logger
 
 from ringshift.machine import Malformed
-from ringshift.runtime.bounds import MIB, bounds
-from ringshift.wire import calls, sidecars
+from ringshift.wire import calls
 from ringshift.wire.agent import Agent, read_greeting, read_outcome, read_sampled
-from ringshift.wire.news import Called, Greeted, News, RunEnded, Sampled
+from ringshift.wire.news import Called, Greeted, RunEnded, Sampled
 from standins.sidecar import Sidecar
-from tests.crossings.test_input import Here, answer
+from tests.crossings.test_input import answer
+from tests.listening import Here
 from tests.simulation import MS
 from tests.test_owner import Played
 
 
-@pytest.fixture
-def here() -> Iterator[tuple[sidecars.Sidecars, list[News]]]:
-    heard: list[News] = []
-    door = sidecars.Sidecars(("127.0.0.1", 0), {"look": 0}, heard.append, bounds(192 * MIB, 1024))
-    yield door, heard
-    gevent.killall([door.accepting, door.sweeping, *(c.reader for c in door.connections)])
-    door.sock.close()
-
-
 @pytest.fixture
 def bugs() -> Iterator[list[str]]:
     """Log lines of exceptions that nothing was prepared for."""
--- a/tests/crossings/test_input.py
+++ b/tests/crossings/test_input.py
@@ -13,26 +13,14 @@
 import gevent
 import pytest
 
-from ringshift.runtime.bounds import MIB, bounds
-from ringshift.wire import calls, fastcgi, lines, sidecars
+from ringshift.wire import calls, fastcgi, lines
 from ringshift.wire.agent import Agent as Link
 from ringshift.wire.connection import Connection
 from ringshift.wire.lines import Lines
 from ringshift.wire.news import Called, News
 from standins.sidecar import Sidecar
 from tests.crossings.test_agent_link import Peer, greet
-
-
-@pytest.fixture
-def here() -> Iterator[tuple[sidecars.Sidecars, list[News]]]:
-    heard: list[News] = []
-    door = sidecars.Sidecars(("127.0.0.1", 0), {"look": 0}, heard.append, bounds(192 * MIB, 1024))
-    yield door, heard
-    gevent.killall([door.accepting, door.sweeping, *(c.reader for c in door.connections)])
-    door.sock.close()
-
-
-Here = tuple[sidecars.Sidecars, list[News]]
+from tests.listening import Here
 
 
 def until(test: object, seconds: float = 10.0) -> None:
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -12,20 +12,17 @@
 import pytest
 from gevent.queue import Queue
 
-from ringshift.runtime.bounds import MIB, bounds
 from ringshift.wire import calls, connection, fastcgi, sidecars
 from ringshift.wire.news import Called, CallerLeft, News
 from standins.sidecar import Sidecar
+from tests.listening import Here, listening
 
 
 @pytest.fixture
-def here(monkeypatch: pytest.MonkeyPatch) -> Iterator[tuple[sidecars.Sidecars, list[News]]]:
+def here(monkeypatch: pytest.MonkeyPatch) -> Iterator[Here]:
     monkeypatch.setattr(sidecars, "SWEEP", 0.02)
-    heard: list[News] = []
-    door = sidecars.Sidecars(("127.0.0.1", 0), {"look": 0}, heard.append, bounds(192 * MIB, 1024))
-    yield door, heard
-    gevent.killall([door.accepting, door.sweeping, *(c.reader for c in door.connections)])
-    door.sock.close()
+    with listening() as door_and_heard:
+        yield door_and_heard
 
 
 def serving(door: sidecars.Sidecars) -> list[bool]:
@@ -158,7 +155,11 @@
     """Each connection held all requests of one read until the owner's queue had room: after a pause of the
     process, hundreds of them at once."""
     queue: Queue[News] = Queue(4)
-    door = sidecars.Sidecars(("127.0.0.1", 0), {"look": 0}, queue.put, bounds(192 * MIB, 1024))
+    with listening(queue.put) as (door, _):
+        hold_readers_back(door, queue)
+
+
+def hold_readers_back(door: sidecars.Sidecars, queue: Queue[News]) -> None:
     clients = [Sidecar(door.sock.getsockname()) for _ in range(20)]
     for client in clients:
         client.send(b"".join(client.call(number) for number in range(1, 31)))
@@ -175,9 +176,8 @@
             assert isinstance(news, Called)
             heard.add((id(news.door), news.request))
     rest = gevent.spawn(lambda: [queue.get() for _ in heard])  # each open request's caller leaves
-    gevent.killall([door.accepting, door.sweeping, *(c.reader for c in door.connections)])
+    gevent.killall([one.reader for one in door.connections])
     rest.kill()
-    door.sock.close()
 
 
 def test_an_abort_is_told_once_and_ends_the_request(here) -> None:  # type: ignore[no-untyped-def]
