--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -206,11 +206,10 @@
                 # looks at sockets again: a flood would be read all that time and nobody else.
                 wait_read(self.sock.fileno())
                 # One at a time from its read to its last word to the owner, whose queue may be full: hundreds
-                # would each hold what they had read until there is room.
+                # would each hold what they had read until there is room. Where it is deaf since it began to
+                # wait, what came crossed the close.
                 with self.turn:
-                    if (
-                        self.deaf or self.read_once()
-                    ):  # deaf since it began to wait: what came crossed the close
+                    if self.deaf or self.read_once():
                         break
         except fastcgi.NotFastCGI as wrong:
             counted.warn("bytes that are not FastCGI", str(wrong))
