--- a/ringshift/runtime/bounds.py
+++ b/ringshift/runtime/bounds.py
@@ -31,7 +31,7 @@
 
 
 class Budget:
-    """What many connections may hold together: slow readers and half senders must not fill the memory."""
+    """Bytes that many connections may hold together, so that slow readers do not fill the memory."""
 
     def __init__(self, left: int) -> None:
         self.left = left
