--- a/review/common_2.py
+++ b/review/common_2.py
@@ -148,6 +148,8 @@
     kind: str
     body: bytes
     allow_ms: int
+    key: str = ""
+    """The idempotency key that all tries of one request share; X-Unique in the kit's table of names."""
     door: float = field(default_factory=time.time)
     written: float = 0.0
     runs: int = 0
@@ -293,6 +295,8 @@
         number = link.free.pop()
         link.open[number] = call
         fields = call_fields(call.job, call.kind, self.sender, call.allow_ms, int(call.door * 1000))
+        if call.key:
+            fields["HTTP_X_UNIQUE"] = call.key
         world.record.write(f"sidecar {self.sender} sent {call.kind} {call.job} allow {call.allow_ms} ms")
         link.writer.write(whole(number, fields, call.body))
         call.written = call.written or time.monotonic()
@@ -318,6 +322,8 @@
         self.free = list(range(32, 0, -1))
         self.out: dict[int, bytes] = {}
         self.closed = False
+        self.resets = False
+        """Whether the next answer is lost with the connection, which its sidecar's side resets."""
 
     async def connect(self) -> None:
         self.reader, self.writer = await asyncio.open_connection(*self.world.address)
@@ -329,7 +335,7 @@
         with contextlib.suppress(OSError):
             while data := await self.reader.read(65536):
                 rest += data
-                while len(rest) >= 8:
+                while len(rest) >= 8 and not self.closed:
                     _, kind, number, size, padding = HEADER.unpack_from(rest)
                     if len(rest) < 8 + size + padding:
                         break
@@ -338,7 +344,9 @@
         self.ended()
 
     def told(self, kind: int, number: int, content: bytes) -> None:
-        if kind == STDOUT:
+        if self.resets:
+            self.reset()
+        elif kind == STDOUT:
             self.out[number] = self.out.get(number, b"") + content
         elif kind == END:
             call, data = self.open.pop(number, None), self.out.pop(number, b"")
@@ -348,6 +356,15 @@
             self.free.append(number)
             self.world.answered(call, data, content[4])
 
+    def reset(self) -> None:
+        """By the sidecar's side: answers that are lost with it break no rule."""
+        self.closed = True
+        for call in self.open.values():
+            call.given_up = True
+            self.world.record.write(f"connection reset as an answer came: {call.kind} {call.job}")
+        self.open.clear()
+        self.writer.transport.abort()
+
     def ended(self) -> None:
         """By the backend: what was open is lost, but for what crossed the close."""
         self.closed = True
@@ -374,6 +391,8 @@
         self.calls: dict[str, Call] = {}
         self.random, self.refused, self.count = random.Random(1), 0, 0
         self.missing: list[str] = []
+        self.left = False
+        """Whether the backend was told to leave: then its process may end, with status 0."""
         self.latest = 0.0  # seconds by which this process itself was late
         self.agent = Agent(self, work)
         self.settings, self.other = told, other
@@ -433,7 +452,7 @@
 
     def judge(self) -> None:
         """Whether the backend lives, and whether more requests were lost than the pages allow."""
-        if self.process is not None and self.process.returncode is not None:
+        if self.process is not None and self.process.returncode not in ((None, 0) if self.left else (None,)):
             self.record.breaks(f"the backend's process ended with status {self.process.returncode}")
         served = sum(call.status == 200 for call in self.calls.values())
         self.record.write(f"{len(self.calls)} sound requests, {served} served, {len(self.missing)} lost")
@@ -452,7 +471,8 @@
         self.record.write(f"answered {call.kind} {call.job} {call.status} {len(body)} bytes")
         if late > SLACK and not call.given_up:
             self.lost(call, f"answered {late:.3f} s after its due time")
-        if call.status == 200 and body not in call.results:
+        tries = [one for one in self.calls.values() if call.key and one.key == call.key] or [call]
+        if call.status == 200 and not any(body in one.results for one in tries):
             self.record.breaks(f"{call.kind} {call.job} got a result that no run made for it: {body[:60]!r}")
         if call.status in (429, 503) and call.runs:
             self.record.breaks(f"{call.kind} {call.job} ran and was refused")
