--- a/review/common_2.py
+++ b/review/common_2.py
@@ -518,9 +518,15 @@
         finally:
             await world.close()
 
+    async def bounded() -> None:
+        task = asyncio.ensure_future(asyncio.wait_for(whole_case(), 110))
+        for number in (signal.SIGTERM, signal.SIGINT):  # ended from outside, it ends what it started
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        await task
+
     try:
-        asyncio.run(asyncio.wait_for(whole_case(), 110))
-    except (TimeoutError, OSError, RuntimeError) as wrong:
+        asyncio.run(bounded())
+    except (asyncio.CancelledError, OSError, RuntimeError) as wrong:  # TimeoutError is an OSError
         world.record.write(f"could not run: {wrong!r}")
         print(f"could not run: {wrong!r}")
         sys.exit(COULD_NOT_RUN)
