One read in each round of the loop, and next the connection whose turns cost least

Cause: the loop serves all sockets that one poll found ready before it runs the owner or reads the agent's link. Each of hundreds of readers found the turn free, so that each step of a sound request waited for a round of hundreds of reads. Samples of the process showed 0.95 of its time in the decoder, a trace of one request 0.1 to 3 s between its steps.

Change: `wire/fair_turn.py`: one turn in a round, given by start-time fair queueing; charged is what a turn took beyond 1 ms for each whole request that it brought. A connection reads 2 KiB first. Tried before, and not kept: turns handed on at once (no gain: no reader waited), and all of a turn's time charged (a sound connection fell behind 480 new ones, 9.1 s). The codec's test of smaller turns expects the small first one too; the flood's benchmark now holds sound answers to their aim, its sound client sends again, once, what crosses the end of its connection, and it has nine more kinds of clients.

--- a/benchmarks/memory_limits.py
+++ b/benchmarks/memory_limits.py
@@ -3,7 +3,8 @@
 For each limit one backend, an agent that refuses ids it does not know, one sound sidecar and 240 bad
 clients of one kind, or of all (`standins/bad_clients.py`). Memory is the process's own, anonymous and shared,
 read twenty times a second. Prints a row for each; the exit status is 1 if one went over its limit, or a sound
-request got no answer or was taken for a bad one. `--short` plays all kinds together at three limits.
+request got no answer in its time or was taken for a bad one. `--short` plays all kinds together at three limits,
+with `--clients` there are more or fewer of them.
 """
 
 from __future__ import annotations
@@ -32,12 +33,14 @@
 CALL_EVERY = 0.05
 RUN_SECONDS = 0.02
 SOCKETS = 512
+CLIENTS = 240
 ANSWER_SECONDS = 9.0
 TAKEN = {200, 429, 500}
 """How a sound request may end: served, refused unrun, or late under a flood that takes the processor."""
+PATIENT_AIM_MS = 3000.0
 PATIENT = {
     **SETTINGS,
-    "classes": [{**row, "aim": 3000.0, "hard_limit": 8000.0} for row in SETTINGS["classes"]],
+    "classes": [{**row, "aim": PATIENT_AIM_MS, "hard_limit": 8000.0} for row in SETTINGS["classes"]],
     "extra": {**SETTINGS["extra"], "fresh": 1000.0},
 }
 
@@ -66,6 +69,9 @@
     kinds: list[str]
     seed: int
     seconds: float
+    clients: int
+    slowest: float = 0.0
+    """Seconds that the slowest answer to a sound request took."""
     peak_mb: float = 0.0
     ended: bool = False
     """The backend ended by itself."""
@@ -76,7 +82,8 @@
     def held(self) -> bool:
         """Whether it stayed within its limit, and sound requests lost nothing."""
         inside = 0 < self.peak_mb <= self.memory_mb and not self.ended
-        return inside and not self.unanswered and set(self.answers) <= TAKEN and self.answers[200] > 0
+        in_time = not self.unanswered and self.slowest <= PATIENT_AIM_MS / 1000
+        return inside and in_time and set(self.answers) <= TAKEN and self.answers[200] > 0
 
     def __str__(self) -> str:
         kind = self.kinds[0] if len(self.kinds) == 1 else "all kinds"
@@ -84,7 +91,7 @@
         verdict = "held" if self.held else "BROKEN"
         return (
             f"{self.memory_mb:4d} MB  {kind:14s} peak {self.peak_mb:6.1f} MB  sound {ends}, "
-            f"unanswered {self.unanswered}  {verdict}"
+            f"slowest {self.slowest:.2f} s, unanswered {self.unanswered}  {verdict}"
         )
 
 
@@ -99,19 +106,24 @@
 
 
 def sound_calls(address: tuple[str, int], agent: RefusingAgent, flood: Flood, until: float) -> None:
-    """One request after another, each followed to its end; a connection that ends is made again."""
-    random, sidecar, number = Random(flood.seed), None, 0
+    """One request after another, each followed to its end; one that crosses the end of its connection is sent
+    again, once, on a new one."""
+    random, sidecar, number = Random(flood.seed), Sidecar(address), 0
     while time.monotonic() < until:
         number += 1
-        job = f"{random.getrandbits(64):016x}"
+        job, began = f"{random.getrandbits(64):016x}", time.monotonic()
         agent.known.add(job)
-        try:
-            sidecar = sidecar or Sidecar(address)
-            sidecar.send(sidecar.call(number, HTTP_X_JOB_ID=job, HTTP_X_ALLOW_MS="8000", HTTP_X_RAM_KB="1"))
-            flood.answers[sidecar.answer(number, ANSWER_SECONDS).status] += 1
-        except (OSError, AssertionError, gevent.Timeout):
-            flood.unanswered += 1
-            sidecar = None
+        for again in (False, True):
+            try:
+                sidecar.send(
+                    sidecar.call(number, HTTP_X_JOB_ID=job, HTTP_X_ALLOW_MS="8000", HTTP_X_RAM_KB="1")
+                )
+                flood.answers[sidecar.answer(number, ANSWER_SECONDS).status] += 1
+                break
+            except (OSError, AssertionError, gevent.Timeout) as wrong:
+                flood.unanswered += again or isinstance(wrong, gevent.Timeout)
+                sidecar = Sidecar(address)
+        flood.slowest = max(flood.slowest, time.monotonic() - began)
         agent.known.discard(job)
         gevent.sleep(CALL_EVERY)
 
@@ -123,7 +135,8 @@
     with Host(agent, settings=PATIENT, limits=limits) as host:
         host.serving().sock.close()
         until = time.monotonic() + flood.seconds
-        words = [*map(str, host.address()), str(flood.seed), str(flood.seconds), *flood.kinds]
+        words = [*map(str, host.address()), str(flood.seed), str(flood.seconds), str(flood.clients)]
+        words += flood.kinds
         bad = subprocess.Popen([sys.executable, "-m", "standins.bad_clients", *words], cwd=ROOT)
         sound = gevent.spawn(sound_calls, host.address(), agent, flood, until)
         try:
@@ -156,15 +169,22 @@
     parser.add_argument("--seconds", type=float, default=SECONDS)
     parser.add_argument("--limits", type=int, nargs="+", default=LIMITS_MB)
     parser.add_argument("--kinds", nargs="+", choices=KINDS, default=None)
+    parser.add_argument("--clients", type=int, default=CLIENTS)
     parser.add_argument("--together", type=int, default=2)
     parser.add_argument("--short", action="store_true")
     told = parser.parse_args()
     if told.short:
-        floods = [Flood(limit, list(KINDS), told.seed, SHORT_SECONDS) for limit in SHORT_LIMITS_MB]
+        floods = [
+            Flood(limit, list(KINDS), told.seed, SHORT_SECONDS, told.clients) for limit in SHORT_LIMITS_MB
+        ]
         told.together = len(floods)
     else:
         kinds = [[kind] for kind in told.kinds or KINDS] + ([] if told.kinds else [list(KINDS)])
-        floods = [Flood(limit, kind, told.seed, told.seconds) for kind in kinds for limit in told.limits]
+        floods = [
+            Flood(limit, kind, told.seed, told.seconds, told.clients)
+            for kind in kinds
+            for limit in told.limits
+        ]
     return int(not all(flood.held for flood in play_side_by_side(floods, told.together)))
 
 
--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -12,7 +12,6 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
-from gevent.lock import BoundedSemaphore
 from gevent.socket import wait_read
 from loguru import logger
 
@@ -20,6 +19,7 @@
 from ringshift.runtime.logs import counted
 from ringshift.wire import calls, fastcgi
 from ringshift.wire.connection_table import ConnectionTable
+from ringshift.wire.fair_turn import FairTurn, Share
 from ringshift.wire.half_sent import HalfSent
 from ringshift.wire.news import CallerLeft, News
 from ringshift.wire.outbox import Outbox
@@ -42,14 +42,14 @@
         unread: Budget,
         half_sent: HalfSent,
         buffer: bytearray,
-        turn: BoundedSemaphore,
+        turn: FairTurn,
         table: ConnectionTable[Connection],
         over: Callable[[Connection], None],
     ) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNELS_PART)
         self.sock, self.operations, self.post = sock, operations, post
-        self.table, self.over, self.turn = table, over, turn
+        self.table, self.over, self.turn, self.share = table, over, turn, Share()
         self.decoder, self.bound = fastcgi.Decoder(buffer), half_sent
         self.outbox = Outbox(sock, UNREAD_ANSWERS, unread)
         self.finishing: set[int] = set()  # requests after whose answer the connection closes
@@ -214,7 +214,7 @@
                 # One at a time from its read to its last word to the owner, whose queue may be full: hundreds
                 # would each hold what they had read until there is room. Where it is deaf since it began to
                 # wait, what came crossed the close.
-                with self.turn:
+                with self.turn.taken(self.share):
                     if self.deaf or self.read_once():
                         break
         except fastcgi.NotFastCGI as wrong:
@@ -252,11 +252,13 @@
         """All of it before the first word to the owner, which may wait: other connections read into the same
         buffer meanwhile."""
         news: list[News] = []
-        self.taking = True
+        self.taking, began = True, time.monotonic_ns()
         try:
             for message in self.decoder.took(size):
                 news += self.handle(message)
             self.hold()
+            kept = sum(-1 if isinstance(item, CallerLeft) else 1 for item in news)
+            self.share.charge(time.monotonic_ns() - began, max(kept, 0))
             self.bound.enforce()
         finally:
             for item in news:
--- a/ringshift/wire/fastcgi.py
+++ b/ringshift/wire/fastcgi.py
@@ -19,7 +19,7 @@
 MANAGEMENT = 0
 
 ROOM = 16 * 1024  # bytes taken at once: the turn of one that floods
-ROOM_FOR_SMALL = ROOM // 8  # after a turn of so many records that it cost the others more than its bytes
+ROOM_FOR_SMALL = ROOM // 8  # at first, and after a turn of so many records that it cost more than its bytes
 MOST_RECORDS = 256  # records of a turn at full room
 WHOLE = 256  # a record with more than that in it comes in parts
 MOST_OPEN = 32
@@ -153,7 +153,7 @@
         self.kind = self.request = self.content = self.padding = self.skip = 0
         self.inside = False
         self.passed = self.records = 0
-        self.room = ROOM
+        self.room = ROOM_FOR_SMALL
         self.coming: dict[int, Request] = {}
         self.coming_memory = 0
         self.open: dict[int, int] = {}
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -9,13 +9,13 @@
 import gevent
 from gevent import socket
 from gevent.event import Event
-from gevent.lock import BoundedSemaphore
 
 from ringshift.runtime.bounds import Bounds, Budget
 from ringshift.runtime.logs import counted
 from ringshift.wire import fastcgi
 from ringshift.wire.connection import Connection, Post
 from ringshift.wire.connection_table import ConnectionTable
+from ringshift.wire.fair_turn import FairTurn
 from ringshift.wire.half_sent import HalfSent
 from ringshift.wire.handshakes import refuse_handshakes
 
@@ -43,7 +43,7 @@
         self.connections = self.table.connections
         self.room, self.buffer = Event(), fastcgi.new_buffer()
         self.unread, self.half_sent = Budget(bounds.unread), HalfSent(bounds.coming)
-        self.turn = BoundedSemaphore(1)
+        self.turn = FairTurn()
         self.idle_after = 0.0  # seconds; 0 leaves it to the sidecars
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/standins/bad_clients.py
+++ b/standins/bad_clients.py
@@ -1,6 +1,6 @@
-"""Clients that send what takes memory: `python -m standins.bad_clients HOST PORT SEED SECONDS KIND...`.
+"""Clients that take memory or time: `python -m standins.bad_clients HOST PORT SEED SECONDS CLIENTS KIND...`.
 
-They come by hundreds, one connection each at a time, and come again when a connection ends. Which kind a
+They have one connection each at a time, and come again when a connection ends. Which kind a
 client is follows from its number, and the sizes that it draws from the seed.
 """
 
@@ -19,9 +19,14 @@
 from ringshift.wire import fastcgi
 from ringshift.wire.fastcgi import ABORT, GET_VALUES, PARAMS, STDIN, record
 
-CLIENTS = 240
 REQUESTS = 32
 STAY_SECONDS = 10.0
+STEP_SECONDS = 0.2
+"""Between two pieces of those that write slowly or ask again."""
+SLOW_BYTES = 3
+"""Of a request in each piece of one that writes slowly."""
+AT_ONCE = 32
+"""Requests in each write of those that write at full speed."""
 AGAIN_SECONDS = 0.02
 FAR_MS = "999999999999999"
 """The longest wait that is within its range."""
@@ -110,6 +115,79 @@
     return (record(GET_VALUES, 0, asked) + record(random.randrange(12, 255), 0)) * 10_000
 
 
+def large_request(random: Random) -> bytes:
+    """One whole request, as large as it may be."""
+    return call(1, random, HTTP_X_ITEM="x" * 7000)
+
+
+def half_of_large(random: Random) -> bytes:
+    """Large requests that stop half way, in their fields or in their bodies."""
+    fields = [begin(n) + record(PARAMS, n, bytes(4000)) for n in range(1, REQUESTS)]
+    last = call(REQUESTS, random, HTTP_X_ITEM="x" * 7000)
+    return b"".join(fields) + last[: random.choice([4000, len(last) - 1000])]
+
+
+def short_fields(random: Random) -> bytes:
+    """Heads of very many short fields, whole ones and such as never end."""
+    name = random.choice([b"", b"a", b"ab"])
+    fields = (bytes((len(name), 0)) + name) * (8000 // (2 + len(name)))
+    head = record(PARAMS, 1, fields)
+    numbers = range(1, REQUESTS + 1)
+    ends = [b"" if n % 2 else record(PARAMS, n) for n in numbers]
+    return (
+        b"".join(begin(n) + record(PARAMS, n, fields) + end for n, end in zip(numbers, ends, strict=True))
+        + head
+    )
+
+
+def new_ids(random: Random) -> range:
+    """Ids of requests that are not open any more, or were never."""
+    first = random.randrange(1, 60_000)
+    return range(first, first + AT_ONCE)
+
+
+def no_such_operation(random: Random) -> bytes:
+    """Small whole requests for operations with ever new names."""
+    name = f"/call/{random.getrandbits(64):x}"
+    fields = fastcgi.write_pairs({"REQUEST_METHOD": "POST", "SCRIPT_NAME": name})
+    return b"".join(
+        begin(n) + record(PARAMS, n, fields) + record(PARAMS, n) + record(STDIN, n) for n in new_ids(random)
+    )
+
+
+def unsound(random: Random) -> bytes:
+    """Requests that can't be taken, in the fewest bytes: a body before its fields, lengths beyond the end."""
+    early = [begin(n) + record(STDIN, n, b"x") for n in new_ids(random)]
+    beyond = [begin(n) + record(PARAMS, n, b"\x7f\x7f") + record(PARAMS, n) for n in new_ids(random)]
+    return b"".join(early + beyond)
+
+
+def new_names(random: Random) -> bytes:
+    """Whole requests with ever new ids, items, keys, senders and fields."""
+    word = f"{random.getrandbits(64):x}"
+    other = {"HTTP_X_ITEM": word, "HTTP_X_UNIQUE": word, f"HTTP_{word}": word}
+    return b"".join(call(n, random, **other) for n in new_ids(random))
+
+
+def taken_back(random: Random) -> bytes:
+    """Whole requests, each with its abort behind it."""
+    return b"".join(call(n, random) + record(ABORT, n) for n in new_ids(random))
+
+
+def checks(random: Random) -> bytes:
+    """Deep health checks."""
+    fields = fastcgi.write_pairs({"SCRIPT_NAME": "/ping", "QUERY_STRING": "all=1"})
+    return b"".join(
+        begin(n) + record(PARAMS, n, fields) + record(PARAMS, n) + record(STDIN, n) for n in new_ids(random)
+    )
+
+
+def endless_fields(random: Random) -> bytes:
+    """Heads of very many short fields, again and again: reading one takes the longest for its bytes."""
+    fields = bytes(8000)
+    return b"".join(begin(n) + record(PARAMS, n, fields) + record(PARAMS, n) for n in new_ids(random))
+
+
 KINDS: dict[str, Callable[[Random], bytes]] = {
     made.__name__: made
     for made in (
@@ -122,10 +200,25 @@
         many_calls,
         long_words,
         management,
+        large_request,
+        half_of_large,
+        short_fields,
+        no_such_operation,
+        unsound,
+        new_names,
+        taken_back,
+        checks,
+        endless_fields,
     )
 }
 UNREAD = {"aborted", "management"}
 """Kinds whose clients do not read what they are sent."""
+SLOW = {"large_request"}
+"""Kinds whose clients write a few bytes at a time."""
+AGAIN = {"many_calls", "long_words"}
+"""Kinds whose clients ask again and again on their connection."""
+FULL_SPEED = {"no_such_operation", "unsound", "new_names", "taken_back", "checks", "endless_fields"}
+"""Kinds whose clients write as fast as they can."""
 
 
 def discard(sock: socket.socket) -> None:
@@ -135,6 +228,20 @@
             pass
 
 
+def write(sock: socket.socket, random: Random, kind: str) -> None:
+    """What a client of this kind sends on one connection."""
+    data = KINDS[kind](random)
+    if kind in SLOW:
+        for at in range(0, len(data), SLOW_BYTES):
+            sock.sendall(data[at : at + SLOW_BYTES])
+            gevent.sleep(STEP_SECONDS)
+        return
+    sock.sendall(data)
+    while kind in AGAIN | FULL_SPEED:
+        gevent.sleep(STEP_SECONDS if kind in AGAIN else 0)
+        sock.sendall(KINDS[kind](random))
+
+
 def client(address: Address, random: Random, kind: str, until: float) -> None:
     """Comes again and again until a moment of the monotonic clock."""
     while (left := until - time.monotonic()) > 0:
@@ -142,11 +249,7 @@
             sock = socket.create_connection(address)
             reading = None if kind in UNREAD else gevent.spawn(discard, sock)
             try:
-                sock.sendall(KINDS[kind](random))
-                if kind in ("many_calls", "long_words"):
-                    while True:
-                        gevent.sleep(0.2)
-                        sock.sendall(KINDS[kind](random))
+                write(sock, random, kind)
                 gevent.sleep(STAY_SECONDS) if reading is None else reading.join()
             finally:
                 sock.close()
@@ -158,10 +261,10 @@
 def main() -> int:
     """The exit status."""
     address, seed, seconds = (sys.argv[1], int(sys.argv[2])), int(sys.argv[3]), float(sys.argv[4])
-    kinds, until = sys.argv[5:], time.monotonic() + seconds
+    count, kinds, until = int(sys.argv[5]), sys.argv[6:], time.monotonic() + seconds
     clients = [
         gevent.spawn(client, address, Random(seed * 1000 + n), kinds[n % len(kinds)], until)
-        for n in range(CLIENTS)
+        for n in range(count)
     ]
     gevent.joinall(clients, timeout=seconds + STAY_SECONDS)
     return 0
--- a/tests/test_fastcgi.py
+++ b/tests/test_fastcgi.py
@@ -183,6 +183,8 @@
     """A turn of 16 KiB in records of two bytes took thirty times as long as one of whole requests: with two
     hundred such clients sound ones were answered after their objectives."""
     decoder = Decoder()
+    assert len(decoder.space()) == fastcgi.ROOM_FOR_SMALL, "the first turns of hundreds come at once"
+    feed(decoder, [padded(fastcgi.PARAMS, 1, b"x" * 1000, 0)])
     assert len(decoder.space()) == fastcgi.ROOM
     flood = begin(1) + padded(fastcgi.PARAMS, 1, b"xx", 0) * 500
     feed(decoder, [flood])
