What a client left unread by a reset is not run, and its held requests go with it

A client that reset its connection with 24 requests unread had all 24 sent on to be run; one that closed it with 24 read had them run one by one, until a second answer could not be written.

Cause: the kernel gives out what came before a reset, and the reader asked for nothing else; and a connection whose client closed its sending side waits for its answers, so that a reset was seen only by a write that failed, and acted on by the next one.

A client that closed its sending side alone still gets all its answers, which a test holds.

--- a/benchmarks/memory_limits.py
+++ b/benchmarks/memory_limits.py
@@ -3,8 +3,8 @@
 For each limit one backend, an agent that refuses ids it does not know, one sound sidecar and 240 bad
 clients of one kind, or of all (`standins/bad_clients.py`). Memory is the process's own, anonymous and shared,
 read twenty times a second. Prints a row for each; the exit status is 1 if one went over its limit, or a sound
-request got no answer in its time or was taken for a bad one. `--short` plays all kinds together at three limits,
-with `--clients` there are more or fewer of them.
+request got no answer in its time or was taken for a bad one. `--short` plays all kinds together at three
+limits, with `--clients` there are more or fewer of them.
 """
 
 from __future__ import annotations
--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import select
 import struct
 import termios
 import time
@@ -91,6 +92,8 @@
         if not self.outbox.put(data):
             counted.warn("sidecar does not read its answers", "connection closed")
             self.abort()
+        elif self.outbox.broken:
+            self.abort()  # the other side is gone: what is open is told so
 
     def abort(self) -> None:
         """Closes at once, whatever is unread: for one that does not read its answers, and past all bounds."""
@@ -152,6 +155,13 @@
         size = fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, b"\0\0\0\0")
         return bool(struct.unpack("i", size)[0])
 
+    def gone(self) -> bool:
+        """The other side has reset the connection, or the kernel has given it up. One that closed its sending
+        side alone still gets its answers."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), 0)  # an error or a hang-up is told in any case
+        return bool(poll.poll(0))
+
     def quiet(self, seconds: float) -> bool:
         return self.idle and time.monotonic() > self.touched + seconds and self.at_rest
 
@@ -160,6 +170,9 @@
         30 s and more. Counted in looks and not in time, so that what waited in the kernel while this program
         did not run is read first. Requests that never come whole fail alone; a first one that never comes, or
         a record cut short, takes the connection."""
+        if self.gone():
+            self.abort()
+            return
         for request in list(self.decoder.coming.values()):
             request.looks += 1
             if request.looks > LOOKS:
@@ -215,7 +228,13 @@
                 # would each hold what they had read until there is room. Where it is deaf since it began to
                 # wait, what came crossed the close.
                 with self.turn.taken(self.share):
-                    if self.deaf or self.read_once():
+                    if self.deaf:
+                        break
+                    if (
+                        self.gone()
+                    ):  # the kernel still gives out what came before a reset: nobody waits for it
+                        return
+                    if self.read_once():
                         break
         except fastcgi.NotFastCGI as wrong:
             counted.warn("bytes that are not FastCGI", str(wrong))
