An id without a key that may have run is not run again when it comes once more

An order whose client left while it ran, or had its answer, ran a second time when the id came again.

Cause: an id was known until its run had ended, and no longer; only keys were remembered beyond that.

Change: `store/finished_jobs.py` keeps the ids of requests that must not run twice, have no key and may have run, for the longest client time-out at least, in two generations bounded by a 64th of what the memory limit leaves (taken from the owner's queue, which since the turns holds what one of them brings). They are answered 400. What never began may come again.

--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -24,6 +24,7 @@
 from ringshift.runtime.bounds import Bounds
 from ringshift.runtime.clock import Clock
 from ringshift.runtime.logs import counted
+from ringshift.store.finished_jobs import FinishedJobs
 from ringshift.store.invocations import Invocation, Invocations, Try
 from ringshift.store.keyed import KeyedResults, RunFailed, entry_kb, keyed_operations
 from ringshift.store.results import Results
@@ -88,6 +89,7 @@
         self.mark = self.confirmed = 0
         self.barrier = 0  # the sample whose answer comes after all notices that a new link still had to tell
         self.longest = max(op.client_timeout for op in machine.operations)
+        self.finished_jobs = FinishedJobs(self.longest, bounds.finished_jobs)
         self.health, self.fields = (True, False), dict[str, str]()
         self.inputs: list[face.Input] = []
         self.leaving_at = self.heard = self.again_from = 0
@@ -151,6 +153,8 @@
             CARRY_OUT[type(action)](self, action)
         for index in self.controller.forgotten:
             inv = self.invocations.drop(index)
+            if inv is not None and inv.may_have_run and self.runs_once(inv.operation, inv.key):
+                self.finished_jobs.add(inv.job, now)
             self.end_repeats(self.results.dropped(index) + self.keyed.dropped(index), None)
             if inv is not None and inv.state in (Try.HELD, Try.LAUNCHED):
                 counted.warn("invocation forgotten without an answer", "errored")
@@ -199,8 +203,8 @@
         if self.controller is None:
             item.door.send(item.request, calls.throttled(item.request, self.fields, 0, False))
             return
-        if item.job in self.invocations.by_job:
-            counted.warn("request answered as errored", "job id in use")
+        if wrong := self.wrong_job(item):
+            counted.warn("request answered as errored", wrong)
             item.door.send(item.request, calls.errored(item.request, self.fields, 400))
             return
         inv = self.invocations.add(
@@ -225,6 +229,20 @@
             )
         )
 
+    def wrong_job(self, item: news.Called) -> str:
+        """Why its id can't be taken, empty where it can: each try has an id of its own."""
+        if item.job in self.invocations.by_job:
+            return "job id in use"
+        if self.runs_once(item.operation, item.key) and item.job in self.finished_jobs:
+            return "job id of a request that has run"
+        return ""
+
+    def runs_once(self, operation: int, key: str) -> bool:
+        """Whether a request must not run twice and only its id tells that it comes again."""
+        if self.machine.operations[operation].effect is face.Effect.IDEMPOTENT:
+            return False
+        return not (key and self.keyed.concerns(operation))
+
     def patience(self, item: news.Called, unread: int) -> int | None:
         """How long its sender still waits, None where that is not told. No client waits longer than its
         operation's time-out in all: what tells more must not be held, with its memory, for as long."""
@@ -340,6 +358,7 @@
                 counted.warn("run given up", "its end was not told")
                 self.keyed.may_have_run(inv.index)
                 self.on_run_ended(news.RunEnded(inv.job, "gone", 0, b""))
+                inv.may_have_run = True
         if not all(inv.over for inv in left):
             self.timer(self.clock.now() + self.longest, self.give_runs_up, before)
 
@@ -356,7 +375,8 @@
             return
         inv.launched = False
         good = outcome is face.Outcome.SUCCEEDED
-        if outcome is not face.Outcome.MOOT:
+        inv.may_have_run = outcome is not face.Outcome.MOOT
+        if inv.may_have_run:
             self.watch.ran(inv.operation, item.took, outcome is not face.Outcome.ERRORED)
         # Not when its end was read: a result that lay unread for long is that much older.
         at = min(self.clock.now(), inv.began + item.took)
--- a/ringshift/runtime/bounds.py
+++ b/ringshift/runtime/bounds.py
@@ -12,6 +12,8 @@
 CONNECTION = 12 * KIB  # a reader's stack and frames, as measured, and sockets' objects
 IN_HAND = 6 * KIB  # a try with a body of 2 KiB in the wire's, the owner's and the module's words
 NEWS = 4 * KIB  # one in the queue, body included
+JOB = 144  # bytes: the id of a request that is over, in a set that has just grown
+GENERATIONS = 2  # of such ids
 GROWN = 9, 8  # memory of an array that grows, to the bytes that are in it
 
 
@@ -26,6 +28,8 @@
     """Bytes of requests that are not whole, of all connections together."""
     results: int
     """Bytes of results kept for repeats."""
+    finished_jobs: int
+    """Ids of requests that are over, in each generation of them."""
     commands: int
     """Bytes of commands that the agent has not read."""
 
@@ -43,9 +47,10 @@
     return Bounds(
         connections=max(min(sockets - OWN_DESCRIPTORS, spare * 3 // 8 // CONNECTION), 1),
         in_hand=spare // 8 // IN_HAND,
-        news=spare // 8 // NEWS,
+        news=spare * 7 // 64 // NEWS,
         unread=spare // 8 * held // grown,
         coming=spare // 8,
         results=spare // 16,
+        finished_jobs=spare // 64 // GENERATIONS // JOB,
         commands=min(spare // 16 * held // grown, MOST_COMMANDS),
     )
--- a/ringshift/store/invocations.py
+++ b/ringshift/store/invocations.py
@@ -38,6 +38,8 @@
     """Nothing of its launch was ever written: the only proof that it never ran."""
     began: int = 0
     """When it was first launched."""
+    may_have_run: bool = False
+    """It was launched, and nothing proves that it never ran."""
 
     @property
     def over(self) -> bool:
@@ -78,6 +80,7 @@
 
     def launch(self, inv: Invocation, mark: int, now: int = 0) -> None:
         inv.launched, inv.mark, inv.began = True, mark, inv.began or now
+        inv.may_have_run = True
         if inv.state is Try.HELD:
             inv.state = Try.LAUNCHED
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -21,7 +21,7 @@
 from ringshift.owner import GAUGES_IN, QUIET, Owner
 from ringshift.records.watch import AWAY, RULED
 from ringshift.runtime import logs
-from ringshift.runtime.bounds import CONNECTION, IN_HAND, MIB, NEWS, OWN, Budget, bounds
+from ringshift.runtime.bounds import CONNECTION, GENERATIONS, IN_HAND, JOB, MIB, NEWS, OWN, Budget, bounds
 from ringshift.runtime.clock import Clock
 from ringshift.store.invocations import Invocations, Try
 from ringshift.store.results import ENTRY, Results
@@ -258,6 +258,7 @@
     most = bounds(memory * MIB, 384)
     held = most.connections * CONNECTION + most.in_hand * IN_HAND + most.news * NEWS
     grown = (most.unread + most.commands) * 9 // 8  # waiting bytes are joined in arrays that grow
+    held += most.finished_jobs * JOB * GENERATIONS
     assert OWN + held + grown + most.coming + most.results <= memory * MIB
     assert most.connections >= 300 and most.in_hand >= 200
 
