Turns are charged by records and bytes, not by the clock; of equals the cheapest is first

Cause: turns were charged by the clock. A pause of the process in a sound client's turn was charged to it, and virtual time goes on only as fast as hundreds of others take their turns.

Change: a turn is charged its records and its bytes, the same in every run.

--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -271,13 +271,13 @@
         """All of it before the first word to the owner, which may wait: other connections read into the same
         buffer meanwhile."""
         news: list[News] = []
-        self.taking, began = True, time.monotonic_ns()
+        self.taking, before = True, self.decoder.records
         try:
             for message in self.decoder.took(size):
                 news += self.handle(message)
             self.hold()
             kept = sum(-1 if isinstance(item, CallerLeft) else 1 for item in news)
-            self.share.charge(time.monotonic_ns() - began, max(kept, 0))
+            self.share.charge(self.decoder.records - before, size, max(kept, 0))
             self.bound.enforce()
         finally:
             for item in news:
--- a/ringshift/wire/fair_turn.py
+++ b/ringshift/wire/fair_turn.py
@@ -13,30 +13,45 @@
 
 AFTER_SOCKETS = -1
 """Priority of a watcher that the loop serves after all sockets that were ready in the same poll."""
-REQUEST_NS = 1_000_000
-"""What reading one whole request may take before it counts as a cost to others."""
+RECORD_BYTES = 64
+"""Bytes that cost as much to take as one record does whatever is in it."""
+REQUEST_COST = 192
+"""In records: what one whole request may cost, so that none of up to 10 KiB is charged."""
 
 
 @dataclass(slots=True)
 class Share:
-    """One connection's account: the virtual time up to which its turns have used its part, in nanoseconds."""
+    """One connection's account: the virtual time up to which its turns have used its part, in records.
+
+    Not in time: a pause of the process would be charged to whoever had the turn, and held it up for as long
+    many times over.
+    """
 
     finish: int = 0
+    last: int = 0
+    """What its last turn was charged."""
 
-    def charge(self, spent: int, requests: int) -> None:
-        """A turn took `spent` nanoseconds and brought so many whole requests that were not aborted in it.
+    def charge(self, records: int, size: int, requests: int) -> None:
+        """A turn took so many records, `size` bytes in all, and brought so many whole requests that were not
+        aborted in it.
 
-        Only what it took beyond that of such requests is charged: a few connections that ask often are not
-        held to an even part with hundreds that bring nothing.
+        Only what it cost beyond such requests is charged: a few connections that ask often are not held to an
+        even part with hundreds that bring nothing.
         """
-        self.finish += max(spent - requests * REQUEST_NS, 0)
+        self.last = max(records + size // RECORD_BYTES - requests * REQUEST_COST, 0)
+        self.finish += self.last
 
 
 @dataclass(order=True, slots=True)
 class Waiting:
-    """One that waits, in the order in which turns are given: by virtual time, then by arrival."""
+    """One that waits, in the order in which turns are given.
+
+    Busy clients of one kind keep to the same virtual times: of equals the one whose last turn cost least is
+    first.
+    """
 
     start: int
+    last: int
     order: int
     granted: Event = field(compare=False, default_factory=Event)
 
@@ -60,20 +75,19 @@
     def taken(self, share: Share) -> Iterator[None]:
         """Waits for the turn and holds it. The holder charges what it cost to its share."""
         share.finish = max(self.virtual, share.finish)
-        start = share.finish
-        self.wait(start)
-        self.virtual = max(self.virtual, start)
+        self.wait(share)
+        self.virtual = max(self.virtual, share.finish)
         try:
             yield
         finally:
             self.release()
 
-    def wait(self, start: int) -> None:
+    def wait(self, share: Share) -> None:
         """Until the turn is this one's."""
         if not self.held:
             self.held = True
             return
-        entry = Waiting(start, next(self.arrivals))
+        entry = Waiting(share.finish, share.last, next(self.arrivals))
         heappush(self.waiting, entry)
         try:
             entry.granted.wait()
--- a/tests/wire/test_fair_turn.py
+++ b/tests/wire/test_fair_turn.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Iterator
 from contextlib import suppress
 from random import Random
 
@@ -9,9 +11,9 @@
 import pytest
 
 from ringshift.wire.connection import Connection
-from ringshift.wire.fair_turn import REQUEST_NS, FairTurn, Share
-from ringshift.wire.fastcgi import PARAMS, STDIN, record
-from ringshift.wire.news import Called
+from ringshift.wire.fair_turn import RECORD_BYTES, REQUEST_COST, FairTurn, Share
+from ringshift.wire.fastcgi import PARAMS, STDIN, Message, record
+from ringshift.wire.news import Called, News
 from ringshift.wire.responder import Responder
 from standins.bad_clients import begin, short_fields
 from standins.sidecar import Sidecar
@@ -24,7 +26,7 @@
 def holding(turn: FairTurn, share: Share, cost: int, name: str, order: list[str]) -> None:
     with turn.taken(share):
         order.append(name)
-        share.charge(cost, 0)
+        share.charge(cost, 0, 0)
 
 
 def test_whoever_cost_least_is_next_and_equals_come_in_their_order() -> None:
@@ -41,6 +43,17 @@
     assert order == ["first", "second", "cheap", "costly"]
 
 
+def test_of_equals_the_one_whose_last_turn_cost_least_is_next() -> None:
+    """Hundreds that send the same kept to the same virtual time, with a sound client behind them all."""
+    turn, order = FairTurn(), list[str]()
+    shares = {name: Share(100, last) for name, last in (("busy", 100), ("another", 100), ("sound", 0))}
+    with turn.taken(Share()):
+        waiting = [gevent.spawn(holding, turn, shares[name], 0, name, order) for name in shares]
+        gevent.idle()
+    gevent.joinall(waiting, timeout=10)
+    assert order == ["sound", "busy", "another"]
+
+
 def test_one_that_rested_has_no_claim_to_what_it_did_not_use() -> None:
     """Else a client that was quiet for long could keep all others waiting for as long."""
     turn, order, busy, rested = FairTurn(), list[str](), Share(), Share()
@@ -53,10 +66,33 @@
 
 def test_whole_requests_are_not_charged_up_to_their_allowance() -> None:
     share = Share()
-    share.charge(3 * REQUEST_NS, 3)
+    share.charge(12, (3 * REQUEST_COST - 12) * RECORD_BYTES, 3)
     assert not share.finish
-    share.charge(3 * REQUEST_NS, 1)
-    assert share.finish == 2 * REQUEST_NS
+    share.charge(3 * REQUEST_COST, 0, 1)
+    assert share.finish == 2 * REQUEST_COST
+
+
+def test_a_pause_of_the_process_in_a_sound_clients_turn_costs_it_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Charged by the clock, 50 ms of it made a sound client wait for 9 s beside 240 others."""
+    handle = Connection.handle
+
+    def pausing(self: Connection, message: Message) -> Iterator[News]:
+        until = time.monotonic() + 0.05
+        while time.monotonic() < until:
+            pass
+        yield from handle(self, message)
+
+    monkeypatch.setattr(Connection, "handle", pausing)
+    with listening() as (listener, heard):
+        client = Sidecar(listener.sock.getsockname())
+        client.send(client.call(1))
+        with gevent.Timeout(10):
+            while not heard:
+                gevent.sleep(0)
+        (connection,) = listener.connections
+        assert not connection.share.finish
 
 
 @pytest.mark.parametrize("granted", [False, True], ids=["waiting", "granted"])
