A full table makes room by busy connections never served; served ones come first

Beside 420 clients that ask again as soon as they are turned away, or 850 silent ones, sound requests on new connections got no answer: 101 to 153 of 295, and 29 to 99 in 100.

Cause: only resting connections made room, which were those of the sound sidecars; where none rested, new ones waited without a bound. At most eight ended at once, one each 5 ms.

Change: connections on which a request was served are told apart. The rest end first, also busy ones, after their next answer; 32 at once, one each millisecond; after a second without room those that wait are closed with nothing run.

--- a/ringshift/owner.py
+++ b/ringshift/owner.py
@@ -169,6 +169,7 @@
     def succeed(self, inv: Invocation, result: bytes) -> None:
         warning = self.rulings.fields(inv.operation, inv.caller)
         fields = {**self.fields, **warning} if warning else self.fields
+        inv.door.note_served()
         # Counted only once it was handed to the connection: who was not warned must not be shed for it.
         if self.answer(inv, calls.succeeded(inv.request, fields, result), SUCCEEDED) and warning:
             self.rulings.answered(inv.operation, inv.caller)
--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -20,7 +20,7 @@
 from ringshift.runtime.logs import counted
 from ringshift.wire import calls, fastcgi
 from ringshift.wire.connection_table import ConnectionTable
-from ringshift.wire.fair_turn import FairTurn, Share
+from ringshift.wire.fair_turn import FairTurn
 from ringshift.wire.half_sent import HalfSent
 from ringshift.wire.news import CallerLeft, News
 from ringshift.wire.outbox import Outbox
@@ -50,15 +50,17 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNELS_PART)
         self.sock, self.operations, self.post = sock, operations, post
-        self.table, self.over, self.turn, self.share = table, over, turn, Share()
+        self.table, self.over, self.turn, self.share = table, over, turn, turn.new_share()
         self.decoder, self.bound = fastcgi.Decoder(buffer), half_sent
         self.outbox = Outbox(sock, UNREAD_ANSWERS, unread)
         self.finishing: set[int] = set()  # requests after whose answer the connection closes
-        self.ended = self.spoken = self.taking = False
+        self.ended = self.spoken = self.served = self.taking = False
         self.leaving = False  # half-closes at the first moment of rest
+        self.retiring = False  # the same to make room for others, unless a request of it is served before
         self.deaf = False  # what still comes is never run
-        self.looks = self.records = 0
-        """How often the sweep has found it without one whole request, or at the same cut record."""
+        self.looks = self.records = self.retiring_looks = 0
+        """How often the sweep has found it without one whole request, or at the same cut record; and how
+        often it was retiring and did not rest."""
         self.touched = time.monotonic()
         self.half_closed = Event()
         self.lingering: gevent.Greenlet[..., None] | None = None
@@ -81,8 +83,23 @@
         if request in self.finishing:
             self.finishing.discard(request)
             self.leaving = True
-        if self.leaving:
-            self.leave()
+        self.end_at_rest()
+
+    def note_served(self) -> None:
+        """A request of it was served."""
+        if self.served:
+            return
+        self.served = True
+        self.table.use(self)
+        if self.retiring:
+            self.retiring = False
+            self.table.keep(self)
+
+    def retire(self) -> None:
+        """Ends after its next answer, to make room, unless that is the result of a run."""
+        self.retiring = True
+        self.table.leave_order(self)
+        self.end_at_rest()
 
     def touch(self) -> None:
         self.touched = time.monotonic()
@@ -114,12 +131,15 @@
     def leave(self) -> None:
         """Half-closes now or, as it is called again after each answer, at the first moment of rest."""
         self.leaving = True
-        if self.at_rest:
-            self.half_close()
+        self.end_at_rest()
 
     def flushed(self, _: Event) -> None:
-        if self.leaving:
-            self.leave()
+        self.end_at_rest()
+
+    def end_at_rest(self) -> None:
+        """The end of one that is to end, if this is a moment of rest."""
+        if (self.leaving or self.retiring) and self.at_rest:
+            self.half_close()
 
     def stop_reading(self) -> None:
         """Before the kill: what is unread or half sent crosses the close, what was read is answered first.
@@ -173,6 +193,9 @@
         if self.gone():
             self.abort()
             return
+        self.retiring_looks = self.retiring_looks + 1 if self.retiring else 0
+        if self.retiring_looks > LOOKS:
+            self.stop_reading()  # one that always has more to ask never rests
         for request in list(self.decoder.coming.values()):
             request.looks += 1
             if request.looks > LOOKS:
@@ -277,14 +300,13 @@
                 news += self.handle(message)
             self.hold()
             kept = sum(-1 if isinstance(item, CallerLeft) else 1 for item in news)
-            self.share.charge(self.decoder.records - before, size, max(kept, 0))
+            self.share.charge(self.decoder.records - before, size, max(kept, 0), self.served)
             self.bound.enforce()
         finally:
             for item in news:
                 self.post(item)
             self.taking = False
-        if self.leaving:
-            self.leave()
+        self.end_at_rest()
 
     def handle(self, message: fastcgi.Message) -> Iterator[News]:
         if isinstance(message, fastcgi.Request):
--- a/ringshift/wire/news.py
+++ b/ringshift/wire/news.py
@@ -11,6 +11,7 @@
     """Where the answer to one request goes, equal for the same request alone. Never waits."""
 
     def send(self, request: int, data: bytes) -> None: ...
+    def note_served(self) -> None: ...
 
 
 @dataclass(frozen=True, slots=True)
--- a/ringshift/wire/responder.py
+++ b/ringshift/wire/responder.py
@@ -15,6 +15,9 @@
     def send(self, request: int, data: bytes) -> None:
         """Answers the open request with this id. Never waits."""
 
+    def note_served(self) -> None:
+        """A request of it was served."""
+
 
 @dataclass(frozen=True, slots=True)
 class Responder:
@@ -29,3 +32,7 @@
         """Answers it, unless it is over."""
         if request == self.request and self.connection.serial(request) == self.serial:
             self.connection.send(request, data)
+
+    def note_served(self) -> None:
+        """Its answer is the result of its run."""
+        self.connection.note_served()
--- a/ringshift/wire/sidecars.py
+++ b/ringshift/wire/sidecars.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import errno
+import select
 import time
 from collections.abc import Mapping
+from contextlib import suppress
+from itertools import chain
 
 import gevent
 from gevent import socket
@@ -21,8 +24,10 @@
 
 SWEEP = 0.5  # seconds between two looks at all connections
 CROSSING = 0.05  # seconds within which a request may cross a close
-FOR_ROOM = 0.005  # seconds that one may take to end before the next one is made to
-MOST_FOR_ROOM = 8  # connections that end at once so that others have room
+FOR_ROOM = 0.001  # seconds that one may take to end before the next one is made to
+MOST_FOR_ROOM = 32  # connections that end at once so that others have room
+IDLE = 1.0  # seconds after which a connection whose requests were served goes before busy ones of others
+REFUSE_AFTER = 1.0  # seconds without room after which those that wait to be accepted are closed
 LEAST_PART = 16  # of a small table, at most this part is kept free for the next ones
 LAST_ANSWERS = 0.02  # seconds before the end in which nothing more is read, only answered
 HANDSHAKE = 0.002  # seconds in which a handshake that has begun completes
@@ -56,10 +61,16 @@
         self.accepting, self.sweeping = gevent.spawn(self.accept), gevent.spawn(self.sweep)
 
     def accept(self) -> None:
+        full_since = 0.0
         while True:
             if len(self.connections) >= self.most:
+                full_since = full_since or time.monotonic()
+                if time.monotonic() > full_since + REFUSE_AFTER:
+                    self.refuse_waiting()
+                    full_since = 0.0
                 self.make_room(f"{len(self.connections)} connections open")
                 continue
+            full_since = 0.0
             try:
                 sock, _ = self.sock.accept()
             except OSError as wrong:
@@ -70,7 +81,7 @@
                 continue
             self.add(sock)
             if len(self.connections) - self.table.closing > self.most - self.spare:
-                self.end_one()  # ahead of need, so that those that end don't hold the next ones up
+                self.end_resting()  # ahead of need, so that those that end don't hold the next ones up
             gevent.sleep(0)
 
     def add(self, sock: socket.socket) -> None:
@@ -93,25 +104,57 @@
         self.room.set()
 
     def make_room(self, why: str) -> None:
-        """The connection that has been idle longest goes, and before it any that never asked: hundreds of
-        silent ones must not cost the sidecars theirs. Those that end keep their places for a while, so that
-        the next ones follow soon, few at once. With none, new ones wait in the kernel's queue. The limit is
-        waited for, never spun on."""
+        """One connection more ends, see `end_one`. Those that end keep their places for a while, so that the
+        next ones follow soon, few at once. The limit is waited for, never spun on."""
         ending = self.table.closing
-        if ending < MOST_FOR_ROOM and self.end_one():
+        if ending < MOST_FOR_ROOM and self.end_one(alone=not ending):
             ending += 1
         if not ending:
             counted.warn("no room for a connection", why)
         self.room.clear()
         self.room.wait(FOR_ROOM if 0 < ending < MOST_FOR_ROOM else CROSSING)
 
-    def end_one(self) -> bool:
-        for connection in self.table.unused_since(time.monotonic() - CROSSING):
+    def end_one(self, alone: bool) -> bool:
+        """A resting one, or one that is busy and of which no request was ever served: hundreds of silent or
+        bad clients must not cost the sidecars their connections, nor those that come new their places. A
+        sidecar's that rests only just goes where no other ends."""
+        return self.end_resting(IDLE) or self.end_busy() or (alone and self.end_resting())
+
+    def end_resting(self, served_after: float = CROSSING) -> bool:
+        """The one unused for longest, of those whose requests were served only after so many seconds."""
+        now = time.monotonic()
+        unserved = self.table.unserved_unused_since(now - CROSSING)
+        for connection in chain(unserved, self.table.served_unused_since(now - served_after)):
             if connection.quiet(CROSSING):
                 connection.half_close(CROSSING)
                 return True
         return False
 
+    def end_busy(self) -> bool:
+        """The oldest that asks and was never served ends after its next answer, unless that serves it."""
+        connection = self.table.oldest_never_served()
+        if connection is None:
+            return False
+        connection.retire()
+        return True
+
+    def refuse_waiting(self) -> None:
+        """Closes those that wait in the kernel's queue, with nothing run: their clients may go elsewhere."""
+        refused = 0
+        with suppress(OSError):
+            while self.sock_waits():
+                sock, _ = self.sock.accept()
+                sock.close()
+                refused += 1
+        if refused:
+            counted.warn("no room for a connection", "new ones closed")
+
+    def sock_waits(self) -> bool:
+        """A connection waits to be accepted."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -47,6 +47,9 @@
     def send(self, request: int, data: bytes) -> None:
         self.answers.setdefault(request, []).append(data)
 
+    def note_served(self) -> None:
+        pass
+
     def __getattr__(self, name: str) -> Any:
         return lambda *told: self.said.append((name, *told))
 
--- a/tests/test_written_messages.py
+++ b/tests/test_written_messages.py
@@ -321,6 +321,9 @@
     def send(self, request: int, data: bytes) -> None:
         raise AssertionError("nothing is sent")
 
+    def note_served(self) -> None:
+        raise AssertionError("nothing is served")
+
 
 def request(**parameters: str) -> fastcgi.Request:
     made = fastcgi.Request(9, True, params=parameters)
