A repeat of a keyed request that ran is answered by its result after the grace too

Cause: `on_arrived` asked whether the server is closed before it asked whether the request repeats one that a key holds.

Change: the second is asked first. Nothing is run for it, so that nothing that comes after the grace runs.

--- a/ringshift/control/controller.py
+++ b/ringshift/control/controller.py
@@ -35,7 +35,7 @@
         self.unread.add(now, min(news.unread, line.op.objective))
         self.memory, self.last_caller = self.memory + inv.kb, news.caller
         kept = news.repeats is not None and line.op.effect is Effect.TOKENED  # what ran is never turned away
-        if self.closed(inv) or (self.ruled and not kept and self.ruled_out(inv, news.lot)):
+        if not kept and (self.closed(inv) or (self.ruled and self.ruled_out(inv, news.lot))):
             self.step_to(inv, News.TURN)
         elif kept or (news.repeats is not None and self.machine.fresh):
             self.step_to(inv, News.REPEAT)
--- a/tests/crossings/test_keyed_repeats.py
+++ b/tests/crossings/test_keyed_repeats.py
@@ -208,3 +208,44 @@
         sidecar = host.serving()
         sidecar.send(sidecar.call(1, HTTP_X_UNIQUE="a" * 129) + sidecar.call(2, HTTP_X_UNIQUE="a" * 128))
         assert [sidecar.answer(request).status for request in (1, 2)] == [400, 200]
+
+
+def drained(played: Played) -> None:
+    """Told to leave, and past the grace, with time left before the kill."""
+    played.step(news.ToldToLeave(9000 * MS))
+    played.step(after=2500 * MS)
+
+
+def test_a_repeat_of_what_has_run_is_answered_after_the_grace_of_a_drain() -> None:
+    """It was turned away, which tells its sidecar that nothing was done (`review/9`)."""
+    played = keyed()
+    played.step(a_try(played, 1))
+    played.step(played.ended(1))
+    drained(played)
+    played.step(a_try(played, 2), a_try(played, 3, "new"))
+    assert (played.status(2), played.status(3)) == ([200], [429])
+    assert played.told("launch") == [job(1)]
+
+
+@pytest.mark.parametrize("end, status", [("good", 200), ("bad", 500), ("cut", 500)])
+def test_a_repeat_of_what_still_runs_waits_for_its_end_after_the_grace_of_a_drain(
+    end: str, status: int
+) -> None:
+    played = keyed()
+    drain = news.ToldToLeave(9000 * MS)
+    played.step(a_try(played, 1), drain)
+    played.step(after=2500 * MS)
+    played.step(a_try(played, 2))
+    assert played.status(2) == []
+    played.step(played.ended(1, end))
+    assert played.status(2) == [status] and played.told("launch") == [job(1)]
+
+
+def test_a_repeat_that_comes_before_the_kill_gets_its_one_answer_in_time() -> None:
+    played = keyed()
+    played.step(a_try(played, 1))
+    played.step(played.ended(1))
+    played.step(news.ToldToLeave(3000 * MS))
+    played.step(after=2990 * MS)
+    played.step(a_try(played, 2))
+    assert played.status(2) == [200]
