--- a/ringshift/wire/connection.py
+++ b/ringshift/wire/connection.py
@@ -202,6 +202,8 @@
         30 s and more. Counted in looks and not in time, so that what waited in the kernel while this program
         did not run is read first. Requests that never come whole fail alone; a first one that never comes, or
         a record cut short, takes the connection."""
+        if self.half_closed.is_set():
+            return  # it ends by itself, and not before what crosses is read, which would reset its answers
         if self.gone():
             self.abort()
             return
--- a/tests/wire/test_clients_that_left.py
+++ b/tests/wire/test_clients_that_left.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from ringshift.wire import calls, news
+from ringshift.wire.connection import Connection
 from ringshift.wire.fair_turn import Share
 from standins.sidecar import Sidecar
 from tests.listening import Here, listening
@@ -83,6 +84,22 @@
         assert not left(here)
 
 
+def test_the_sweep_leaves_a_connection_that_half_closed_to_its_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With both directions closed it looks like a reset one, and ended before what had crossed was read, its
+    last answers could be reset."""
+    with listening() as (listener, _):
+        client = Sidecar(listener.sock.getsockname())
+        until(lambda: len(listener.connections) == 1)
+        (connection,) = listener.connections
+        monkeypatch.setattr(Connection, "gone", lambda self: True)
+        connection.half_close(60.0)
+        listener.look()
+        gevent.idle()
+        assert not connection.ended
+        client.sock.close()
+        until(lambda: connection.ended)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_after_a_reset_at_any_moment_nothing_more_of_the_client_is_called(seed: int) -> None:
     """Cut at a random byte, while the reader is between two turns."""
